--- /dev/null
+++ b/src/main/java/org/radishpost/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.radishpost.admin;
--- /dev/null
+++ b/src/main/java/org/radishpost/bench/package-info.java
@@ -0,0 +1,2 @@
+/** An open-loop load driver and its reports. */
+package org.radishpost.bench;
--- /dev/null
+++ b/src/main/java/org/radishpost/events/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered events and the time line of a VM. */
+package org.radishpost.events;
--- /dev/null
+++ b/src/main/java/org/radishpost/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP edge towards callers, targets and other VMs. */
+package org.radishpost.http;
--- /dev/null
+++ b/src/main/java/org/radishpost/lib/PoolId.java
@@ -0,0 +1,17 @@
+package org.radishpost.lib;
+
+/**
+ * The identity of a pool: the targets of one service in one availability zone, or one shard of
+ * them.
+ *
+ * @param gateway the gateway that the service belongs to
+ * @param service the service
+ * @param place where the targets run
+ * @param shard the number of the shard, 0 for a pool that is not split
+ */
+public record PoolId(GatewayName gateway, ServiceName service, Place place, int shard) {
+  @Override
+  public String toString() {
+    return gateway + "/" + service + "@" + place.zone() + "#" + shard;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/lib/ZoneName.java
@@ -0,0 +1,31 @@
+package org.radishpost.lib;
+
+import java.util.Objects;
+
+/**
+ * The name of an availability zone, unique over all regions.
+ *
+ * @param value the text, not blank, at most {@value #MAX_CHARS} characters
+ */
+public record ZoneName(String value) implements Comparable<ZoneName> {
+  /** Longest name, in characters. */
+  public static final int MAX_CHARS = 100;
+
+  /** Checks the text. */
+  public ZoneName {
+    Objects.requireNonNull(value, "value");
+    if (value.isBlank() || value.length() > MAX_CHARS) {
+      throw new IllegalArgumentException("name must have 1 to " + MAX_CHARS + " characters");
+    }
+  }
+
+  @Override
+  public int compareTo(ZoneName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/Links.java
@@ -0,0 +1,30 @@
+package org.radishpost.link;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import org.radishpost.lib.VmId;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** The links of this VM to others; thread-safe. */
+public interface Links {
+  /** Tells a peer something; false when no link stands or its bounded queue is full. */
+  boolean tell(VmId peer, LinkMessage message);
+
+  /**
+   * Asks a peer and waits for the answer.
+   *
+   * @return the answer, or {@link org.radishpost.errors.LinkException} when none came in time
+   */
+  Mono<LinkMessage> ask(VmId peer, LinkMessage message, Duration limit);
+
+  /** Sets who answers the messages that peers ask. */
+  void answerWith(BiFunction<VmId, LinkMessage, Mono<LinkMessage>> answerer);
+
+  /** Emits what happens, in order for each peer. */
+  Flux<PeerEvent> events();
+
+  /** Returns the session with a peer, while a link stands. */
+  Optional<LinkSession> session(VmId peer);
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated links between VMs: MessagePack frames over TCP. */
+package org.radishpost.link;
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each command. */
+package org.radishpost.pgm;
--- /dev/null
+++ b/src/main/java/org/radishpost/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's services over HTTP and JSON. */
+package org.radishpost.platform.http;
--- /dev/null
+++ b/src/main/java/org/radishpost/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of one process: records, JSON schema and checks. */
+package org.radishpost.settings;
--- /dev/null
+++ b/src/test/java/org/radishpost/CorePurityTest.java
@@ -0,0 +1,51 @@
+package org.radishpost;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** The core imports no socket, file, timer or Netty type. */
+public class CorePurityTest {
+  private static final Path SOURCES = Path.of("src/main/java/org/radishpost");
+  private static final List<String> CORE =
+      List.of(
+          "lib",
+          "errors",
+          "manifest",
+          "config",
+          "membership",
+          "pool",
+          "routing",
+          "admission",
+          "claims",
+          "suspects",
+          "events");
+  private static final Pattern OUTSIDE =
+      Pattern.compile(
+          "import (static )?(java\\.net\\.|java\\.nio\\.(file|channels)|java\\.io\\.(File|Socket)"
+              + "|java\\.util\\.Timer|java\\.util\\.concurrent\\.(Scheduled|Executor)"
+              + "|io\\.netty|reactor\\.netty|reactor\\.core\\.scheduler"
+              + "|org\\.radishpost\\.(http|link|admin|settings|node|standin|bench|pgm)\\.).*");
+
+  @Test
+  public void coreImportsNoInputOrOutput() throws IOException {
+    List<String> faults = new ArrayList<>();
+    for (String name : CORE) {
+      try (Stream<Path> files = Files.list(SOURCES.resolve(name))) {
+        for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+          Files.readAllLines(file).stream()
+              .filter(line -> OUTSIDE.matcher(line).matches())
+              .forEach(line -> faults.add(file + ": " + line));
+        }
+      }
+    }
+    assertEquals(faults, List.of());
+  }
+}
