--- /dev/null
+++ b/src/main/java/org/radishpost/standin/LogFaults.java
@@ -0,0 +1,16 @@
+package org.radishpost.standin;
+
+import java.time.Duration;
+
+/**
+ * What is wrong with the log's stand-in; immutable.
+ *
+ * @param down whether every request fails without effect
+ * @param delay how much longer each answer takes
+ * @param lostAppendAnswers how many of the next appends take effect without an answer
+ * @param lostAppends how many of the next appends are lost with the same error, without effect
+ */
+public record LogFaults(boolean down, Duration delay, int lostAppendAnswers, int lostAppends) {
+  /** Nothing is wrong. */
+  public static final LogFaults NONE = new LogFaults(false, Duration.ZERO, 0, 0);
+}
