--- /dev/null
+++ b/src/main/java/org/radishpost/pool/OwnerPool.java
@@ -0,0 +1,412 @@
+package org.radishpost.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.radishpost.admission.AdmissionQueue;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.CallId;
+import org.radishpost.lib.Digest;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.PoolId;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.manifest.TargetSpec;
+import org.radishpost.suspects.SuspectRegistry;
+
+/**
+ * The pool of an owner: one queue for all targets, and each call goes to the next free slot.
+ *
+ * <p>Create one when this VM becomes the owner, {@link #configure} it, and {@link #release} it when
+ * another VM does. The adapter calls {@link #tick} every few milliseconds. One thread at a time.
+ */
+public final class OwnerPool implements Pool {
+  private static final int SERVER_ERROR = 500;
+  private static final int POOL_ANSWERS = 256;
+  private static final int MAX_DOUBLINGS = 5;
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  private final PoolId id;
+  private final PoolLimits limits;
+  private final RandomGenerator random;
+  private final SuspectRegistry suspects;
+  private final LongSupplier configVersion;
+  private final int owners;
+  private final AdmissionQueue queue;
+  private final Map<Endpoint, TargetTracker> targets = new LinkedHashMap<>();
+  private final Map<Endpoint, ProbeClock> probes = new HashMap<>();
+  private final Map<CallId, SentCall> sent = new HashMap<>();
+  private final CrashWatch crashes;
+  private final MeanTime service = new MeanTime(POOL_ANSWERS);
+  private long probeIntervalNanos;
+  private int ejectQuota;
+  private boolean released;
+
+  /**
+   * Creates the pool without targets.
+   *
+   * @param id its identity
+   * @param limits its bounds
+   * @param random for choosing among equal targets
+   * @param suspects the requests known to crash targets
+   * @param configVersion tells the version of the configuration in force
+   */
+  public OwnerPool(
+      PoolId id,
+      PoolLimits limits,
+      RandomGenerator random,
+      SuspectRegistry suspects,
+      LongSupplier configVersion) {
+    this(id, limits, random, suspects, configVersion, ColdLimits.OWNERS);
+  }
+
+  OwnerPool(
+      PoolId id,
+      PoolLimits limits,
+      RandomGenerator random,
+      SuspectRegistry suspects,
+      LongSupplier configVersion,
+      int owners) {
+    this.id = id;
+    this.limits = limits;
+    this.random = random;
+    this.suspects = suspects;
+    this.configVersion = configVersion;
+    this.owners = owners;
+    this.queue = new AdmissionQueue(limits.queueCalls());
+    this.crashes = new CrashWatch(suspects);
+  }
+
+  @Override
+  public void configure(
+      ServiceSpec spec, List<TargetSpec> wanted, long nowNanos, Consumer<PoolAction> out) {
+    probeIntervalNanos = spec.probe().interval().toNanos();
+    ejectQuota = EjectionQuota.of(id, spec, wanted);
+    ColdLimits cold = ColdLimits.of(spec.coldStart(), owners);
+    List<Endpoint> kept = new ArrayList<>();
+    for (TargetSpec target : wanted) {
+      kept.add(target.address());
+      TargetTracker tracker = targets.get(target.address());
+      if (tracker != null) {
+        TargetState before = tracker.state();
+        tracker.configure(target, cold, nowNanos);
+        noteChange(tracker, before, out);
+        continue;
+      }
+      targets.put(target.address(), new TargetTracker(target, cold, nowNanos));
+      probes.computeIfAbsent(target.address(), t -> new ProbeClock(nowNanos));
+      out.accept(new PoolAction.OpenAhead(target.address(), 1));
+    }
+    for (TargetTracker tracker : targets.values()) {
+      if (tracker.wanted() && !kept.contains(tracker.address())) {
+        TargetState before = tracker.state();
+        tracker.unwanted();
+        noteChange(tracker, before, out);
+      }
+    }
+    removeDrained();
+    dispatch(nowNanos, out);
+  }
+
+  @Override
+  public void offer(CallFacts call, long nowNanos, Consumer<PoolAction> out) {
+    Optional<HandBackReason> refusal = refusal(call, nowNanos);
+    if (refusal.isPresent()) {
+      out.accept(new PoolAction.HandBack(call.id(), refusal.get()));
+      return;
+    }
+    queue
+        .add(call)
+        .ifPresent(
+            loser -> out.accept(new PoolAction.HandBack(loser.id(), HandBackReason.QUEUE_FULL)));
+    dispatch(nowNanos, out);
+  }
+
+  @Override
+  public void ended(CallId call, TargetOutcome outcome, long nowNanos, Consumer<PoolAction> out) {
+    SentCall ended = sent.remove(call);
+    if (ended == null) {
+      return;
+    }
+    TargetTracker tracker = ended.target();
+    final TargetState before = tracker.state();
+    tracker.ended();
+    if (!(outcome instanceof TargetOutcome.ConnectionDied)) {
+      crashes.survived(ended, nowNanos);
+    }
+    switch (outcome) {
+      case TargetOutcome.Answered answered -> {
+        answered(ended, answered, nowNanos);
+        tracker.reported(answered.report(), nowNanos);
+      }
+      case TargetOutcome.Shed shed -> {
+        tracker.shed(service.nanos(), nowNanos);
+        tracker.reported(shed.report(), nowNanos);
+      }
+      case TargetOutcome.NotConnected n -> {
+        tracker.ejection().refused();
+        failed(tracker, nowNanos);
+        tracker.lost();
+      }
+      case TargetOutcome.ConnectionDied died -> {
+        crashes.died(ended, sent.values(), nowNanos);
+        tracker.ejection().error();
+        failed(tracker, nowNanos);
+        tracker.lost();
+      }
+      case TargetOutcome.TimedOut t -> {
+        tracker.ejection().error();
+        failed(tracker, nowNanos);
+      }
+      case TargetOutcome.Cancelled c -> tracker.cancelled(nowNanos - ended.sentNanos());
+    }
+    ejectIfDue(tracker, nowNanos);
+    noteChange(tracker, before, out);
+    removeDrained();
+    dispatch(nowNanos, out);
+  }
+
+  @Override
+  public void withdraw(CallId call, long nowNanos, Consumer<PoolAction> out) {
+    queue.remove(call);
+  }
+
+  @Override
+  public void probed(
+      Endpoint target, Optional<LoadReport> report, long nowNanos, Consumer<PoolAction> out) {
+    TargetTracker tracker = targets.get(target);
+    if (tracker == null) {
+      return;
+    }
+    TargetState before = tracker.state();
+    if (report.isPresent()) {
+      tracker.reported(report, nowNanos);
+    }
+    noteChange(tracker, before, out);
+    dispatch(nowNanos, out);
+  }
+
+  @Override
+  public void tick(long nowNanos, Consumer<PoolAction> out) {
+    crashes.tick(nowNanos);
+    for (TargetTracker tracker : targets.values()) {
+      TargetState before = tracker.state();
+      tracker.tick(nowNanos);
+      noteChange(tracker, before, out);
+      probeIfDue(tracker, nowNanos, out);
+    }
+    queue.expire(
+        nowNanos,
+        service.nanos(),
+        late -> out.accept(new PoolAction.HandBack(late.id(), HandBackReason.TOO_LATE)));
+    dispatch(nowNanos, out);
+  }
+
+  @Override
+  public void release(long nowNanos, Consumer<PoolAction> out) {
+    released = true;
+    handBackAll(HandBackReason.NOT_OWNER, out);
+    for (TargetTracker tracker : targets.values()) {
+      out.accept(new PoolAction.CloseIdle(tracker.address()));
+    }
+  }
+
+  @Override
+  public PoolView view(long nowNanos) {
+    int slots = 0;
+    for (TargetTracker tracker : targets.values()) {
+      slots += tracker.limit(nowNanos);
+    }
+    long wait = hasFreeSlot(nowNanos) ? 0 : waitNanos(queue.size(), nowNanos);
+    return new PoolView(
+        id, slots, sent.size(), queue.size(), wait, service.nanos(), configVersion.getAsLong());
+  }
+
+  @Override
+  public List<TargetStatus> targets(long nowNanos) {
+    return targets.values().stream()
+        .map(t -> new TargetStatus(t.address(), t.state(), t.running(), t.limit(nowNanos)))
+        .toList();
+  }
+
+  private Optional<HandBackReason> refusal(CallFacts call, long nowNanos) {
+    if (released) {
+      return Optional.of(HandBackReason.NOT_OWNER);
+    }
+    Optional<Digest> fingerprint = call.fingerprint();
+    if (fingerprint.isPresent() && suspects.condemned(fingerprint.get(), nowNanos)) {
+      return Optional.of(HandBackReason.SUSPECT);
+    }
+    if (!hasUsable(nowNanos)) {
+      return Optional.of(HandBackReason.NO_TARGET);
+    }
+    long left = call.deadlineNanos() - nowNanos;
+    boolean free = queue.isEmpty() && hasFreeSlot(nowNanos);
+    long wait = free ? 0 : waitNanos(queue.ahead(call), nowNanos);
+    if (left <= 0 || wait + service.nanos() > left) {
+      return Optional.of(HandBackReason.TOO_LATE);
+    }
+    return Optional.empty();
+  }
+
+  private void answered(SentCall ended, TargetOutcome.Answered answer, long nowNanos) {
+    TargetTracker tracker = ended.target();
+    if (answer.status() >= SERVER_ERROR) {
+      tracker.ejection().error();
+      failed(tracker, nowNanos);
+      return;
+    }
+    tracker.ejection().good(nowNanos);
+    tracker.answered(answer.serviceNanos(), service.nanos(), nowNanos);
+    service.add(answer.serviceNanos());
+    ended.call().fingerprint().ifPresent(suspects::answered);
+  }
+
+  private void failed(TargetTracker tracker, long nowNanos) {
+    int doublings = Math.min(tracker.ejection().errorsInRow() - 1, MAX_DOUBLINGS);
+    tracker.block(service.nanos() << Math.max(0, doublings), nowNanos);
+  }
+
+  private void ejectIfDue(TargetTracker tracker, long nowNanos) {
+    boolean takesWork =
+        tracker.state() != TargetState.EJECTED && tracker.state() != TargetState.DRAINING;
+    if (!tracker.ejection().due() || !takesWork) {
+      return;
+    }
+    int ejected = 0;
+    int usable = 0;
+    for (TargetTracker other : targets.values()) {
+      if (other.state() == TargetState.EJECTED) {
+        ejected++;
+      } else if (other.limit(nowNanos) > 0) {
+        usable++;
+      }
+    }
+    if (ejected < ejectQuota && usable > 1) {
+      tracker.ejection().begin(nowNanos);
+      tracker.eject();
+    }
+  }
+
+  private void dispatch(long nowNanos, Consumer<PoolAction> out) {
+    while (!queue.isEmpty()) {
+      Optional<TargetTracker> target = chooseFree(nowNanos);
+      if (target.isEmpty() && queue.size() >= limits.aheadFromCalls()) {
+        target = chooseAhead(nowNanos);
+      }
+      if (target.isEmpty()) {
+        break;
+      }
+      send(queue.poll().orElseThrow(), target.get(), nowNanos, out);
+    }
+    if (!queue.isEmpty() && !hasUsable(nowNanos)) {
+      handBackAll(HandBackReason.NO_TARGET, out);
+    }
+  }
+
+  private void send(CallFacts call, TargetTracker target, long nowNanos, Consumer<PoolAction> out) {
+    if (call.deadlineNanos() - nowNanos <= service.nanos()) {
+      out.accept(new PoolAction.HandBack(call.id(), HandBackReason.TOO_LATE));
+      return;
+    }
+    target.sent(nowNanos);
+    sent.put(call.id(), new SentCall(call, target, nowNanos));
+    out.accept(new PoolAction.Send(call, target.address()));
+  }
+
+  private Optional<TargetTracker> chooseFree(long nowNanos) {
+    TargetTracker best = null;
+    int equal = 0;
+    for (TargetTracker tracker : targets.values()) {
+      if (!tracker.mayTake(nowNanos, service.nanos())) {
+        continue;
+      }
+      int order = best == null ? -1 : Double.compare(tracker.loadCost(), best.loadCost());
+      if (order < 0) {
+        best = tracker;
+        equal = 1;
+      } else if (order == 0 && random.nextInt(++equal) == 0) {
+        best = tracker;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private Optional<TargetTracker> chooseAhead(long nowNanos) {
+    TargetTracker best = null;
+    int equal = 0;
+    for (TargetTracker tracker : targets.values()) {
+      if (tracker.mayTakeAhead(nowNanos, service.nanos()) && random.nextInt(++equal) == 0) {
+        best = tracker;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean hasUsable(long nowNanos) {
+    for (TargetTracker tracker : targets.values()) {
+      if (tracker.limit(nowNanos) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean hasFreeSlot(long nowNanos) {
+    for (TargetTracker tracker : targets.values()) {
+      if (tracker.mayTake(nowNanos, service.nanos())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private long waitNanos(int ahead, long nowNanos) {
+    double perSecond = 0;
+    for (TargetTracker tracker : targets.values()) {
+      perSecond += tracker.callsPerSecond(nowNanos, service.nanos());
+    }
+    return perSecond == 0 ? 0 : (long) ((ahead + 1) * SECOND_NANOS / perSecond);
+  }
+
+  private void handBackAll(HandBackReason reason, Consumer<PoolAction> out) {
+    queue.drain(call -> out.accept(new PoolAction.HandBack(call.id(), reason)));
+  }
+
+  private void probeIfDue(TargetTracker tracker, long nowNanos, Consumer<PoolAction> out) {
+    ProbeClock clock = probes.get(tracker.address());
+    boolean due = clock.due(nowNanos, tracker.lastToldNanos(), probeIntervalNanos);
+    if (released || !tracker.wanted() || !due) {
+      return;
+    }
+    clock.probed(nowNanos);
+    out.accept(new PoolAction.Probe(tracker.address()));
+  }
+
+  private void removeDrained() {
+    targets.values().removeIf(t -> !t.wanted() && t.running() == 0);
+    if (probes.size() > 2 * targets.size() + limits.queueCalls()) {
+      probes.keySet().retainAll(targets.keySet());
+    }
+  }
+
+  private void noteChange(TargetTracker tracker, TargetState before, Consumer<PoolAction> out) {
+    TargetState now = tracker.state();
+    if (now == before) {
+      return;
+    }
+    out.accept(new PoolAction.StateChanged(tracker.address(), before, now));
+    Endpoint address = tracker.address();
+    out.accept(
+        switch (now) {
+          case WARM -> new PoolAction.OpenAhead(address, tracker.connectionsAhead());
+          case EJECTED, DRAINING -> new PoolAction.CloseIdle(address);
+          case COLD, RAMPING -> new PoolAction.OpenAhead(address, 1);
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/suspects/SuspectRegistry.java
@@ -0,0 +1,140 @@
+package org.radishpost.suspects;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.radishpost.lib.Digest;
+import org.radishpost.lib.VmId;
+
+/**
+ * Remembers the requests that crash targets, by their digests, over all VMs.
+ *
+ * <p>A crash is worth {@value #CRASH_POINTS} points, which the requests that died with the target
+ * share. A request with {@value #CONDEMNED_POINTS} points, counted over all VMs, is condemned. A
+ * full answer clears a request, because a request that crashes targets never gets one. Each VM's
+ * count only grows and counts merge by the maximum for each VM, so that a message told twice counts
+ * once. Bounded in memory; thread-safe.
+ */
+public final class SuspectRegistry {
+  /** What one crash is worth. */
+  public static final int CRASH_POINTS = 12;
+
+  /** The points from which on a request is condemned: three crashes on its own. */
+  public static final int CONDEMNED_POINTS = 36;
+
+  /** How long a request is remembered after its last crash, in nanoseconds. */
+  public static final long FORGET_NANOS = 600_000_000_000L;
+
+  /** The most requests that are remembered. */
+  public static final int MAX_SUSPECTS = 4_096;
+
+  private static final int MAX_VMS = 64;
+  private static final int MAX_POINTS = 1_000_000;
+
+  private final VmId self;
+  private final Map<Digest, Suspect> suspects = new LinkedHashMap<>(16, 0.75f, true);
+
+  /** Creates an empty registry of the VM. */
+  public SuspectRegistry(VmId self) {
+    this.self = self;
+  }
+
+  /**
+   * Takes note that a target crashed while the request ran on it.
+   *
+   * @param sharers how many requests died with the target, this one among them
+   * @return the points that this VM has counted for the request, for telling the other VMs
+   */
+  public synchronized int crashed(Digest fingerprint, int sharers, long nowNanos) {
+    Suspect suspect = suspectFor(fingerprint, nowNanos);
+    int points = suspect.pointsByVm.getOrDefault(self, 0) + CRASH_POINTS / Math.max(1, sharers);
+    suspect.pointsByVm.put(self, points);
+    suspect.lastCrashNanos = nowNanos;
+    return points;
+  }
+
+  /** Takes the points that another VM has counted for a request. */
+  public synchronized void merge(VmId vm, Digest fingerprint, int points, long nowNanos) {
+    if (vm.equals(self) || points <= 0) {
+      return;
+    }
+    Suspect suspect = suspectFor(fingerprint, nowNanos);
+    int known = suspect.pointsByVm.getOrDefault(vm, 0);
+    boolean room = known > 0 || suspect.pointsByVm.size() < MAX_VMS;
+    if (points <= known || !room) {
+      return;
+    }
+    suspect.pointsByVm.put(vm, Math.min(points, MAX_POINTS));
+    suspect.lastCrashNanos = nowNanos;
+  }
+
+  /** Takes note that a target answered the request in full, which clears it. */
+  public synchronized void answered(Digest fingerprint) {
+    if (suspects.isEmpty()) {
+      return;
+    }
+    Suspect suspect = suspects.get(fingerprint);
+    if (suspect != null) {
+      suspect.clearedPoints = suspect.total();
+    }
+  }
+
+  /** Tells whether the request may no longer be sent to any target. */
+  public synchronized boolean condemned(Digest fingerprint, long nowNanos) {
+    return points(fingerprint, nowNanos) >= CONDEMNED_POINTS;
+  }
+
+  /** Tells whether the request should run alone on its target. */
+  public synchronized boolean suspected(Digest fingerprint, long nowNanos) {
+    return points(fingerprint, nowNanos) > 0;
+  }
+
+  /** Returns the number of remembered requests. */
+  public synchronized int size() {
+    return suspects.size();
+  }
+
+  private int points(Digest fingerprint, long nowNanos) {
+    if (suspects.isEmpty()) {
+      return 0;
+    }
+    Suspect suspect = suspects.get(fingerprint);
+    if (suspect == null) {
+      return 0;
+    }
+    if (nowNanos - suspect.lastCrashNanos >= FORGET_NANOS) {
+      suspects.remove(fingerprint);
+      return 0;
+    }
+    return suspect.total() - suspect.clearedPoints;
+  }
+
+  private Suspect suspectFor(Digest fingerprint, long nowNanos) {
+    points(fingerprint, nowNanos);
+    Suspect suspect = suspects.computeIfAbsent(fingerprint, f -> new Suspect(nowNanos));
+    while (suspects.size() > MAX_SUSPECTS) {
+      Iterator<Digest> eldest = suspects.keySet().iterator();
+      eldest.next();
+      eldest.remove();
+    }
+    return suspect;
+  }
+
+  private static final class Suspect {
+    private final Map<VmId, Integer> pointsByVm = new LinkedHashMap<>();
+    private int clearedPoints;
+    private long lastCrashNanos;
+
+    Suspect(long nowNanos) {
+      this.lastCrashNanos = nowNanos;
+    }
+
+    int total() {
+      int total = 0;
+      for (int points : pointsByVm.values()) {
+        total += points;
+      }
+      return total;
+    }
+  }
+}
