--- /dev/null
+++ b/src/main/java/org/radishpost/bench/PoolModel.java
@@ -0,0 +1,345 @@
+package org.radishpost.bench;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.HdrHistogram.Histogram;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.CallId;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.TenantName;
+import org.radishpost.lib.VmId;
+import org.radishpost.manifest.ColdStartSpec;
+import org.radishpost.manifest.ProbeSpec;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.manifest.TargetSpec;
+import org.radishpost.pool.LoadReport;
+import org.radishpost.pool.Pool;
+import org.radishpost.pool.PoolAction;
+import org.radishpost.pool.PoolLimits;
+import org.radishpost.pool.Pools;
+import org.radishpost.pool.TargetOutcome;
+import org.radishpost.pool.TargetPolicy;
+import org.radishpost.suspects.SuspectRegistry;
+
+/**
+ * A queueing calculation in virtual time over the real pools: one zone's targets, slowed at random.
+ *
+ * <p>Call {@link #run} for the whole table or {@link #cell} for one line of it. The same seed gives
+ * the same figures. One thread at a time.
+ */
+public final class PoolModel {
+  private static final int TARGETS = 12;
+  private static final int SLOTS = 2;
+  private static final int CONNECTIONS = 240;
+  private static final int ENTRY_VMS = 16;
+  private static final int TENANTS = 4;
+  private static final int MAX_WAITING_AT_TARGET = 32;
+  private static final double SLOW_FACTOR = 4;
+  private static final double SLOW_SHARE = 0.08;
+  private static final double SIGMA = 0.8;
+  private static final long MILLI = 1_000_000L;
+  private static final long SECOND = 1_000 * MILLI;
+  private static final long HOP_NANOS = MILLI / 2;
+  private static final long SLOW_NANOS = 500 * MILLI;
+  private static final long TICK_NANOS = 5 * MILLI;
+  private static final long WARM_UP_NANOS = 3 * SECOND;
+  private static final long MEASURED_NANOS = 20 * SECOND;
+  private static final long DEADLINE_NANOS = 250 * MILLI;
+  private static final int[] WEIGHTS = {1, 1, 1, 1, 1, 1, 1, 3, 3, 10};
+  private static final ServiceName SERVICE = new ServiceName("model");
+  private static final GatewayName GATEWAY = new GatewayName("model");
+  private static final Place PLACE = Place.of("region", "zone");
+
+  private final SplittableRandom random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final List<Pool> pools = new ArrayList<>();
+  private final Map<Endpoint, Target> targets = new HashMap<>();
+  private final Map<CallId, Running> calls = new HashMap<>();
+  private final Histogram latency = new Histogram(3);
+  private final Variant variant;
+  private final long meanNanos;
+  private final double gapNanos;
+  private long now;
+  private long nextOrder;
+  private long nextCall;
+  private long weightOffered;
+  private long weightDelivered;
+
+  private PoolModel(Variant variant, int meanMillis, int loadPercent, long seed) {
+    this.variant = variant;
+    this.meanNanos = meanMillis * MILLI;
+    this.random = new SplittableRandom(seed);
+    double speed = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR;
+    this.gapNanos = meanNanos / (TARGETS * SLOTS * speed * loadPercent / 100.0);
+  }
+
+  /** The ways of spreading calls that the model compares. */
+  public enum Variant {
+    /** One owner with the call ahead. */
+    OWNER(new TargetPolicy.Owner(), PoolLimits.DEFAULT),
+    /** One owner without the call ahead. */
+    OWNER_NO_AHEAD(
+        new TargetPolicy.Owner(),
+        new PoolLimits(PoolLimits.DEFAULT.queueCalls(), PoolLimits.NEVER)),
+    /** Each VM in turn. */
+    ROUND_ROBIN(new TargetPolicy.RoundRobin(), PoolLimits.DEFAULT),
+    /** Each VM by two random choices. */
+    TWO_CHOICES(new TargetPolicy.TwoChoices(), PoolLimits.DEFAULT),
+    /** Each VM by the least of report and own calls. */
+    LEAST_LOADED(new TargetPolicy.LeastLoaded(), PoolLimits.DEFAULT);
+
+    private final TargetPolicy policy;
+    private final PoolLimits limits;
+
+    Variant(TargetPolicy policy, PoolLimits limits) {
+      this.policy = policy;
+      this.limits = limits;
+    }
+
+    private boolean owned() {
+      return policy instanceof TargetPolicy.Owner;
+    }
+  }
+
+  /**
+   * One line of the table.
+   *
+   * @param variant how calls were spread
+   * @param meanMillis the mean time of a call on a target that is not slowed
+   * @param loadPercent the offered load in percent of the capacity left by the slowing
+   * @param p50Millis the median of the calls answered in time
+   * @param p99Millis their 99th percentile
+   * @param p999Millis their 99.9th percentile
+   * @param deliveredPercent the weight answered in time, in percent of the weight offered
+   */
+  public record Line(
+      Variant variant,
+      int meanMillis,
+      int loadPercent,
+      double p50Millis,
+      double p99Millis,
+      double p999Millis,
+      double deliveredPercent) {
+    @Override
+    public String toString() {
+      return String.format(
+          Locale.ROOT,
+          "| %-14s | %4d | %4d | %8.2f | %8.2f | %8.2f | %7.2f |",
+          variant,
+          meanMillis,
+          loadPercent,
+          p50Millis,
+          p99Millis,
+          p999Millis,
+          deliveredPercent);
+    }
+  }
+
+  /** Runs every variant, mean time and load with the seed, and prints a table. */
+  public static List<Line> run(long seed, PrintStream out) {
+    out.println("| variant | mean ms | load % | p50 ms | p99 ms | p99.9 ms | weight % |");
+    out.println("|---|---|---|---|---|---|---|");
+    List<Line> lines = new ArrayList<>();
+    for (int meanMillis : new int[] {3, 10}) {
+      for (int loadPercent : new int[] {50, 80, 95, 120}) {
+        for (Variant variant : Variant.values()) {
+          Line line = cell(variant, meanMillis, loadPercent, seed);
+          out.println(line);
+          lines.add(line);
+        }
+      }
+    }
+    return lines;
+  }
+
+  /** Runs one variant at one mean time and load. */
+  public static Line cell(Variant variant, int meanMillis, int loadPercent, long seed) {
+    PoolModel model = new PoolModel(variant, meanMillis, loadPercent, seed);
+    model.simulate();
+    return new Line(
+        variant,
+        meanMillis,
+        loadPercent,
+        model.latency.getValueAtPercentile(50) / (double) MILLI,
+        model.latency.getValueAtPercentile(99) / (double) MILLI,
+        model.latency.getValueAtPercentile(99.9) / (double) MILLI,
+        100.0 * model.weightDelivered / model.weightOffered);
+  }
+
+  private void simulate() {
+    ServiceSpec service = service();
+    service.targets().forEach(t -> targets.put(t.address(), new Target()));
+    targets.values().forEach(this::switchSpeed);
+    int poolCount = variant.owned() ? 1 : ENTRY_VMS;
+    for (int i = 0; i < poolCount; i++) {
+      PoolId id = new PoolId(GATEWAY, SERVICE, PLACE, 0);
+      SuspectRegistry suspects = new SuspectRegistry(new VmId("vm-" + i));
+      Pool pool =
+          Pools.create(variant.policy, id, variant.limits, random.split(), suspects, () -> 1);
+      pool.configure(service, service.targets(), 0, action -> act(pool, action));
+      pools.add(pool);
+    }
+    at(0, this::arrive);
+    at(0, this::tick);
+    while (now < WARM_UP_NANOS + MEASURED_NANOS) {
+      Event event = events.remove();
+      now = event.timeNanos;
+      event.work.run();
+    }
+  }
+
+  private static ServiceSpec service() {
+    List<TargetSpec> specs = new ArrayList<>();
+    for (int i = 0; i < TARGETS; i++) {
+      specs.add(new TargetSpec(new Endpoint("127.0.0.1", 1 + i), PLACE, SLOTS, CONNECTIONS));
+    }
+    ColdStartSpec cold = new ColdStartSpec(2, 20, Duration.ofSeconds(5));
+    ProbeSpec probe = new ProbeSpec("/load", Duration.ofMillis(6), Duration.ofSeconds(1));
+    return new ServiceSpec(SERVICE, specs, cold, probe, 30);
+  }
+
+  private void arrive() {
+    at((long) (-Math.log(1 - random.nextDouble()) * gapNanos), this::arrive);
+    int weight = WEIGHTS[random.nextInt(WEIGHTS.length)];
+    CallFacts call = call(weight);
+    int entry = random.nextInt(ENTRY_VMS);
+    Pool pool = pools.get(variant.owned() ? 0 : entry);
+    long hop = variant.owned() && entry > 0 ? HOP_NANOS : 0;
+    boolean measured = now >= WARM_UP_NANOS && now < WARM_UP_NANOS + MEASURED_NANOS - SECOND;
+    calls.put(call.id(), new Running(call, pool, now, hop, measured));
+    weightOffered += measured ? weight : 0;
+    at(hop, () -> pool.offer(call, now, action -> act(pool, action)));
+  }
+
+  private CallFacts call(int weight) {
+    return new CallFacts(
+        new CallId(nextCall++),
+        GATEWAY,
+        "route",
+        SERVICE,
+        new TenantName("tenant-" + random.nextInt(TENANTS)),
+        RequestKind.READ,
+        weight,
+        true,
+        now + DEADLINE_NANOS,
+        0,
+        Set.of(),
+        Optional.empty(),
+        0);
+  }
+
+  private void act(Pool pool, PoolAction action) {
+    switch (action) {
+      case PoolAction.Send send -> {
+        Running call = calls.get(send.call().id());
+        Target target = targets.get(send.target());
+        at(HOP_NANOS, () -> reach(call, target, now - HOP_NANOS));
+      }
+      case PoolAction.HandBack back -> calls.remove(back.call());
+      case PoolAction.Probe probe -> {
+        Optional<LoadReport> report = Optional.of(targets.get(probe.target()).report());
+        at(2 * HOP_NANOS, () -> pool.probed(probe.target(), report, now, a -> act(pool, a)));
+      }
+      case PoolAction.OpenAhead o -> {}
+      case PoolAction.CloseIdle c -> {}
+      case PoolAction.StateChanged s -> {}
+    }
+  }
+
+  private void reach(Running call, Target target, long sentNanos) {
+    Visit visit = new Visit(call, sentNanos);
+    if (target.running < SLOTS) {
+      start(visit, target);
+    } else if (target.waiting.size() < MAX_WAITING_AT_TARGET) {
+      target.waiting.add(visit);
+    } else {
+      end(visit, new TargetOutcome.Shed(Optional.of(target.report())));
+    }
+  }
+
+  private void start(Visit visit, Target target) {
+    target.running++;
+    double scale = Math.exp(SIGMA * random.nextGaussian() - SIGMA * SIGMA / 2);
+    long takes = (long) (meanNanos * scale * (target.slow ? SLOW_FACTOR : 1));
+    at(takes, () -> finish(visit, target));
+  }
+
+  private void finish(Visit visit, Target target) {
+    target.running--;
+    while (target.running < SLOTS && !target.waiting.isEmpty()) {
+      Visit next = target.waiting.remove();
+      if (next.call.facts.deadlineNanos() > now) {
+        start(next, target);
+      } else {
+        end(next, new TargetOutcome.Shed(Optional.of(target.report())));
+      }
+    }
+    long took = now + HOP_NANOS - visit.sentNanos;
+    end(visit, new TargetOutcome.Answered(200, Optional.of(target.report()), took));
+  }
+
+  private void end(Visit visit, TargetOutcome outcome) {
+    Running call = visit.call;
+    at(HOP_NANOS, () -> call.pool.ended(call.facts.id(), outcome, now, a -> act(call.pool, a)));
+    calls.remove(call.facts.id());
+    long total = now + HOP_NANOS + call.hopNanos - call.beganNanos;
+    boolean inTime = outcome instanceof TargetOutcome.Answered && total <= DEADLINE_NANOS;
+    if (call.measured && inTime) {
+      latency.recordValue(total);
+      weightDelivered += call.facts.weight();
+    }
+  }
+
+  private void tick() {
+    pools.forEach(pool -> pool.tick(now, action -> act(pool, action)));
+    at(TICK_NANOS, this::tick);
+  }
+
+  private void switchSpeed(Target target) {
+    target.slow = now > 0 && !target.slow;
+    double mean = target.slow ? SLOW_NANOS : SLOW_NANOS * (1 - SLOW_SHARE) / SLOW_SHARE;
+    at(1 + (long) (-Math.log(1 - random.nextDouble()) * mean), () -> switchSpeed(target));
+  }
+
+  private void at(long delayNanos, Runnable work) {
+    events.add(new Event(now + delayNanos, nextOrder++, work));
+  }
+
+  private record Event(long timeNanos, long order, Runnable work) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(timeNanos, other.timeNanos);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private record Running(
+      CallFacts facts, Pool pool, long beganNanos, long hopNanos, boolean measured) {}
+
+  private record Visit(Running call, long sentNanos) {}
+
+  private static final class Target {
+    private final ArrayDeque<Visit> waiting = new ArrayDeque<>();
+    private int running;
+    private boolean slow;
+
+    LoadReport report() {
+      return new LoadReport(running + waiting.size(), SLOTS, 100, "1", false);
+    }
+  }
+}
--- a/src/main/java/org/radishpost/pool/OwnerPool.java
+++ b/src/main/java/org/radishpost/pool/OwnerPool.java
@@ -43,6 +43,7 @@
   private final Map<CallId, SentCall> sent = new HashMap<>();
   private final CrashWatch crashes;
   private final MeanTime service = new MeanTime(POOL_ANSWERS);
+  private final TypicalTime typical = new TypicalTime(POOL_ANSWERS);
   private long probeIntervalNanos;
   private int ejectQuota;
   private boolean released;
@@ -135,7 +136,7 @@
     }
     TargetTracker tracker = ended.target();
     final TargetState before = tracker.state();
-    tracker.ended();
+    tracker.ended(ended, nowNanos);
     if (!(outcome instanceof TargetOutcome.ConnectionDied)) {
       crashes.survived(ended, nowNanos);
     }
@@ -262,8 +263,10 @@
       return;
     }
     tracker.ejection().good(nowNanos);
-    tracker.answered(answer.serviceNanos(), service.nanos(), nowNanos);
-    service.add(answer.serviceNanos());
+    long serviceNanos = Math.max(1, answer.serviceNanos() - ended.waitedNanos());
+    tracker.answered(serviceNanos, typical.nanos(), nowNanos);
+    service.add(serviceNanos);
+    typical.add(serviceNanos);
     ended.call().fingerprint().ifPresent(suspects::answered);
   }
 
@@ -314,8 +317,9 @@
       out.accept(new PoolAction.HandBack(call.id(), HandBackReason.TOO_LATE));
       return;
     }
-    target.sent(nowNanos);
-    sent.put(call.id(), new SentCall(call, target, nowNanos));
+    SentCall sending = new SentCall(call, target, nowNanos);
+    target.sent(sending, nowNanos);
+    sent.put(call.id(), sending);
     out.accept(new PoolAction.Send(call, target.address()));
   }
 
@@ -341,7 +345,7 @@
     TargetTracker best = null;
     int equal = 0;
     for (TargetTracker tracker : targets.values()) {
-      if (tracker.mayTakeAhead(nowNanos, service.nanos()) && random.nextInt(++equal) == 0) {
+      if (tracker.mayTakeAhead(nowNanos, typical.nanos()) && random.nextInt(++equal) == 0) {
         best = tracker;
       }
     }
--- a/src/main/java/org/radishpost/pool/SendWindow.java
+++ b/src/main/java/org/radishpost/pool/SendWindow.java
@@ -22,6 +22,12 @@
     return total;
   }
 
+  /** Starts to count anew. */
+  void reset() {
+    Arrays.fill(sent, 0);
+    total = 0;
+  }
+
   private void advance(long nowNanos) {
     long bucket = Math.floorDiv(nowNanos, BUCKET_NANOS);
     if (newest == Long.MIN_VALUE || bucket - newest >= BUCKETS) {
--- a/src/main/java/org/radishpost/pool/TargetTracker.java
+++ b/src/main/java/org/radishpost/pool/TargetTracker.java
@@ -8,7 +8,7 @@
 final class TargetTracker {
   private static final int TRUST_ANSWERS = 3;
   private static final int WARM_PERCENT = 100;
-  private static final int RECENT_ANSWERS = 4;
+  private static final int RECENT_ANSWERS = 8;
   private static final int USUAL_ANSWERS = 64;
   private static final double SLOW_RATIO = 2.5;
   private static final double QUICK_RATIO = 2.0;
@@ -17,8 +17,8 @@
   private static final long NO_AHEAD_NANOS = 10_000_000_000L;
 
   private final SendWindow sends = new SendWindow();
-  private final MeanTime recent = new MeanTime(RECENT_ANSWERS);
-  private final MeanTime usual = new MeanTime(USUAL_ANSWERS);
+  private final TypicalTime recent = new TypicalTime(RECENT_ANSWERS);
+  private final TypicalTime usual = new TypicalTime(USUAL_ANSWERS);
   private final Ejection ejection = new Ejection();
   private TargetSpec spec;
   private ColdLimits cold;
@@ -37,6 +37,7 @@
   private long noAheadUntilNanos;
   private long lastToldNanos;
   private int running;
+  private SentCall ahead;
 
   TargetTracker(TargetSpec spec, ColdLimits cold, long nowNanos) {
     this.spec = spec;
@@ -116,26 +117,38 @@
         && recent.nanos() <= QUICK_RATIO * poolServiceNanos;
   }
 
-  void sent(long nowNanos) {
+  void sent(SentCall call, long nowNanos) {
+    if (running >= spec.slots()) {
+      ahead = call;
+    }
     running++;
     sends.add(nowNanos);
   }
 
-  /** Takes note that a sent call ended without a word of the target's speed. */
-  void ended() {
+  /** Takes note that a sent call ended, which gives its slot to the call ahead. */
+  void ended(SentCall call, long nowNanos) {
     running--;
+    if (ahead != null && ahead != call) {
+      ahead.gotSlot(nowNanos);
+    }
+    ahead = null;
   }
 
-  /** Takes note of an answer without a server's error; only its time tells of the target. */
-  void answered(long serviceNanos, long poolServiceNanos, long nowNanos) {
+  /**
+   * Takes note of an answer without a server's error.
+   *
+   * @param serviceNanos the time that it took, without the wait for a slot
+   * @param poolTypicalNanos the time that is typical for the pool, 0 when not known
+   */
+  void answered(long serviceNanos, long poolTypicalNanos, long nowNanos) {
     shedsInRow = 0;
     recent.add(serviceNanos);
-    boolean good = poolServiceNanos == 0 || serviceNanos <= QUICK_RATIO * poolServiceNanos;
+    long expected = Math.max(poolTypicalNanos, usual.nanos());
+    boolean good = expected == 0 || serviceNanos <= QUICK_RATIO * expected;
     goodInRow = good ? goodInRow + 1 : 0;
     switch (state) {
-      case COLD -> startRamp(good, nowNanos);
-      case RAMPING -> ramp(poolServiceNanos, nowNanos);
-      case WARM -> checkSlow(poolServiceNanos);
+      case COLD, RAMPING -> ramp(good, poolTypicalNanos, nowNanos);
+      case WARM -> checkSlow(poolTypicalNanos);
       default -> goodInRow = 0;
     }
     if (state == TargetState.WARM) {
@@ -178,8 +191,8 @@
       readmit();
     }
     if (state == TargetState.RAMPING && ramped(nowNanos) >= 1) {
-      state = TargetState.WARM;
-      trustsReports = true;
+      usual.copy(recent);
+      becomeWarm();
     }
   }
 
@@ -251,37 +264,42 @@
     }
   }
 
-  private void startRamp(boolean good, long nowNanos) {
-    if (!good) {
-      return;
-    }
+  private void ramp(boolean good, long poolTypicalNanos, long nowNanos) {
     if (!rampStarted) {
       rampStarted = true;
       rampStartNanos = nowNanos;
+      state = TargetState.RAMPING;
     }
-    state = TargetState.RAMPING;
-    ramp(0, nowNanos);
-  }
-
-  private void ramp(long poolServiceNanos, long nowNanos) {
-    boolean proved = trustsReports && told && warmPercent >= WARM_PERCENT;
-    if (proved && goodInRow >= TRUST_ANSWERS || ramped(nowNanos) >= 1) {
-      state = TargetState.WARM;
-      trustsReports = true;
+    boolean proved = trustsReports && warmPercent >= WARM_PERCENT && (told || usual.settled());
+    if (proved && goodInRow >= TRUST_ANSWERS) {
+      becomeWarm();
       return;
     }
-    if (poolServiceNanos > 0 && recent.nanos() > SLOW_RATIO * poolServiceNanos) {
-      becomeCold(trustsReports);
+    if (ramped(nowNanos) >= 1) {
+      usual.copy(recent);
+      becomeWarm();
+      return;
+    }
+    if (!good) {
+      long perSecond = cold.perSecondAt(ramped(nowNanos), spec.slots(), poolTypicalNanos);
+      block(SECOND_NANOS / perSecond, nowNanos);
     }
   }
 
-  private void checkSlow(long poolServiceNanos) {
+  private void becomeWarm() {
+    state = TargetState.WARM;
+    trustsReports = true;
+    recent.copy(usual);
+  }
+
+  private void checkSlow(long poolTypicalNanos) {
     if (!recent.settled() || !usual.settled()) {
       return;
     }
     boolean jumped = recent.nanos() > SLOW_RATIO * usual.nanos();
-    if (jumped && recent.nanos() > SLOW_RATIO * poolServiceNanos) {
+    if (jumped && recent.nanos() > SLOW_RATIO * poolTypicalNanos) {
       becomeCold(true);
+      sends.reset();
     }
   }
 
