--- a/src/main/java/org/radishpost/admission/AdmissionQueue.java
+++ b/src/main/java/org/radishpost/admission/AdmissionQueue.java
@@ -13,11 +13,12 @@
 import org.radishpost.lib.TenantName;
 
 /**
- * A bounded queue that is fair between tenants and serves the heaviest call of a tenant first.
+ * A bounded queue that is fair between tenants and lets the lightest calls go when it is full.
  *
  * <p>Start-time fair queueing over tenants: each served call moves its tenant's virtual time on by
- * one, and the tenant with the least virtual time is next. When the queue is full, the tenant with
- * the most waiting calls loses its lightest, latest one. One thread at a time.
+ * one, the tenant with the least virtual time is next, and its oldest call is served. When the
+ * queue is full, the tenant with the most waiting calls loses its lightest, latest one. One thread
+ * at a time.
  */
 public final class AdmissionQueue {
   private static final Comparator<Waiting> BY_DEADLINE =
@@ -26,7 +27,8 @@
         return byTime != 0 ? byTime : Long.compare(a.order, b.order);
       };
 
-  private final int boundCalls;
+  private static final int MAX_IDLE_TENANTS = 1_024;
+
   private final Map<CallId, Waiting> byId = new HashMap<>();
   private final Map<TenantName, TenantQueue> tenants = new HashMap<>();
   private final TreeSet<TenantQueue> bySchedule = new TreeSet<>();
@@ -34,11 +36,6 @@
   private long nextOrder;
   private long virtualTime;
 
-  /** Creates an empty queue for at most so many calls. */
-  public AdmissionQueue(int boundCalls) {
-    this.boundCalls = boundCalls;
-  }
-
   /** Returns the number of waiting calls. */
   public int size() {
     return byId.size();
@@ -52,34 +49,35 @@
   /**
    * Takes a call in.
    *
-   * @return the call that loses its place, which may be this one, when the queue was full
+   * @param call the call
+   * @param boundCalls the most calls that may wait now
+   * @param losers takes the calls that lose their places, this one perhaps among them
    */
-  public Optional<CallFacts> add(CallFacts call) {
+  public void add(CallFacts call, int boundCalls, Consumer<CallFacts> losers) {
     Waiting waiting = new Waiting(call, nextOrder++);
     TenantQueue tenant = tenants.computeIfAbsent(call.tenant(), TenantQueue::new);
-    if (tenant.calls.isEmpty()) {
+    if (tenant.isEmpty()) {
       tenant.virtualTime = Math.max(tenant.virtualTime, virtualTime);
       bySchedule.add(tenant);
     }
-    tenant.calls.add(waiting);
+    tenant.add(waiting);
     byId.put(call.id(), waiting);
     byDeadline.add(waiting);
-    if (byId.size() <= boundCalls) {
-      return Optional.empty();
+    while (byId.size() > boundCalls) {
+      Waiting loser = mostOverShare().lightest();
+      unlink(loser);
+      losers.accept(loser.call);
     }
-    Waiting loser = loser();
-    unlink(loser);
-    return Optional.of(loser.call);
   }
 
-  /** Returns how many waiting calls would be served before the given new one. */
-  public int ahead(CallFacts call) {
-    TenantQueue own = tenants.get(call.tenant());
-    int ownAhead = own == null ? 0 : own.aheadOf(call.weight());
+  /** Returns how many waiting calls would be served before a new one of the tenant. */
+  public int ahead(TenantName name) {
+    TenantQueue own = tenants.get(name);
+    int ownAhead = own == null ? 0 : own.size();
     int ahead = ownAhead;
     for (TenantQueue tenant : bySchedule) {
       if (tenant != own) {
-        ahead += Math.min(tenant.calls.size(), ownAhead + 1);
+        ahead += Math.min(tenant.size(), ownAhead + 1);
       }
     }
     return ahead;
@@ -91,7 +89,7 @@
       return Optional.empty();
     }
     TenantQueue tenant = bySchedule.first();
-    final Waiting next = tenant.calls.first();
+    final Waiting next = tenant.oldest();
     bySchedule.remove(tenant);
     virtualTime = tenant.virtualTime;
     tenant.virtualTime++;
@@ -129,71 +127,82 @@
     all.forEach(waiting -> taken.accept(waiting.call));
   }
 
-  private Waiting loser() {
-    TenantQueue longest = null;
+  private TenantQueue mostOverShare() {
+    TenantQueue longest = bySchedule.first();
     for (TenantQueue tenant : bySchedule) {
-      if (longest == null || tenant.losesBefore(longest)) {
+      if (tenant.losesBefore(longest)) {
         longest = tenant;
       }
     }
-    return longest.calls.last();
+    return longest;
   }
 
   private void unlink(Waiting waiting) {
     byId.remove(waiting.call.id());
     byDeadline.remove(waiting);
     TenantQueue tenant = tenants.get(waiting.call.tenant());
-    tenant.calls.remove(waiting);
-    if (!tenant.calls.isEmpty()) {
-      return;
+    tenant.remove(waiting);
+    if (tenant.isEmpty()) {
+      bySchedule.remove(tenant);
+      forgetIdleTenants();
     }
-    bySchedule.remove(tenant);
-    if (tenant.virtualTime <= virtualTime) {
-      tenants.remove(tenant.name);
-    }
-    forgetIdleTenants();
   }
 
+  /** Forgets tenants without calls; each had its share, so that none gains by being forgotten. */
   private void forgetIdleTenants() {
-    if (tenants.size() <= 2 * boundCalls) {
-      return;
+    if (tenants.size() > MAX_IDLE_TENANTS + bySchedule.size()) {
+      tenants.values().removeIf(TenantQueue::isEmpty);
     }
-    tenants.values().removeIf(tenant -> tenant.calls.isEmpty());
   }
 
   private record Waiting(CallFacts call, long order) {}
 
   private static final class TenantQueue implements Comparable<TenantQueue> {
-    private static final Comparator<Waiting> HEAVIEST_FIRST =
-        (a, b) -> {
-          int byWeight = Integer.compare(b.call.weight(), a.call.weight());
-          return byWeight != 0 ? byWeight : Long.compare(a.order, b.order);
-        };
+    private static final Comparator<Waiting> OLDEST_FIRST = Comparator.comparingLong(w -> w.order);
+    private static final Comparator<Waiting> LIGHTEST_FIRST =
+        Comparator.<Waiting>comparingInt(w -> w.call.weight())
+            .thenComparing(OLDEST_FIRST.reversed());
 
     private final TenantName name;
-    private final TreeSet<Waiting> calls = new TreeSet<>(HEAVIEST_FIRST);
+    private final TreeSet<Waiting> byOrder = new TreeSet<>(OLDEST_FIRST);
+    private final TreeSet<Waiting> byWeight = new TreeSet<>(LIGHTEST_FIRST);
     private long virtualTime;
 
     TenantQueue(TenantName name) {
       this.name = name;
     }
 
-    int aheadOf(int weight) {
-      int ahead = 0;
-      for (Waiting waiting : calls) {
-        if (waiting.call.weight() < weight) {
-          return ahead;
-        }
-        ahead++;
-      }
-      return ahead;
+    void add(Waiting waiting) {
+      byOrder.add(waiting);
+      byWeight.add(waiting);
+    }
+
+    void remove(Waiting waiting) {
+      byOrder.remove(waiting);
+      byWeight.remove(waiting);
+    }
+
+    boolean isEmpty() {
+      return byOrder.isEmpty();
+    }
+
+    int size() {
+      return byOrder.size();
+    }
+
+    Waiting oldest() {
+      return byOrder.first();
+    }
+
+    Waiting lightest() {
+      return byWeight.first();
     }
 
     boolean losesBefore(TenantQueue other) {
-      if (calls.size() != other.calls.size()) {
-        return calls.size() > other.calls.size();
+      if (size() != other.size()) {
+        return size() > other.size();
       }
-      return calls.last().call.weight() < other.calls.last().call.weight();
+      return lightest().call.weight() < other.lightest().call.weight();
     }
 
     @Override
--- a/src/main/java/org/radishpost/bench/PoolModel.java
+++ b/src/main/java/org/radishpost/bench/PoolModel.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -30,10 +29,8 @@
 import org.radishpost.pool.LoadReport;
 import org.radishpost.pool.Pool;
 import org.radishpost.pool.PoolAction;
-import org.radishpost.pool.PoolLimits;
 import org.radishpost.pool.Pools;
 import org.radishpost.pool.TargetOutcome;
-import org.radishpost.pool.TargetPolicy;
 import org.radishpost.suspects.SuspectRegistry;
 
 /**
@@ -65,13 +62,16 @@
   private static final GatewayName GATEWAY = new GatewayName("model");
   private static final Place PLACE = Place.of("region", "zone");
 
-  private final SplittableRandom random;
+  private final SplittableRandom arrivals;
+  private final SplittableRandom speeds;
+  private final SplittableRandom times;
+  private final SplittableRandom choices;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<Pool> pools = new ArrayList<>();
   private final Map<Endpoint, Target> targets = new HashMap<>();
   private final Map<CallId, Running> calls = new HashMap<>();
   private final Histogram latency = new Histogram(3);
-  private final Variant variant;
+  private final PoolVariant variant;
   private final long meanNanos;
   private final double gapNanos;
   private long now;
@@ -80,85 +80,27 @@
   private long weightOffered;
   private long weightDelivered;
 
-  private PoolModel(Variant variant, int meanMillis, int loadPercent, long seed) {
+  private PoolModel(PoolVariant variant, int meanMillis, int loadPercent, long seed) {
     this.variant = variant;
     this.meanNanos = meanMillis * MILLI;
-    this.random = new SplittableRandom(seed);
+    SplittableRandom random = new SplittableRandom(seed);
+    this.arrivals = random.split();
+    this.speeds = random.split();
+    this.times = random.split();
+    this.choices = random.split();
     double speed = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR;
     this.gapNanos = meanNanos / (TARGETS * SLOTS * speed * loadPercent / 100.0);
   }
 
-  /** The ways of spreading calls that the model compares. */
-  public enum Variant {
-    /** One owner with the call ahead. */
-    OWNER(new TargetPolicy.Owner(), PoolLimits.DEFAULT),
-    /** One owner without the call ahead. */
-    OWNER_NO_AHEAD(
-        new TargetPolicy.Owner(),
-        new PoolLimits(PoolLimits.DEFAULT.queueCalls(), PoolLimits.NEVER)),
-    /** Each VM in turn. */
-    ROUND_ROBIN(new TargetPolicy.RoundRobin(), PoolLimits.DEFAULT),
-    /** Each VM by two random choices. */
-    TWO_CHOICES(new TargetPolicy.TwoChoices(), PoolLimits.DEFAULT),
-    /** Each VM by the least of report and own calls. */
-    LEAST_LOADED(new TargetPolicy.LeastLoaded(), PoolLimits.DEFAULT);
-
-    private final TargetPolicy policy;
-    private final PoolLimits limits;
-
-    Variant(TargetPolicy policy, PoolLimits limits) {
-      this.policy = policy;
-      this.limits = limits;
-    }
-
-    private boolean owned() {
-      return policy instanceof TargetPolicy.Owner;
-    }
-  }
-
-  /**
-   * One line of the table.
-   *
-   * @param variant how calls were spread
-   * @param meanMillis the mean time of a call on a target that is not slowed
-   * @param loadPercent the offered load in percent of the capacity left by the slowing
-   * @param p50Millis the median of the calls answered in time
-   * @param p99Millis their 99th percentile
-   * @param p999Millis their 99.9th percentile
-   * @param deliveredPercent the weight answered in time, in percent of the weight offered
-   */
-  public record Line(
-      Variant variant,
-      int meanMillis,
-      int loadPercent,
-      double p50Millis,
-      double p99Millis,
-      double p999Millis,
-      double deliveredPercent) {
-    @Override
-    public String toString() {
-      return String.format(
-          Locale.ROOT,
-          "| %-14s | %4d | %4d | %8.2f | %8.2f | %8.2f | %7.2f |",
-          variant,
-          meanMillis,
-          loadPercent,
-          p50Millis,
-          p99Millis,
-          p999Millis,
-          deliveredPercent);
-    }
-  }
-
   /** Runs every variant, mean time and load with the seed, and prints a table. */
-  public static List<Line> run(long seed, PrintStream out) {
+  public static List<PoolModelLine> run(long seed, PrintStream out) {
     out.println("| variant | mean ms | load % | p50 ms | p99 ms | p99.9 ms | weight % |");
     out.println("|---|---|---|---|---|---|---|");
-    List<Line> lines = new ArrayList<>();
+    List<PoolModelLine> lines = new ArrayList<>();
     for (int meanMillis : new int[] {3, 10}) {
       for (int loadPercent : new int[] {50, 80, 95, 120}) {
-        for (Variant variant : Variant.values()) {
-          Line line = cell(variant, meanMillis, loadPercent, seed);
+        for (PoolVariant variant : PoolVariant.values()) {
+          PoolModelLine line = cell(variant, meanMillis, loadPercent, seed);
           out.println(line);
           lines.add(line);
         }
@@ -168,10 +110,11 @@
   }
 
   /** Runs one variant at one mean time and load. */
-  public static Line cell(Variant variant, int meanMillis, int loadPercent, long seed) {
+  public static PoolModelLine cell(
+      PoolVariant variant, int meanMillis, int loadPercent, long seed) {
     PoolModel model = new PoolModel(variant, meanMillis, loadPercent, seed);
     model.simulate();
-    return new Line(
+    return new PoolModelLine(
         variant,
         meanMillis,
         loadPercent,
@@ -190,7 +133,7 @@
       PoolId id = new PoolId(GATEWAY, SERVICE, PLACE, 0);
       SuspectRegistry suspects = new SuspectRegistry(new VmId("vm-" + i));
       Pool pool =
-          Pools.create(variant.policy, id, variant.limits, random.split(), suspects, () -> 1);
+          Pools.create(variant.policy(), id, variant.limits(), choices.split(), suspects, () -> 1);
       pool.configure(service, service.targets(), 0, action -> act(pool, action));
       pools.add(pool);
     }
@@ -214,10 +157,10 @@
   }
 
   private void arrive() {
-    at((long) (-Math.log(1 - random.nextDouble()) * gapNanos), this::arrive);
-    int weight = WEIGHTS[random.nextInt(WEIGHTS.length)];
+    at((long) (-Math.log(1 - arrivals.nextDouble()) * gapNanos), this::arrive);
+    int weight = WEIGHTS[arrivals.nextInt(WEIGHTS.length)];
     CallFacts call = call(weight);
-    int entry = random.nextInt(ENTRY_VMS);
+    int entry = arrivals.nextInt(ENTRY_VMS);
     Pool pool = pools.get(variant.owned() ? 0 : entry);
     long hop = variant.owned() && entry > 0 ? HOP_NANOS : 0;
     boolean measured = now >= WARM_UP_NANOS && now < WARM_UP_NANOS + MEASURED_NANOS - SECOND;
@@ -232,7 +175,7 @@
         GATEWAY,
         "route",
         SERVICE,
-        new TenantName("tenant-" + random.nextInt(TENANTS)),
+        new TenantName("tenant-" + arrivals.nextInt(TENANTS)),
         RequestKind.READ,
         weight,
         true,
@@ -274,7 +217,7 @@
 
   private void start(Visit visit, Target target) {
     target.running++;
-    double scale = Math.exp(SIGMA * random.nextGaussian() - SIGMA * SIGMA / 2);
+    double scale = Math.exp(SIGMA * times.nextGaussian() - SIGMA * SIGMA / 2);
     long takes = (long) (meanNanos * scale * (target.slow ? SLOW_FACTOR : 1));
     at(takes, () -> finish(visit, target));
   }
@@ -313,7 +256,7 @@
   private void switchSpeed(Target target) {
     target.slow = now > 0 && !target.slow;
     double mean = target.slow ? SLOW_NANOS : SLOW_NANOS * (1 - SLOW_SHARE) / SLOW_SHARE;
-    at(1 + (long) (-Math.log(1 - random.nextDouble()) * mean), () -> switchSpeed(target));
+    at(1 + (long) (-Math.log(1 - speeds.nextDouble()) * mean), () -> switchSpeed(target));
   }
 
   private void at(long delayNanos, Runnable work) {
--- a/src/main/java/org/radishpost/pool/DirectPool.java
+++ b/src/main/java/org/radishpost/pool/DirectPool.java
@@ -30,7 +30,7 @@
   private final LongSupplier configVersion;
   private final List<DirectTarget> targets = new ArrayList<>();
   private final Map<CallId, DirectTarget> sent = new HashMap<>();
-  private final MeanTime service = new MeanTime(SERVICE_ANSWERS);
+  private final MovingMean service = new MovingMean(SERVICE_ANSWERS);
   private int next;
   private boolean released;
 
@@ -114,6 +114,9 @@
     }
   }
 
+  @Override
+  public void closedByTarget(Endpoint target, long nowNanos, Consumer<PoolAction> out) {}
+
   @Override
   public void tick(long nowNanos, Consumer<PoolAction> out) {}
 
@@ -126,7 +129,7 @@
   @Override
   public PoolView view(long nowNanos) {
     int slots = targets.stream().mapToInt(target -> target.spec.slots()).sum();
-    return new PoolView(id, slots, sent.size(), 0, 0, service.nanos(), configVersion.getAsLong());
+    return new PoolView(id, slots, sent.size(), 0, 0, service.value(), configVersion.getAsLong());
   }
 
   @Override
--- a/src/main/java/org/radishpost/pool/OwnerPool.java
+++ b/src/main/java/org/radishpost/pool/OwnerPool.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,20 +28,22 @@
   private static final int SERVER_ERROR = 500;
   private static final int POOL_ANSWERS = 256;
   private static final int MAX_DOUBLINGS = 5;
+  private static final int PERCENT = 100;
+  private static final long MIN_PAUSE_NANOS = 1_000_000L;
   private static final long SECOND_NANOS = 1_000_000_000L;
 
   private final PoolId id;
   private final PoolLimits limits;
-  private final RandomGenerator random;
   private final SuspectRegistry suspects;
   private final LongSupplier configVersion;
   private final int owners;
-  private final AdmissionQueue queue;
-  private final Map<Endpoint, TargetTracker> targets = new LinkedHashMap<>();
+  private final AdmissionQueue queue = new AdmissionQueue();
+  private final TargetSet targets;
   private final Map<Endpoint, ProbeClock> probes = new HashMap<>();
   private final Map<CallId, SentCall> sent = new HashMap<>();
   private final CrashWatch crashes;
-  private final MeanTime service = new MeanTime(POOL_ANSWERS);
+  private final MovingMean service = new MovingMean(POOL_ANSWERS);
+  private final MovingMean errorPercent = new MovingMean(POOL_ANSWERS);
   private final TypicalTime typical = new TypicalTime(POOL_ANSWERS);
   private long probeIntervalNanos;
   private int ejectQuota;
@@ -75,11 +76,10 @@
       int owners) {
     this.id = id;
     this.limits = limits;
-    this.random = random;
+    this.targets = new TargetSet(random);
     this.suspects = suspects;
     this.configVersion = configVersion;
     this.owners = owners;
-    this.queue = new AdmissionQueue(limits.queueCalls());
     this.crashes = new CrashWatch(suspects);
   }
 
@@ -99,11 +99,11 @@
         noteChange(tracker, before, out);
         continue;
       }
-      targets.put(target.address(), new TargetTracker(target, cold, nowNanos));
-      probes.computeIfAbsent(target.address(), t -> new ProbeClock(nowNanos));
+      targets.add(new TargetTracker(target, cold, nowNanos));
+      probes.computeIfAbsent(target.address(), t -> new ProbeClock(owners, nowNanos));
       out.accept(new PoolAction.OpenAhead(target.address(), 1));
     }
-    for (TargetTracker tracker : targets.values()) {
+    for (TargetTracker tracker : targets.all()) {
       if (tracker.wanted() && !kept.contains(tracker.address())) {
         TargetState before = tracker.state();
         tracker.unwanted();
@@ -118,13 +118,11 @@
   public void offer(CallFacts call, long nowNanos, Consumer<PoolAction> out) {
     Optional<HandBackReason> refusal = refusal(call, nowNanos);
     if (refusal.isPresent()) {
-      out.accept(new PoolAction.HandBack(call.id(), refusal.get()));
+      handBack(call, refusal.get(), out);
       return;
     }
-    queue
-        .add(call)
-        .ifPresent(
-            loser -> out.accept(new PoolAction.HandBack(loser.id(), HandBackReason.QUEUE_FULL)));
+    int bound = limits.boundFor(targets.slots(nowNanos));
+    queue.add(call, bound, loser -> handBack(loser, HandBackReason.QUEUE_FULL, out));
     dispatch(nowNanos, out);
   }
 
@@ -146,7 +144,7 @@
         tracker.reported(answered.report(), nowNanos);
       }
       case TargetOutcome.Shed shed -> {
-        tracker.shed(service.nanos(), nowNanos);
+        tracker.shed(service.value(), nowNanos);
         tracker.reported(shed.report(), nowNanos);
       }
       case TargetOutcome.NotConnected n -> {
@@ -192,19 +190,27 @@
     dispatch(nowNanos, out);
   }
 
+  @Override
+  public void closedByTarget(Endpoint target, long nowNanos, Consumer<PoolAction> out) {
+    TargetTracker tracker = targets.get(target);
+    if (tracker == null) {
+      return;
+    }
+    TargetState before = tracker.state();
+    tracker.lost();
+    noteChange(tracker, before, out);
+  }
+
   @Override
   public void tick(long nowNanos, Consumer<PoolAction> out) {
     crashes.tick(nowNanos);
-    for (TargetTracker tracker : targets.values()) {
+    for (TargetTracker tracker : targets.all()) {
       TargetState before = tracker.state();
       tracker.tick(nowNanos);
       noteChange(tracker, before, out);
       probeIfDue(tracker, nowNanos, out);
     }
-    queue.expire(
-        nowNanos,
-        service.nanos(),
-        late -> out.accept(new PoolAction.HandBack(late.id(), HandBackReason.TOO_LATE)));
+    queue.expire(nowNanos, service.value(), late -> handBack(late, HandBackReason.TOO_LATE, out));
     dispatch(nowNanos, out);
   }
 
@@ -212,25 +218,27 @@
   public void release(long nowNanos, Consumer<PoolAction> out) {
     released = true;
     handBackAll(HandBackReason.NOT_OWNER, out);
-    for (TargetTracker tracker : targets.values()) {
+    for (TargetTracker tracker : targets.all()) {
       out.accept(new PoolAction.CloseIdle(tracker.address()));
     }
   }
 
   @Override
   public PoolView view(long nowNanos) {
-    int slots = 0;
-    for (TargetTracker tracker : targets.values()) {
-      slots += tracker.limit(nowNanos);
-    }
-    long wait = hasFreeSlot(nowNanos) ? 0 : waitNanos(queue.size(), nowNanos);
+    long wait = targets.anyFree(nowNanos, service.value()) ? 0 : waitNanos(queue.size(), nowNanos);
     return new PoolView(
-        id, slots, sent.size(), queue.size(), wait, service.nanos(), configVersion.getAsLong());
+        id,
+        targets.slots(nowNanos),
+        sent.size(),
+        queue.size(),
+        wait,
+        service.value(),
+        configVersion.getAsLong());
   }
 
   @Override
   public List<TargetStatus> targets(long nowNanos) {
-    return targets.values().stream()
+    return targets.all().stream()
         .map(t -> new TargetStatus(t.address(), t.state(), t.running(), t.limit(nowNanos)))
         .toList();
   }
@@ -243,13 +251,13 @@
     if (fingerprint.isPresent() && suspects.condemned(fingerprint.get(), nowNanos)) {
       return Optional.of(HandBackReason.SUSPECT);
     }
-    if (!hasUsable(nowNanos)) {
+    if (targets.slots(nowNanos) == 0) {
       return Optional.of(HandBackReason.NO_TARGET);
     }
     long left = call.deadlineNanos() - nowNanos;
-    boolean free = queue.isEmpty() && hasFreeSlot(nowNanos);
-    long wait = free ? 0 : waitNanos(queue.ahead(call), nowNanos);
-    if (left <= 0 || wait + service.nanos() > left) {
+    boolean free = queue.isEmpty() && targets.anyFree(nowNanos, service.value());
+    long wait = free ? 0 : waitNanos(queue.ahead(call.tenant()), nowNanos);
+    if (left <= 0 || wait + service.value() > left) {
       return Optional.of(HandBackReason.TOO_LATE);
     }
     return Optional.empty();
@@ -262,6 +270,7 @@
       failed(tracker, nowNanos);
       return;
     }
+    errorPercent.add(0);
     tracker.ejection().good(nowNanos);
     long serviceNanos = Math.max(1, answer.serviceNanos() - ended.waitedNanos());
     tracker.answered(serviceNanos, typical.nanos(), nowNanos);
@@ -271,8 +280,11 @@
   }
 
   private void failed(TargetTracker tracker, long nowNanos) {
-    int doublings = Math.min(tracker.ejection().errorsInRow() - 1, MAX_DOUBLINGS);
-    tracker.block(service.nanos() << Math.max(0, doublings), nowNanos);
+    errorPercent.add(PERCENT);
+    boolean alone = errorPercent.value() < PERCENT / 2;
+    int doublings = alone ? Math.min(tracker.ejection().errorsInRow() - 1, MAX_DOUBLINGS) : 0;
+    long pause = Math.max(service.value(), MIN_PAUSE_NANOS);
+    tracker.block(pause << Math.max(0, doublings), nowNanos);
   }
 
   private void ejectIfDue(TargetTracker tracker, long nowNanos) {
@@ -281,16 +293,7 @@
     if (!tracker.ejection().due() || !takesWork) {
       return;
     }
-    int ejected = 0;
-    int usable = 0;
-    for (TargetTracker other : targets.values()) {
-      if (other.state() == TargetState.EJECTED) {
-        ejected++;
-      } else if (other.limit(nowNanos) > 0) {
-        usable++;
-      }
-    }
-    if (ejected < ejectQuota && usable > 1) {
+    if (targets.ejected() < ejectQuota && targets.usable(nowNanos) > 1) {
       tracker.ejection().begin(nowNanos);
       tracker.eject();
     }
@@ -298,23 +301,23 @@
 
   private void dispatch(long nowNanos, Consumer<PoolAction> out) {
     while (!queue.isEmpty()) {
-      Optional<TargetTracker> target = chooseFree(nowNanos);
+      Optional<TargetTracker> target = targets.chooseFree(nowNanos, service.value());
       if (target.isEmpty() && queue.size() >= limits.aheadFromCalls()) {
-        target = chooseAhead(nowNanos);
+        target = targets.chooseAhead(nowNanos, typical.nanos());
       }
       if (target.isEmpty()) {
         break;
       }
       send(queue.poll().orElseThrow(), target.get(), nowNanos, out);
     }
-    if (!queue.isEmpty() && !hasUsable(nowNanos)) {
+    if (!queue.isEmpty() && targets.slots(nowNanos) == 0) {
       handBackAll(HandBackReason.NO_TARGET, out);
     }
   }
 
   private void send(CallFacts call, TargetTracker target, long nowNanos, Consumer<PoolAction> out) {
-    if (call.deadlineNanos() - nowNanos <= service.nanos()) {
-      out.accept(new PoolAction.HandBack(call.id(), HandBackReason.TOO_LATE));
+    if (call.deadlineNanos() - nowNanos <= service.value()) {
+      handBack(call, HandBackReason.TOO_LATE, out);
       return;
     }
     SentCall sending = new SentCall(call, target, nowNanos);
@@ -323,63 +326,17 @@
     out.accept(new PoolAction.Send(call, target.address()));
   }
 
-  private Optional<TargetTracker> chooseFree(long nowNanos) {
-    TargetTracker best = null;
-    int equal = 0;
-    for (TargetTracker tracker : targets.values()) {
-      if (!tracker.mayTake(nowNanos, service.nanos())) {
-        continue;
-      }
-      int order = best == null ? -1 : Double.compare(tracker.loadCost(), best.loadCost());
-      if (order < 0) {
-        best = tracker;
-        equal = 1;
-      } else if (order == 0 && random.nextInt(++equal) == 0) {
-        best = tracker;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private Optional<TargetTracker> chooseAhead(long nowNanos) {
-    TargetTracker best = null;
-    int equal = 0;
-    for (TargetTracker tracker : targets.values()) {
-      if (tracker.mayTakeAhead(nowNanos, typical.nanos()) && random.nextInt(++equal) == 0) {
-        best = tracker;
-      }
-    }
-    return Optional.ofNullable(best);
-  }
-
-  private boolean hasUsable(long nowNanos) {
-    for (TargetTracker tracker : targets.values()) {
-      if (tracker.limit(nowNanos) > 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private boolean hasFreeSlot(long nowNanos) {
-    for (TargetTracker tracker : targets.values()) {
-      if (tracker.mayTake(nowNanos, service.nanos())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private long waitNanos(int ahead, long nowNanos) {
-    double perSecond = 0;
-    for (TargetTracker tracker : targets.values()) {
-      perSecond += tracker.callsPerSecond(nowNanos, service.nanos());
-    }
+    double perSecond = targets.callsPerSecond(nowNanos, service.value());
     return perSecond == 0 ? 0 : (long) ((ahead + 1) * SECOND_NANOS / perSecond);
   }
 
   private void handBackAll(HandBackReason reason, Consumer<PoolAction> out) {
-    queue.drain(call -> out.accept(new PoolAction.HandBack(call.id(), reason)));
+    queue.drain(call -> handBack(call, reason, out));
+  }
+
+  private void handBack(CallFacts call, HandBackReason reason, Consumer<PoolAction> out) {
+    out.accept(new PoolAction.HandBack(call.id(), reason));
   }
 
   private void probeIfDue(TargetTracker tracker, long nowNanos, Consumer<PoolAction> out) {
@@ -393,9 +350,9 @@
   }
 
   private void removeDrained() {
-    targets.values().removeIf(t -> !t.wanted() && t.running() == 0);
+    targets.removeDrained();
     if (probes.size() > 2 * targets.size() + limits.queueCalls()) {
-      probes.keySet().retainAll(targets.keySet());
+      probes.keySet().removeIf(address -> targets.get(address) == null);
     }
   }
 
--- a/src/main/java/org/radishpost/pool/Pool.java
+++ b/src/main/java/org/radishpost/pool/Pool.java
@@ -33,6 +33,9 @@
   void probed(
       Endpoint target, Optional<LoadReport> report, long nowNanos, Consumer<PoolAction> out);
 
+  /** Takes note that the target closed the last idle connection to it: it may have started anew. */
+  void closedByTarget(Endpoint target, long nowNanos, Consumer<PoolAction> out);
+
   /**
    * Lets time pass: deadlines of queued calls, ramps, the end of ejections, probes that are due.
    */
--- a/src/main/java/org/radishpost/pool/ProbeClock.java
+++ b/src/main/java/org/radishpost/pool/ProbeClock.java
@@ -8,14 +8,16 @@
  * anew.
  */
 final class ProbeClock {
+  private final int owners;
   private long lastNanos;
 
-  ProbeClock(long nowNanos) {
+  ProbeClock(int owners, long nowNanos) {
+    this.owners = owners;
     lastNanos = nowNanos;
   }
 
   boolean due(long nowNanos, long lastToldNanos, long intervalNanos) {
-    long gapNanos = ColdLimits.OWNERS * intervalNanos;
+    long gapNanos = owners * intervalNanos;
     return nowNanos - lastNanos >= gapNanos && nowNanos - lastToldNanos >= gapNanos;
   }
 
--- a/src/main/java/org/radishpost/pool/TargetTracker.java
+++ b/src/main/java/org/radishpost/pool/TargetTracker.java
@@ -12,6 +12,7 @@
   private static final int USUAL_ANSWERS = 64;
   private static final double SLOW_RATIO = 2.5;
   private static final double QUICK_RATIO = 2.0;
+  private static final long SLOW_IS_COLD_NANOS = 1_000_000_000L;
   private static final int SHEDS_WHEN_COLD = 2;
   private static final long SECOND_NANOS = 1_000_000_000L;
   private static final long NO_AHEAD_NANOS = 10_000_000_000L;
@@ -31,6 +32,8 @@
   private boolean told;
   private int goodInRow;
   private int shedsInRow;
+  private boolean slow;
+  private long slowSinceNanos;
   private boolean rampStarted;
   private long rampStartNanos;
   private long blockedUntilNanos;
@@ -96,7 +99,7 @@
       case EJECTED, DRAINING -> 0;
       case COLD -> Math.min(connections(), cold.callsAt(0, spec.slots()));
       case RAMPING -> Math.min(connections(), cold.callsAt(ramped(nowNanos), spec.slots()));
-      case WARM -> Math.min(connections(), spec.slots());
+      case WARM -> Math.min(connections(), slow ? cold.callsAt(0, spec.slots()) : spec.slots());
     };
   }
 
@@ -148,10 +151,10 @@
     goodInRow = good ? goodInRow + 1 : 0;
     switch (state) {
       case COLD, RAMPING -> ramp(good, poolTypicalNanos, nowNanos);
-      case WARM -> checkSlow(poolTypicalNanos);
+      case WARM -> checkSlow(poolTypicalNanos, nowNanos);
       default -> goodInRow = 0;
     }
-    if (state == TargetState.WARM) {
+    if (state == TargetState.WARM && !slow) {
       usual.add(serviceNanos);
     }
   }
@@ -241,7 +244,7 @@
 
   /** Returns a number that is smaller for a target that is less busy, then for a quicker one. */
   double loadCost() {
-    return (double) running / spec.slots();
+    return (double) (running + 1) * Math.max(1, recent.nanos());
   }
 
   /** Returns the idle connections that a warm target should have. */
@@ -292,12 +295,21 @@
     recent.copy(usual);
   }
 
-  private void checkSlow(long poolTypicalNanos) {
+  private void checkSlow(long poolTypicalNanos, long nowNanos) {
     if (!recent.settled() || !usual.settled()) {
       return;
     }
-    boolean jumped = recent.nanos() > SLOW_RATIO * usual.nanos();
-    if (jumped && recent.nanos() > SLOW_RATIO * poolTypicalNanos) {
+    long expected = Math.max(usual.nanos(), poolTypicalNanos);
+    if (recent.nanos() <= SLOW_RATIO * expected) {
+      slow = false;
+      return;
+    }
+    if (!slow) {
+      slow = true;
+      slowSinceNanos = nowNanos;
+    }
+    boolean saysWarm = told && warmPercent >= WARM_PERCENT;
+    if (!saysWarm || nowNanos - slowSinceNanos >= SLOW_IS_COLD_NANOS) {
       becomeCold(true);
       sends.reset();
     }
@@ -306,6 +318,7 @@
   private void becomeCold(boolean trust) {
     trustsReports = trust;
     goodInRow = 0;
+    slow = false;
     rampStarted = false;
     state = wanted ? TargetState.COLD : TargetState.DRAINING;
   }
--- a/src/test/java/org/radishpost/pool/OwnerPoolTest.java
+++ b/src/test/java/org/radishpost/pool/OwnerPoolTest.java
@@ -28,7 +28,7 @@
     pool =
         new OwnerPool(
             PoolFixture.POOL,
-            new PoolLimits(4, 1),
+            new PoolLimits(4, 4, 1),
             new SplittableRandom(1),
             PoolFixture.suspects(),
             () -> 7);
