Add links between VMs and the table of members

Cause: entries need to know which VM owns a pool, and need proved links to it. Change: MemberTable joins the platform's list with what links say and gives owners by rendezvous hashing; TcpLinks carries MessagePack frames, proved by a shared key and sealed, with heartbeats in both directions. PeerEvent.Up bears the peer's entry, PeerEvent.Released is new, and Links finds a session by its name.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -17,7 +17,16 @@
   /** A graceful shutdown has begun. */
   STOPPING(1004, Level.INFO),
   /** The process has stopped. */
-  STOPPED(1005, Level.INFO);
+  STOPPED(1005, Level.INFO),
+
+  /** A link to a peer stands. */
+  LINK_UP(3001, Level.INFO),
+  /** No link to the peer stands any more, or it could not be reached. */
+  LINK_DOWN(3002, Level.WARN),
+  /** A connection was closed because its peer broke the link protocol or holds another key. */
+  LINK_REFUSED(3003, Level.WARN),
+  /** A message of a type or version came that this release does not know; it was left out. */
+  LINK_MESSAGE_UNSUPPORTED(3004, Level.WARN);
 
   /** How much an event matters. */
   public enum Level {
--- /dev/null
+++ b/src/main/java/org/radishpost/link/Frame.java
@@ -0,0 +1,124 @@
+package org.radishpost.link;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.radishpost.errors.LinkException;
+
+/**
+ * One frame of a proved link: four MessagePack integers and a body.
+ *
+ * @param kind what the frame is for
+ * @param type the number of the message's type, 0 for none
+ * @param version the version of the message's layout
+ * @param correlation the number that joins an answer to its ask, 0 for none
+ * @param body the message in MessagePack; not to be changed
+ */
+record Frame(Kind kind, int type, int version, long correlation, byte[] body) {
+  /** Largest frame of a proved link. */
+  static final int MAX_BYTES = 1024 * 1024;
+
+  /** Largest frame of a link that is not proved. */
+  static final int MAX_UNPROVED_BYTES = 64 * 1024;
+
+  /** What frames are for. */
+  enum Kind {
+    /** A sign of life. */
+    BEAT,
+    /** A message that asks for no answer. */
+    TELL,
+    /** A message that asks for an answer. */
+    ASK,
+    /** The answer to an ask. */
+    REPLY,
+    /** The ask was not taken; the type tells the {@link Refusal}. */
+    REFUSED,
+    /** The sender closes the link because it no longer needs it. */
+    RELEASE;
+
+    private static final Kind[] ALL = values();
+  }
+
+  /** Why an ask was not taken. */
+  enum Refusal {
+    /** The type or version of the message is not known here. */
+    UNSUPPORTED,
+    /** Too many asks are being worked on. */
+    BUSY,
+    /** The message could not be answered. */
+    FAILED;
+
+    private static final Refusal[] ALL = values();
+
+    /** Returns the refusal with the number; one that is not known counts as failed. */
+    static Refusal find(int number) {
+      return number >= 0 && number < ALL.length ? ALL[number] : FAILED;
+    }
+  }
+
+  /** Returns a frame without a message. */
+  static Frame empty(Kind kind) {
+    return new Frame(kind, 0, 0, 0, new byte[0]);
+  }
+
+  /** Returns the refusal of an ask. */
+  static Frame refused(Refusal refusal, long correlation) {
+    return new Frame(Kind.REFUSED, refusal.ordinal(), 0, correlation, new byte[0]);
+  }
+
+  /** Returns a frame with a message. */
+  static Frame of(Kind kind, LinkMessage message, long correlation) {
+    MessageType type = MessageType.of(message);
+    return new Frame(kind, type.number, type.version, correlation, LinkMapper.write(message));
+  }
+
+  /**
+   * Returns the message of the frame, or nothing when this release does not know its type in that
+   * version.
+   *
+   * @throws LinkException if the body does not fit the type
+   */
+  Optional<LinkMessage> message() throws LinkException {
+    Optional<MessageType> known = MessageType.find(type, version);
+    return known.isEmpty()
+        ? Optional.empty()
+        : Optional.of(LinkMapper.read(body, known.get().layout));
+  }
+
+  byte[] encode() {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(kind.ordinal());
+      packer.packInt(type);
+      packer.packInt(version);
+      packer.packLong(correlation);
+      packer.writePayload(body);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory cannot fail", e);
+    }
+  }
+
+  static Frame decode(byte[] bytes) throws LinkException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int kind = unpacker.unpackInt();
+      int type = unpacker.unpackInt();
+      int version = unpacker.unpackInt();
+      long correlation = unpacker.unpackLong();
+      if (kind < 0 || kind >= Kind.ALL.length) {
+        throw corrupt(null);
+      }
+      byte[] body = unpacker.readPayload(bytes.length - (int) unpacker.getTotalReadBytes());
+      return new Frame(Kind.ALL[kind], type, version, correlation, body);
+    } catch (IOException | MessagePackException e) {
+      throw corrupt(e);
+    }
+  }
+
+  private static LinkException corrupt(Exception cause) {
+    return new LinkException(
+        "A frame is corrupt. Check that both VMs run a release of radishpost.", cause);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/Handshake.java
@@ -0,0 +1,249 @@
+package org.radishpost.link;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.radishpost.errors.LinkException;
+import org.radishpost.platform.VmEntry;
+
+/**
+ * The proof of both ends that they hold the shared key, without input or output; for one thread.
+ *
+ * <p>The dialer sends its nonce, the acceptor sends its own; the dialer proves that it knows the
+ * key; only then the acceptor names itself with its proof; the dialer answers with its name and a
+ * proof that covers both. Neither end tells an unproved one more than a nonce and a keyed digest.
+ */
+final class Handshake {
+  /** The version of the link protocol that this release speaks. */
+  static final int PROTOCOL_VERSION = 1;
+
+  /** Length of a nonce. */
+  static final int NONCE_BYTES = 32;
+
+  private static final int PROOF_BYTES = 32;
+  private static final String MAGIC = "radishpost";
+
+  private final byte[] key;
+  private final VmEntry self;
+  private final byte[] ownNonce;
+  private final boolean dialer;
+  private byte[] dialerNonce;
+  private byte[] acceptorNonce;
+  private byte[] acceptorEntry = {};
+  private State state;
+
+  private enum State {
+    AWAIT_HELLO,
+    AWAIT_KNOWLEDGE,
+    AWAIT_ACCEPTOR,
+    AWAIT_DIALER,
+    DONE
+  }
+
+  /**
+   * What a frame led to.
+   *
+   * @param reply the frame to be sent, if any
+   * @param proved the peer, once it has proved itself
+   */
+  record Step(Optional<byte[]> reply, Optional<Proved> proved) {}
+
+  /**
+   * A peer that holds the shared key.
+   *
+   * @param peer what it says of itself
+   * @param keys the keys of the session
+   */
+  record Proved(VmEntry peer, SessionKeys keys) {}
+
+  private Handshake(byte[] key, VmEntry self, byte[] nonce, boolean dialer) {
+    this.key = key.clone();
+    this.self = self;
+    this.ownNonce = nonce.clone();
+    this.dialer = dialer;
+    this.state = State.AWAIT_HELLO;
+  }
+
+  /** Creates the end that dials; send {@link #hello} first. */
+  static Handshake dial(byte[] key, VmEntry self, byte[] nonce) {
+    return new Handshake(key, self, nonce, true);
+  }
+
+  /** Creates the end that accepts. */
+  static Handshake accept(byte[] key, VmEntry self, byte[] nonce) {
+    return new Handshake(key, self, nonce, false);
+  }
+
+  /** Returns the hello of this end. */
+  byte[] hello() {
+    return pack(
+        packer -> {
+          packer.packString(MAGIC);
+          packer.packInt(PROTOCOL_VERSION);
+          packBytes(packer, ownNonce);
+        });
+  }
+
+  /**
+   * Takes a frame.
+   *
+   * @throws LinkException if the peer did not prove itself; the connection is to be closed
+   */
+  Step receive(byte[] frame) throws LinkException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+      return switch (state) {
+        case AWAIT_HELLO -> takeHello(unpacker);
+        case AWAIT_KNOWLEDGE -> takeKnowledge(unpacker);
+        case AWAIT_ACCEPTOR -> takeAcceptor(unpacker);
+        case AWAIT_DIALER -> takeDialer(unpacker);
+        case DONE -> throw new IllegalStateException("the proof is over");
+      };
+    } catch (IOException | MessagePackException e) {
+      throw new LinkException(
+          "The peer does not speak the link protocol. Check what connects to the link address.", e);
+    }
+  }
+
+  private Step takeHello(MessageUnpacker unpacker) throws IOException, LinkException {
+    if (!MAGIC.equals(
+        new String(
+            unpackBytes(unpacker, unpacker.unpackRawStringHeader(), 16), StandardCharsets.UTF_8))) {
+      throw new LinkException(
+          "The peer is not a VM of radishpost. Check what connects to the link address.");
+    }
+    int version = unpacker.unpackInt();
+    if (version != PROTOCOL_VERSION) {
+      throw new LinkException(
+          "The peer speaks link protocol "
+              + version
+              + ", this VM speaks "
+              + PROTOCOL_VERSION
+              + ". Upgrade the older VM.");
+    }
+    byte[] nonce = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), NONCE_BYTES);
+    if (nonce.length != NONCE_BYTES) {
+      throw new LinkException("The peer's nonce is too short. Upgrade the peer.");
+    }
+    dialerNonce = dialer ? ownNonce : nonce;
+    acceptorNonce = dialer ? nonce : ownNonce;
+    state = dialer ? State.AWAIT_ACCEPTOR : State.AWAIT_KNOWLEDGE;
+    return reply(dialer ? pack(p -> packBytes(p, proof("dialer knows"))) : hello());
+  }
+
+  private Step takeKnowledge(MessageUnpacker unpacker) throws IOException, LinkException {
+    checkProof(unpacker, "dialer knows");
+    acceptorEntry = LinkMapper.write(self);
+    state = State.AWAIT_DIALER;
+    return reply(
+        pack(
+            packer -> {
+              packBytes(packer, proof("acceptor", acceptorEntry));
+              packBytes(packer, acceptorEntry);
+            }));
+  }
+
+  private Step takeAcceptor(MessageUnpacker unpacker) throws IOException, LinkException {
+    byte[] proof = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), PROOF_BYTES);
+    acceptorEntry = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), Frame.MAX_UNPROVED_BYTES);
+    requireEqual(proof, proof("acceptor", acceptorEntry));
+    byte[] ownEntry = LinkMapper.write(self);
+    VmEntry peer = peer(acceptorEntry);
+    state = State.DONE;
+    byte[] confirm =
+        pack(
+            packer -> {
+              packBytes(packer, proof("dialer", ownEntry, acceptorEntry));
+              packBytes(packer, ownEntry);
+            });
+    return new Step(Optional.of(confirm), Optional.of(proved(peer, ownEntry)));
+  }
+
+  private Step takeDialer(MessageUnpacker unpacker) throws IOException, LinkException {
+    byte[] proof = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), PROOF_BYTES);
+    byte[] entry = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), Frame.MAX_UNPROVED_BYTES);
+    requireEqual(proof, proof("dialer", entry, acceptorEntry));
+    VmEntry peer = peer(entry);
+    state = State.DONE;
+    return new Step(Optional.empty(), Optional.of(proved(peer, entry)));
+  }
+
+  private Proved proved(VmEntry peer, byte[] dialerEntry) {
+    byte[] secret = proof("session", dialerEntry, acceptorEntry);
+    return new Proved(peer, SessionKeys.derive(secret, dialer));
+  }
+
+  private VmEntry peer(byte[] entry) throws LinkException {
+    VmEntry peer = LinkMapper.read(entry, VmEntry.class);
+    if (peer.id().equals(self.id())) {
+      throw new LinkException(
+          "The peer has this VM's identity "
+              + self.id()
+              + ". Give each VM an identity of its own.");
+    }
+    return peer;
+  }
+
+  private void checkProof(MessageUnpacker unpacker, String purpose)
+      throws IOException, LinkException {
+    byte[] proof = unpackBytes(unpacker, unpacker.unpackBinaryHeader(), PROOF_BYTES);
+    requireEqual(proof, proof(purpose));
+  }
+
+  private static void requireEqual(byte[] proof, byte[] expected) throws LinkException {
+    if (!MessageDigest.isEqual(proof, expected)) {
+      throw new LinkException(
+          "The peer does not hold the shared key. Check the key in the settings of both VMs.");
+    }
+  }
+
+  private byte[] proof(String purpose, byte[]... parts) {
+    return SessionKeys.hmac(
+        key,
+        pack(
+            packer -> {
+              packer.packString(purpose);
+              packer.packInt(PROTOCOL_VERSION);
+              packBytes(packer, dialerNonce);
+              packBytes(packer, acceptorNonce);
+              for (byte[] part : parts) {
+                packBytes(packer, part);
+              }
+            }));
+  }
+
+  private static Step reply(byte[] frame) {
+    return new Step(Optional.of(frame), Optional.empty());
+  }
+
+  private interface Packing {
+    void into(MessageBufferPacker packer) throws IOException;
+  }
+
+  private static byte[] pack(Packing packing) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packing.into(packer);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory cannot fail", e);
+    }
+  }
+
+  private static void packBytes(MessageBufferPacker packer, byte[] bytes) throws IOException {
+    packer.packBinaryHeader(bytes.length);
+    packer.writePayload(bytes);
+  }
+
+  private static byte[] unpackBytes(MessageUnpacker unpacker, int length, int most)
+      throws IOException, LinkException {
+    if (length > most) {
+      throw new LinkException(
+          "The peer's hello is too long. Check what connects to the link address.");
+    }
+    return unpacker.readPayload(length);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -0,0 +1,396 @@
+package org.radishpost.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.radishpost.errors.LinkException;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+
+/**
+ * One TCP connection to a peer, first without and then with proof; thread-safe.
+ *
+ * <p>Frames are read and written on the connection's event loop.
+ */
+final class LinkConnection {
+  private static final int LENGTH_BYTES = Integer.BYTES;
+  private static final String FRAMES_HANDLER = "link.frames";
+
+  private final Channel channel;
+  private final Connection connection;
+  private final Handshake handshake;
+  private final LinkOptions options;
+  private final LongSupplier configVersion;
+  private final LongSupplier clockNanos;
+  private final Listener listener;
+  private final boolean dialer;
+  private final long openedNanos;
+  private final LinkHealth health;
+  private final TrafficCounter unproved = new TrafficCounter();
+  private final AtomicInteger queuedFrames = new AtomicInteger();
+  private final AtomicInteger queuedBytes = new AtomicInteger();
+  private final AtomicInteger asksTaken = new AtomicInteger();
+  private final AtomicLong correlations = new AtomicLong();
+  private final Map<Long, Sinks.One<LinkMessage>> asks = new ConcurrentHashMap<>();
+  private final Sinks.Empty<Void> closed = Sinks.empty();
+  private volatile Proof proof;
+  private volatile boolean open = true;
+  private volatile boolean released;
+  private long peerConfigVersion = -1;
+
+  /** What the proof of the peer brought. */
+  private record Proof(
+      VmEntry peer,
+      KeyedSession session,
+      FrameSeal sendSeal,
+      FrameSeal receiveSeal,
+      TrafficCounter traffic) {}
+
+  /** Who is told what happens on the connection; called on its event loop. */
+  interface Listener {
+    /** Returns the counter for the peer. */
+    TrafficCounter counterOf(VmId peer);
+
+    /** The peer has proved itself. */
+    void proved(LinkConnection connection);
+
+    /** The connection is gone; called once. */
+    void closed(LinkConnection connection, Optional<Throwable> cause);
+
+    /** A message came that asks for no answer. */
+    void told(VmId peer, LinkMessage message);
+
+    /** Returns the answer to a message. */
+    Mono<LinkMessage> answer(VmId peer, LinkMessage message);
+
+    /** A frame came whose type or version is not known. */
+    void unsupported(VmId peer, Frame frame);
+  }
+
+  LinkConnection(
+      Connection connection,
+      Handshake handshake,
+      boolean dialer,
+      LinkOptions options,
+      LongSupplier configVersion,
+      LongSupplier clockNanos,
+      Listener listener) {
+    this.connection = connection;
+    this.channel = connection.channel();
+    this.handshake = handshake;
+    this.dialer = dialer;
+    this.options = options;
+    this.configVersion = configVersion;
+    this.clockNanos = clockNanos;
+    this.listener = listener;
+    this.openedNanos = clockNanos.getAsLong();
+    this.health = new LinkHealth(options, openedNanos);
+  }
+
+  /** Starts to read, and to prove this end. */
+  void start() {
+    connection.addHandlerLast(FRAMES_HANDLER, frames(Frame.MAX_UNPROVED_BYTES));
+    connection
+        .inbound()
+        .receive()
+        .asByteArray()
+        .subscribe(this::received, cause -> end(Optional.of(cause)), () -> end(Optional.empty()));
+    if (dialer) {
+      channel.eventLoop().execute(() -> writePlain(handshake.hello()));
+    }
+  }
+
+  boolean dialer() {
+    return dialer;
+  }
+
+  long openedNanos() {
+    return openedNanos;
+  }
+
+  LinkHealth health() {
+    return health;
+  }
+
+  /** Tells whether the peer said that it closes the link because it no longer needs it. */
+  boolean released() {
+    return released;
+  }
+
+  boolean proved() {
+    return proof != null;
+  }
+
+  /** Returns the session; only once the peer has proved itself. */
+  KeyedSession session() {
+    return proof.session;
+  }
+
+  /** Returns the peer; only once it has proved itself. */
+  VmEntry peer() {
+    return proof.peer;
+  }
+
+  /** Returns the counter of what went over the link; only once the peer has proved itself. */
+  TrafficCounter traffic() {
+    return proof.traffic;
+  }
+
+  /** Tells whether asks of this end wait for answers. */
+  boolean busy() {
+    return !asks.isEmpty();
+  }
+
+  /** Sends a message; false when the connection is closed or its queue is full. */
+  boolean tell(LinkMessage message) {
+    return send(Frame.of(Frame.Kind.TELL, message, 0));
+  }
+
+  /** Asks the peer; the answer, or a failure when the connection closes first. */
+  Mono<LinkMessage> ask(LinkMessage message) {
+    return Mono.defer(
+        () -> {
+          long correlation = correlations.incrementAndGet();
+          Sinks.One<LinkMessage> answer = Sinks.one();
+          asks.put(correlation, answer);
+          if (!send(Frame.of(Frame.Kind.ASK, message, correlation)) || !open) {
+            asks.remove(correlation);
+            return Mono.error(
+                new LinkException("The link takes no more messages now. Ask another VM or later."));
+          }
+          health.used(clockNanos.getAsLong());
+          return answer.asMono().doFinally(signal -> asks.remove(correlation));
+        });
+  }
+
+  /** Sends the heartbeat that is due. */
+  void beat() {
+    sendUncounted(health.next(clockNanos.getAsLong(), configVersion.getAsLong()));
+  }
+
+  /** Tells the peer that this end no longer needs the link, and closes it. */
+  void release() {
+    released = true;
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              write(Frame.empty(Frame.Kind.RELEASE).encode());
+              close();
+            });
+  }
+
+  /** Closes the connection after what is queued has been handed to the operating system. */
+  void close() {
+    channel.eventLoop().execute(() -> connection.dispose());
+  }
+
+  /** Completes when the connection is closed. */
+  Mono<Void> onClosed() {
+    return closed.asMono();
+  }
+
+  private boolean send(Frame frame) {
+    byte[] bytes = frame.encode();
+    if (!open || proof == null || bytes.length + FrameSeal.SEAL_BYTES > Frame.MAX_BYTES) {
+      return false;
+    }
+    if (queuedFrames.incrementAndGet() > options.queueFrames()
+        || queuedBytes.addAndGet(bytes.length) > options.queueBytes()) {
+      return dropped(bytes.length);
+    }
+    channel.eventLoop().execute(() -> write(bytes));
+    return true;
+  }
+
+  private boolean dropped(int bytes) {
+    queuedFrames.decrementAndGet();
+    queuedBytes.addAndGet(-bytes);
+    return false;
+  }
+
+  private void sendUncounted(Beat beat) {
+    byte[] bytes = new Frame(Frame.Kind.BEAT, 0, 0, 0, beat.encode()).encode();
+    queuedFrames.incrementAndGet();
+    queuedBytes.addAndGet(bytes.length);
+    channel.eventLoop().execute(() -> write(bytes));
+  }
+
+  private void write(byte[] frame) {
+    byte[] seal = proof.sendSeal.seal(frame);
+    int bytes = frame.length + seal.length;
+    ByteBuf buffer = channel.alloc().buffer(LENGTH_BYTES + bytes);
+    buffer.writeInt(bytes).writeBytes(frame).writeBytes(seal);
+    proof.traffic.sent(LENGTH_BYTES + bytes);
+    channel.writeAndFlush(buffer).addListener(done -> dropped(frame.length));
+  }
+
+  private void writePlain(byte[] frame) {
+    ByteBuf buffer = channel.alloc().buffer(LENGTH_BYTES + frame.length);
+    buffer.writeInt(frame.length).writeBytes(frame);
+    unproved.sent(LENGTH_BYTES + frame.length);
+    channel.writeAndFlush(buffer);
+  }
+
+  private void received(byte[] bytes) {
+    if (!open) {
+      return;
+    }
+    try {
+      if (proof == null) {
+        takeProof(bytes);
+      } else {
+        take(bytes);
+      }
+    } catch (LinkException e) {
+      end(Optional.of(e));
+    }
+  }
+
+  private void takeProof(byte[] bytes) throws LinkException {
+    unproved.received(LENGTH_BYTES + bytes.length);
+    Handshake.Step step = handshake.receive(bytes);
+    step.reply().ifPresent(this::writePlain);
+    if (step.proved().isPresent()) {
+      stand(step.proved().get());
+    }
+  }
+
+  private void stand(Handshake.Proved proved) {
+    VmEntry peer = proved.peer();
+    SessionKeys keys = proved.keys();
+    KeyedSession session =
+        new KeyedSession(peer.id(), keys, () -> health.used(clockNanos.getAsLong()));
+    connection
+        .channel()
+        .pipeline()
+        .replace(FRAMES_HANDLER, FRAMES_HANDLER, frames(Frame.MAX_BYTES));
+    proof =
+        new Proof(
+            peer,
+            session,
+            new FrameSeal(keys.sendFrames()),
+            new FrameSeal(keys.receiveFrames()),
+            listener.counterOf(peer.id()));
+    listener.proved(this);
+  }
+
+  private void take(byte[] sealed) throws LinkException {
+    proof.traffic.received(LENGTH_BYTES + sealed.length);
+    Optional<byte[]> opened = proof.receiveSeal.open(sealed);
+    if (opened.isEmpty()) {
+      throw new LinkException(
+          "A frame's seal does not fit. Check what stands between the two VMs.");
+    }
+    Frame frame = Frame.decode(opened.get());
+    switch (frame.kind()) {
+      case BEAT -> takeBeat(Beat.decode(frame.body()));
+      case TELL -> takeTold(frame);
+      case ASK -> takeAsk(frame);
+      case REPLY -> takeReply(frame);
+      case REFUSED -> takeRefusal(frame);
+      default -> released = true;
+    }
+  }
+
+  private void takeBeat(Beat beat) {
+    health
+        .received(beat, clockNanos.getAsLong(), configVersion.getAsLong())
+        .ifPresent(this::sendUncounted);
+    if (beat.configVersion() != peerConfigVersion) {
+      peerConfigVersion = beat.configVersion();
+      listener.told(proof.peer.id(), new LinkMessage.Heartbeat(peerConfigVersion));
+    }
+  }
+
+  private void takeTold(Frame frame) throws LinkException {
+    Optional<LinkMessage> message = frame.message();
+    if (message.isEmpty()) {
+      listener.unsupported(proof.peer.id(), frame);
+      return;
+    }
+    listener.told(proof.peer.id(), message.get());
+  }
+
+  private void takeAsk(Frame frame) throws LinkException {
+    Optional<LinkMessage> message = frame.message();
+    if (message.isEmpty()) {
+      listener.unsupported(proof.peer.id(), frame);
+      send(Frame.refused(Frame.Refusal.UNSUPPORTED, frame.correlation()));
+      return;
+    }
+    health.used(clockNanos.getAsLong());
+    if (asksTaken.incrementAndGet() > options.pendingAsks()) {
+      asksTaken.decrementAndGet();
+      send(Frame.refused(Frame.Refusal.BUSY, frame.correlation()));
+      return;
+    }
+    Frame failed = Frame.refused(Frame.Refusal.FAILED, frame.correlation());
+    listener
+        .answer(proof.peer.id(), message.get())
+        .map(answer -> Frame.of(Frame.Kind.REPLY, answer, frame.correlation()))
+        .onErrorReturn(failed)
+        .defaultIfEmpty(failed)
+        .takeUntilOther(closed.asMono())
+        .doFinally(signal -> asksTaken.decrementAndGet())
+        .subscribe(this::send);
+  }
+
+  private void takeReply(Frame frame) throws LinkException {
+    Sinks.One<LinkMessage> ask = asks.remove(frame.correlation());
+    if (ask == null) {
+      return;
+    }
+    Optional<LinkMessage> message = frame.message();
+    if (message.isPresent()) {
+      ask.tryEmitValue(message.get());
+      return;
+    }
+    listener.unsupported(proof.peer.id(), frame);
+    ask.tryEmitError(refusal(Frame.Refusal.UNSUPPORTED));
+  }
+
+  private void takeRefusal(Frame frame) {
+    Sinks.One<LinkMessage> ask = asks.remove(frame.correlation());
+    if (ask != null) {
+      ask.tryEmitError(refusal(Frame.Refusal.find(frame.type())));
+    }
+  }
+
+  private static LinkException refusal(Frame.Refusal refusal) {
+    return new LinkException(
+        switch (refusal) {
+          case UNSUPPORTED ->
+              "The peer's release does not know the message. Upgrade all VMs to one release.";
+          case BUSY -> "The peer works on too many asks. Ask another VM or later.";
+          case FAILED -> "The peer could not answer. Look at the peer's log.";
+        });
+  }
+
+  private void end(Optional<Throwable> cause) {
+    if (!open) {
+      return;
+    }
+    open = false;
+    connection.dispose();
+    closed.tryEmitEmpty();
+    LinkException gone =
+        new LinkException("The link closed before the answer came. Ask again or another VM.");
+    asks.values().forEach(ask -> ask.tryEmitError(gone));
+    asks.clear();
+    listener.closed(this, cause);
+  }
+
+  private static LengthFieldBasedFrameDecoder frames(int maxBytes) {
+    return new LengthFieldBasedFrameDecoder(maxBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/LinkHealth.java
@@ -0,0 +1,114 @@
+package org.radishpost.link;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/**
+ * Tells from heartbeats whether a link works in both directions; thread-safe, driven by ticks.
+ *
+ * <p>A link counts as silent when a beat of this end stays without an echo for too long, whatever
+ * else arrives: a link that is cut in one direction is down at both ends. Ages are counted in the
+ * time that this process was awake: while ticks fail to come, no peer ages by more than two of
+ * them.
+ */
+final class LinkHealth {
+  private static final int MAX_TICK_GAP_BEATS = 2;
+
+  private final long beatNanos;
+  private final long idleBeatNanos;
+  private final long busyNanos;
+  private final int missedBeats;
+  private final Deque<Sent> unanswered = new ArrayDeque<>();
+  private long sequence;
+  private long heard;
+  private long awakeNanos;
+  private long lastBeatNanos;
+  private long lastTickNanos;
+  private long lastUseNanos;
+  private long roundTripNanos;
+
+  private record Sent(long sequence, long atNanos, long awakeAtNanos) {}
+
+  /** What a tick found. */
+  enum Verdict {
+    /** Nothing is to be done. */
+    QUIET,
+    /** A beat is due. */
+    BEAT,
+    /** The link is silent. */
+    SILENT
+  }
+
+  LinkHealth(LinkOptions options, long nowNanos) {
+    beatNanos = options.beatInterval().toNanos();
+    idleBeatNanos = options.idleBeatInterval().toNanos();
+    busyNanos = options.busyTime().toNanos();
+    missedBeats = options.missedBeats();
+    lastTickNanos = nowNanos;
+    lastUseNanos = nowNanos;
+    lastBeatNanos = nowNanos - idleBeatNanos;
+  }
+
+  /** Notes that a call depends on the link. */
+  synchronized void used(long nowNanos) {
+    lastUseNanos = nowNanos;
+  }
+
+  /** Returns when a call last depended on the link. */
+  synchronized long lastUseNanos() {
+    return lastUseNanos;
+  }
+
+  /** Decides what is due, once for each tick. */
+  synchronized Verdict tick(long nowNanos) {
+    awakeNanos += Math.min(nowNanos - lastTickNanos, MAX_TICK_GAP_BEATS * beatNanos);
+    lastTickNanos = nowNanos;
+    Sent oldest = unanswered.peekFirst();
+    if (oldest != null && awakeNanos - oldest.awakeAtNanos > silenceNanos()) {
+      return Verdict.SILENT;
+    }
+    long interval = busy(nowNanos) ? beatNanos : idleBeatNanos;
+    return nowNanos - lastBeatNanos >= interval - beatNanos / 2 ? Verdict.BEAT : Verdict.QUIET;
+  }
+
+  /** Returns the next beat to be sent, which the peer has to echo. */
+  synchronized Beat next(long nowNanos, long configVersion) {
+    sequence++;
+    unanswered.addLast(new Sent(sequence, nowNanos, awakeNanos));
+    lastBeatNanos = nowNanos;
+    return new Beat(sequence, heard, true, configVersion);
+  }
+
+  /**
+   * Notes a beat of the peer.
+   *
+   * @return the beat that echoes it, unless one is due soon anyway
+   */
+  synchronized Optional<Beat> received(Beat beat, long nowNanos, long configVersion) {
+    heard = beat.sequence();
+    while (!unanswered.isEmpty() && unanswered.peekFirst().sequence <= beat.echo()) {
+      Sent answered = unanswered.removeFirst();
+      long sample = nowNanos - answered.atNanos;
+      roundTripNanos = roundTripNanos == 0 ? sample : (7 * roundTripNanos + sample) / 8;
+    }
+    if (!beat.prompt() || busy(nowNanos)) {
+      return Optional.empty();
+    }
+    return Optional.of(new Beat(sequence, heard, false, configVersion));
+  }
+
+  /** Returns the smoothed time from a beat to its echo. */
+  synchronized long roundTripNanos() {
+    return roundTripNanos;
+  }
+
+  /** Returns how long a beat may stay without an echo. */
+  synchronized long silenceNanos() {
+    return missedBeats * beatNanos + 2 * roundTripNanos;
+  }
+
+  private boolean busy(long nowNanos) {
+    return nowNanos - lastUseNanos < busyNanos;
+  }
+}
--- a/src/main/java/org/radishpost/link/Links.java
+++ b/src/main/java/org/radishpost/link/Links.java
@@ -22,9 +22,14 @@
   /** Sets who answers the messages that peers ask. */
   void answerWith(BiFunction<VmId, LinkMessage, Mono<LinkMessage>> answerer);
 
-  /** Emits what happens, in order for each peer. */
+  /** Emits what happens, in order for each peer, on one thread; subscribe before the start. */
   Flux<PeerEvent> events();
 
   /** Returns the session with a peer, while a link stands. */
   Optional<LinkSession> session(VmId peer);
+
+  /** Returns the session of that name with a peer, also one that another has lately replaced. */
+  default Optional<LinkSession> session(VmId peer, String id) {
+    return session(peer).filter(session -> session.id().equals(id));
+  }
 }
--- a/src/main/java/org/radishpost/link/PeerEvent.java
+++ b/src/main/java/org/radishpost/link/PeerEvent.java
@@ -1,6 +1,7 @@
 package org.radishpost.link;
 
 import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
 
 /** What happens on the links of this VM. */
 public sealed interface PeerEvent {
@@ -8,19 +9,32 @@
   VmId peer();
 
   /**
-   * A link stands and both ends have proved themselves.
+   * A link stands and both ends have proved themselves; it comes again for each new session.
    *
-   * @param peer the peer
+   * @param entry what the peer says of itself, covered by its proof
    */
-  record Up(VmId peer) implements PeerEvent {}
+  record Up(VmEntry entry) implements PeerEvent {
+    @Override
+    public VmId peer() {
+      return entry.id();
+    }
+  }
 
   /**
-   * The last link to the peer is gone, or it has been silent for too long.
+   * The last link to the peer is gone, it has been silent for too long, or it could not be reached.
    *
    * @param peer the peer
    */
   record Down(VmId peer) implements PeerEvent {}
 
+  /**
+   * The last link to the peer was closed because neither end needs it; nothing speaks against the
+   * peer.
+   *
+   * @param peer the peer
+   */
+  record Released(VmId peer) implements PeerEvent {}
+
   /**
    * A message that asks for no answer.
    *
--- /dev/null
+++ b/src/main/java/org/radishpost/link/SessionKeys.java
@@ -0,0 +1,55 @@
+package org.radishpost.link;
+
+import java.nio.charset.StandardCharsets;
+import java.security.InvalidKeyException;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * The keys of one session, one for each purpose and direction.
+ *
+ * @param id the public name of the session
+ * @param sendFrames authenticates the frames that this end sends
+ * @param receiveFrames authenticates the frames that the peer sends
+ * @param sendProofs proves calls that this end sends beside the link
+ * @param receiveProofs proves calls that the peer sends beside the link
+ */
+record SessionKeys(
+    String id, byte[] sendFrames, byte[] receiveFrames, byte[] sendProofs, byte[] receiveProofs) {
+  private static final String HMAC = "HmacSHA256";
+  private static final int ID_CHARS = 32;
+
+  /** Derives the keys of the end that dialed, or of the other one. */
+  static SessionKeys derive(byte[] secret, boolean dialer) {
+    byte[] dialerFrames = hmac(secret, "frames of the dialer");
+    byte[] acceptorFrames = hmac(secret, "frames of the acceptor");
+    byte[] dialerProofs = hmac(secret, "proofs of the dialer");
+    byte[] acceptorProofs = hmac(secret, "proofs of the acceptor");
+    String id = HexFormat.of().formatHex(hmac(secret, "name")).substring(0, ID_CHARS);
+    return dialer
+        ? new SessionKeys(id, dialerFrames, acceptorFrames, dialerProofs, acceptorProofs)
+        : new SessionKeys(id, acceptorFrames, dialerFrames, acceptorProofs, dialerProofs);
+  }
+
+  /** Returns the keyed digest of the bytes. */
+  static byte[] hmac(byte[] key, byte[] bytes) {
+    return mac(key).doFinal(bytes);
+  }
+
+  private static byte[] hmac(byte[] key, String text) {
+    return hmac(key, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns a computation of keyed digests, for one thread. */
+  static Mac mac(byte[] key) {
+    try {
+      Mac mac = Mac.getInstance(HMAC);
+      mac.init(new SecretKeySpec(key, HMAC));
+      return mac;
+    } catch (NoSuchAlgorithmException | InvalidKeyException e) {
+      throw new IllegalStateException("every Java platform has " + HMAC, e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/link/TrafficCounter.java
@@ -0,0 +1,27 @@
+package org.radishpost.link;
+
+import java.util.concurrent.atomic.LongAdder;
+import org.radishpost.lib.VmId;
+
+/** Counts what goes over the links to one peer; thread-safe. */
+final class TrafficCounter {
+  private final LongAdder bytesIn = new LongAdder();
+  private final LongAdder bytesOut = new LongAdder();
+  private final LongAdder framesIn = new LongAdder();
+  private final LongAdder framesOut = new LongAdder();
+
+  void received(int bytes) {
+    bytesIn.add(bytes);
+    framesIn.increment();
+  }
+
+  void sent(int bytes) {
+    bytesOut.add(bytes);
+    framesOut.increment();
+  }
+
+  PeerTraffic snapshot(VmId peer, long roundTripNanos) {
+    return new PeerTraffic(
+        peer, bytesIn.sum(), bytesOut.sum(), framesIn.sum(), framesOut.sum(), roundTripNanos);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/membership/MemberTable.java
@@ -0,0 +1,202 @@
+package org.radishpost.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.radishpost.config.Configuration;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.membership.MemberRecord.LinkState;
+import org.radishpost.platform.VmEntry;
+
+/**
+ * The members as the platform's list names them, corrected by what links say.
+ *
+ * <p>Feed it with list reads, link events and configurations from one thread; lookups may come from
+ * any thread and see the newest view. While the list cannot be read, the last one stands.
+ */
+public final class MemberTable implements Members {
+  private final VmEntry self;
+  private final Map<VmId, MemberRecord> records = new HashMap<>();
+  private final Map<VmId, Long> configVersions = new ConcurrentHashMap<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private boolean selfLeaving;
+  private long order;
+  private volatile MemberView view;
+
+  /** Creates a table that knows this VM only. */
+  public MemberTable(VmEntry self) {
+    this.self = self;
+    rebuild();
+  }
+
+  /** Takes the platform's list; VMs that it no longer names and that no link vouches for go. */
+  public void listRead(List<VmEntry> entries) {
+    records.values().forEach(record -> record.listed = false);
+    for (VmEntry entry : entries) {
+      if (!entry.id().equals(self.id())) {
+        MemberRecord record = recordOf(entry);
+        record.entry = entry;
+        record.listed = true;
+      }
+    }
+    forgetUnknown();
+    rebuild();
+  }
+
+  /** Notes that a link to the VM stands and that it proved itself as this entry. */
+  public void linkUp(VmEntry entry) {
+    if (entry.id().equals(self.id())) {
+      return;
+    }
+    MemberRecord record = recordOf(entry);
+    if (!record.listed) {
+      record.entry = entry;
+    }
+    if (record.provedOrder == 0) {
+      record.provedOrder = ++order;
+    }
+    record.link = LinkState.UP;
+    rebuild();
+  }
+
+  /** Notes that the last link to the VM is gone or silent, or that it could not be reached. */
+  public void linkDown(VmId vm) {
+    MemberRecord record = records.get(vm);
+    if (record == null || record.link == LinkState.LOST) {
+      return;
+    }
+    record.link = LinkState.LOST;
+    forgetUnknown();
+    rebuild();
+  }
+
+  /** Notes that the links to the VM were closed for want of use; the list's word counts again. */
+  public void linkReleased(VmId vm) {
+    MemberRecord record = records.get(vm);
+    if (record != null && record.link == LinkState.UP) {
+      record.link = LinkState.UNKNOWN;
+      forgetUnknown();
+      rebuild();
+    }
+  }
+
+  /**
+   * Notes that the VM said it is about to stop; it owns nothing any more, whatever the list says.
+   */
+  public void farewell(VmId vm) {
+    if (vm.equals(self.id())) {
+      selfLeaving = true;
+    }
+    MemberRecord record = records.get(vm);
+    if (record != null) {
+      record.farewell = true;
+    }
+    rebuild();
+  }
+
+  /** Takes the configuration in force, which names what is out of service. */
+  public void configuration(Configuration inForce) {
+    boolean moved = !inForce.out().equals(configuration.out());
+    configuration = inForce;
+    if (moved) {
+      rebuild();
+    }
+  }
+
+  /** Notes the version of the configuration that the VM has in force. */
+  public void heartbeat(VmId vm, long configVersion) {
+    if (records.containsKey(vm)) {
+      configVersions.merge(vm, configVersion, Math::max);
+    }
+  }
+
+  /** Returns the newest version of the configuration that any VM spoke of. */
+  public long newestConfigVersion() {
+    return configVersions.values().stream().mapToLong(Long::longValue).max().orElse(0);
+  }
+
+  /** Returns the version of the configuration that the VM last spoke of. */
+  public Optional<Long> configVersionOf(VmId vm) {
+    return Optional.ofNullable(configVersions.get(vm));
+  }
+
+  @Override
+  public VmEntry self() {
+    return self;
+  }
+
+  @Override
+  public List<Member> all() {
+    return view.all();
+  }
+
+  @Override
+  public Optional<Member> find(VmId vm) {
+    return view.find(vm);
+  }
+
+  @Override
+  public Optional<VmEntry> ownerOf(PoolId pool) {
+    return view.ownerOf(pool);
+  }
+
+  @Override
+  public Optional<VmEntry> ownerOfShard(String shard, Set<RegionName> regions) {
+    return view.ownerOfShard(shard, regions);
+  }
+
+  private MemberRecord recordOf(VmEntry entry) {
+    return records.computeIfAbsent(entry.id(), id -> new MemberRecord(entry, ++order));
+  }
+
+  private void forgetUnknown() {
+    records.values().removeIf(record -> !record.known());
+    configVersions.keySet().retainAll(records.keySet());
+  }
+
+  private void rebuild() {
+    Set<VmId> superseded = superseded();
+    List<Member> all = new ArrayList<>();
+    all.add(new Member(self, !selfLeaving));
+    for (MemberRecord record : records.values()) {
+      boolean alive =
+          record.link != LinkState.LOST
+              && !record.farewell
+              && !superseded.contains(record.entry.id());
+      all.add(new Member(record.entry, alive));
+    }
+    all.sort(Comparator.comparing(member -> member.entry().id()));
+    view = new MemberView(all, all.stream().filter(this::mayOwn).map(Member::entry).toList());
+  }
+
+  private boolean mayOwn(Member member) {
+    VmEntry entry = member.entry();
+    return member.alive() && !entry.leaving() && configuration.inService(entry.id(), entry.place());
+  }
+
+  private Set<VmId> superseded() {
+    Map<Endpoint, MemberRecord> holders = new HashMap<>();
+    Set<VmId> superseded = new HashSet<>();
+    for (MemberRecord record : records.values()) {
+      MemberRecord holder = holders.get(record.entry.link());
+      if (holder == null) {
+        holders.put(record.entry.link(), record);
+      } else if (record.supersedes(holder)) {
+        superseded.add(holder.entry.id());
+        holders.put(record.entry.link(), record);
+      } else {
+        superseded.add(record.entry.id());
+      }
+    }
+    return superseded;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/membership/MemberView.java
@@ -0,0 +1,97 @@
+package org.radishpost.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.platform.VmEntry;
+
+/** The members at one moment, with a cache of the owners that they give; thread-safe. */
+final class MemberView {
+  private static final int MAX_CACHED_OWNERS = 65_536;
+
+  private final List<Member> all;
+  private final Map<VmId, Member> byId = new HashMap<>();
+  private final Map<ZoneName, Candidates> zones = new HashMap<>();
+  private final Map<RegionName, Candidates> regions = new HashMap<>();
+  private final Candidates everywhere;
+  private final Map<PoolId, Optional<VmEntry>> poolOwners = new ConcurrentHashMap<>();
+  private final Map<ShardKey, Optional<VmEntry>> shardOwners = new ConcurrentHashMap<>();
+
+  private record ShardKey(String shard, Set<RegionName> regions) {}
+
+  /**
+   * Creates one.
+   *
+   * @param all every known VM
+   * @param owners those that may own something
+   */
+  MemberView(List<Member> all, List<VmEntry> owners) {
+    this.all = List.copyOf(all);
+    all.forEach(member -> byId.put(member.entry().id(), member));
+    Map<ZoneName, List<VmEntry>> byZone = new HashMap<>();
+    Map<RegionName, List<VmEntry>> byRegion = new HashMap<>();
+    for (VmEntry owner : owners) {
+      byZone.computeIfAbsent(owner.place().zone(), zone -> new ArrayList<>()).add(owner);
+      byRegion.computeIfAbsent(owner.place().region(), region -> new ArrayList<>()).add(owner);
+    }
+    byZone.forEach((zone, vms) -> zones.put(zone, new Candidates(vms)));
+    byRegion.forEach((region, vms) -> regions.put(region, new Candidates(vms)));
+    everywhere = new Candidates(owners);
+  }
+
+  List<Member> all() {
+    return all;
+  }
+
+  Optional<Member> find(VmId vm) {
+    return Optional.ofNullable(byId.get(vm));
+  }
+
+  Optional<VmEntry> ownerOf(PoolId pool) {
+    return cached(poolOwners, pool, () -> chooseForPool(pool));
+  }
+
+  Optional<VmEntry> ownerOfShard(String shard, Set<RegionName> allowed) {
+    ShardKey key = new ShardKey(shard, allowed);
+    return cached(
+        shardOwners, key, () -> everywhere.choose(Rendezvous.hash("shard", shard), allowed));
+  }
+
+  private Optional<VmEntry> chooseForPool(PoolId pool) {
+    Candidates candidates = zones.get(pool.place().zone());
+    if (candidates == null) {
+      candidates = regions.getOrDefault(pool.place().region(), everywhere);
+    }
+    return candidates.choose(hashOf(pool), Set.of());
+  }
+
+  private static long hashOf(PoolId pool) {
+    return Rendezvous.hash(
+        pool.gateway().value(),
+        pool.service().value(),
+        pool.place().zone().value(),
+        Integer.toString(pool.shard()));
+  }
+
+  private static <K> Optional<VmEntry> cached(
+      Map<K, Optional<VmEntry>> cache, K key, Supplier<Optional<VmEntry>> chooser) {
+    Optional<VmEntry> owner = cache.get(key);
+    if (owner != null) {
+      return owner;
+    }
+    Optional<VmEntry> chosen = chooser.get();
+    if (cache.size() < MAX_CACHED_OWNERS) {
+      cache.put(key, chosen);
+    }
+    return chosen;
+  }
+}
