Split the links into control, connection and asks

Cause: one class held sockets and decisions. Change: LinkControl decides without sockets and can run in virtual time; AskTable holds the asks; unknown types are counted and reported once; refusals are reported at most once a second.

--- a/src/main/java/org/radishpost/link/LinkConnection.java
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -3,11 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import java.util.Map;
+import java.util.HashSet;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.VmId;
@@ -21,8 +20,9 @@
  *
  * <p>Frames are read and written on the connection's event loop.
  */
-final class LinkConnection {
+final class LinkConnection implements Link {
   private static final int LENGTH_BYTES = Integer.BYTES;
+  private static final int MAX_UNKNOWN_TYPES = 64;
   private static final String FRAMES_HANDLER = "link.frames";
 
   private final Channel channel;
@@ -39,14 +39,17 @@
   private final AtomicInteger queuedFrames = new AtomicInteger();
   private final AtomicInteger queuedBytes = new AtomicInteger();
   private final AtomicInteger asksTaken = new AtomicInteger();
-  private final AtomicLong correlations = new AtomicLong();
-  private final Map<Long, Sinks.One<LinkMessage>> asks = new ConcurrentHashMap<>();
+  private final AskTable asks;
   private final Sinks.Empty<Void> closed = Sinks.empty();
   private volatile Proof proof;
   private volatile boolean open = true;
   private volatile boolean released;
+  private final Set<UnknownType> unknownTypes = new HashSet<>();
   private long peerConfigVersion = -1;
 
+  /** A type and version that this release does not know. */
+  private record UnknownType(int type, int version) {}
+
   /** What the proof of the peer brought. */
   private record Proof(
       VmEntry peer,
@@ -72,7 +75,7 @@
     /** Returns the answer to a message. */
     Mono<LinkMessage> answer(VmId peer, LinkMessage message);
 
-    /** A frame came whose type or version is not known. */
+    /** The first frame of a type or version came that is not known. */
     void unsupported(VmId peer, Frame frame);
   }
 
@@ -92,6 +95,7 @@
     this.configVersion = configVersion;
     this.clockNanos = clockNanos;
     this.listener = listener;
+    this.asks = new AskTable(options.pendingAsks());
     this.openedNanos = clockNanos.getAsLong();
     this.health = new LinkHealth(options, openedNanos);
   }
@@ -109,20 +113,23 @@
     }
   }
 
-  boolean dialer() {
+  @Override
+  public boolean dialer() {
     return dialer;
   }
 
-  long openedNanos() {
+  @Override
+  public long openedNanos() {
     return openedNanos;
   }
 
-  LinkHealth health() {
+  @Override
+  public LinkHealth health() {
     return health;
   }
 
-  /** Tells whether the peer said that it closes the link because it no longer needs it. */
-  boolean released() {
+  @Override
+  public boolean released() {
     return released;
   }
 
@@ -130,55 +137,52 @@
     return proof != null;
   }
 
-  /** Returns the session; only once the peer has proved itself. */
-  KeyedSession session() {
+  /** Returns the address that the connection comes from or goes to. */
+  String address() {
+    return String.valueOf(channel.remoteAddress());
+  }
+
+  @Override
+  public KeyedSession session() {
     return proof.session;
   }
 
-  /** Returns the peer; only once it has proved itself. */
-  VmEntry peer() {
+  @Override
+  public VmEntry peer() {
     return proof.peer;
   }
 
-  /** Returns the counter of what went over the link; only once the peer has proved itself. */
-  TrafficCounter traffic() {
+  @Override
+  public TrafficCounter traffic() {
     return proof.traffic;
   }
 
-  /** Tells whether asks of this end wait for answers. */
-  boolean busy() {
+  @Override
+  public boolean busy() {
     return !asks.isEmpty();
   }
 
-  /** Sends a message; false when the connection is closed or its queue is full. */
-  boolean tell(LinkMessage message) {
+  @Override
+  public boolean tell(LinkMessage message) {
     return send(Frame.of(Frame.Kind.TELL, message, 0));
   }
 
-  /** Asks the peer; the answer, or a failure when the connection closes first. */
-  Mono<LinkMessage> ask(LinkMessage message) {
-    return Mono.defer(
-        () -> {
-          long correlation = correlations.incrementAndGet();
-          Sinks.One<LinkMessage> answer = Sinks.one();
-          asks.put(correlation, answer);
-          if (!send(Frame.of(Frame.Kind.ASK, message, correlation)) || !open) {
-            asks.remove(correlation);
-            return Mono.error(
-                new LinkException("The link takes no more messages now. Ask another VM or later."));
-          }
+  @Override
+  public Mono<LinkMessage> ask(LinkMessage message) {
+    return asks.ask(
+        correlation -> {
           health.used(clockNanos.getAsLong());
-          return answer.asMono().doFinally(signal -> asks.remove(correlation));
+          return send(Frame.of(Frame.Kind.ASK, message, correlation));
         });
   }
 
-  /** Sends the heartbeat that is due. */
-  void beat() {
+  @Override
+  public void beat() {
     sendUncounted(health.next(clockNanos.getAsLong(), configVersion.getAsLong()));
   }
 
-  /** Tells the peer that this end no longer needs the link, and closes it. */
-  void release() {
+  @Override
+  public void release() {
     released = true;
     channel
         .eventLoop()
@@ -189,13 +193,13 @@
             });
   }
 
-  /** Closes the connection after what is queued has been handed to the operating system. */
-  void close() {
+  @Override
+  public void close() {
     channel.eventLoop().execute(() -> connection.dispose());
   }
 
-  /** Completes when the connection is closed. */
-  Mono<Void> onClosed() {
+  @Override
+  public Mono<Void> onClosed() {
     return closed.asMono();
   }
 
@@ -297,7 +301,7 @@
       case TELL -> takeTold(frame);
       case ASK -> takeAsk(frame);
       case REPLY -> takeReply(frame);
-      case REFUSED -> takeRefusal(frame);
+      case REFUSED -> asks.refuse(frame.correlation(), Frame.Refusal.find(frame.type()));
       default -> released = true;
     }
   }
@@ -315,7 +319,7 @@
   private void takeTold(Frame frame) throws LinkException {
     Optional<LinkMessage> message = frame.message();
     if (message.isEmpty()) {
-      listener.unsupported(proof.peer.id(), frame);
+      unsupported(frame);
       return;
     }
     listener.told(proof.peer.id(), message.get());
@@ -324,7 +328,7 @@
   private void takeAsk(Frame frame) throws LinkException {
     Optional<LinkMessage> message = frame.message();
     if (message.isEmpty()) {
-      listener.unsupported(proof.peer.id(), frame);
+      unsupported(frame);
       send(Frame.refused(Frame.Refusal.UNSUPPORTED, frame.correlation()));
       return;
     }
@@ -335,8 +339,7 @@
       return;
     }
     Frame failed = Frame.refused(Frame.Refusal.FAILED, frame.correlation());
-    listener
-        .answer(proof.peer.id(), message.get())
+    Mono.defer(() -> listener.answer(proof.peer.id(), message.get()))
         .map(answer -> Frame.of(Frame.Kind.REPLY, answer, frame.correlation()))
         .onErrorReturn(failed)
         .defaultIfEmpty(failed)
@@ -346,36 +349,26 @@
   }
 
   private void takeReply(Frame frame) throws LinkException {
-    Sinks.One<LinkMessage> ask = asks.remove(frame.correlation());
-    if (ask == null) {
+    if (!asks.waits(frame.correlation())) {
       return;
     }
     Optional<LinkMessage> message = frame.message();
     if (message.isPresent()) {
-      ask.tryEmitValue(message.get());
+      asks.answer(frame.correlation(), message.get());
       return;
     }
-    listener.unsupported(proof.peer.id(), frame);
-    ask.tryEmitError(refusal(Frame.Refusal.UNSUPPORTED));
+    unsupported(frame);
+    asks.refuse(frame.correlation(), Frame.Refusal.UNSUPPORTED);
   }
 
-  private void takeRefusal(Frame frame) {
-    Sinks.One<LinkMessage> ask = asks.remove(frame.correlation());
-    if (ask != null) {
-      ask.tryEmitError(refusal(Frame.Refusal.find(frame.type())));
+  private void unsupported(Frame frame) {
+    proof.traffic.unsupported();
+    UnknownType unknown = new UnknownType(frame.type(), frame.version());
+    if (unknownTypes.size() < MAX_UNKNOWN_TYPES && unknownTypes.add(unknown)) {
+      listener.unsupported(proof.peer.id(), frame);
     }
   }
 
-  private static LinkException refusal(Frame.Refusal refusal) {
-    return new LinkException(
-        switch (refusal) {
-          case UNSUPPORTED ->
-              "The peer's release does not know the message. Upgrade all VMs to one release.";
-          case BUSY -> "The peer works on too many asks. Ask another VM or later.";
-          case FAILED -> "The peer could not answer. Look at the peer's log.";
-        });
-  }
-
   private void end(Optional<Throwable> cause) {
     if (!open) {
       return;
@@ -383,10 +376,7 @@
     open = false;
     connection.dispose();
     closed.tryEmitEmpty();
-    LinkException gone =
-        new LinkException("The link closed before the answer came. Ask again or another VM.");
-    asks.values().forEach(ask -> ask.tryEmitError(gone));
-    asks.clear();
+    asks.close();
     listener.closed(this, cause);
   }
 
--- a/src/main/java/org/radishpost/link/PeerEvent.java
+++ b/src/main/java/org/radishpost/link/PeerEvent.java
@@ -21,7 +21,8 @@
   }
 
   /**
-   * The last link to the peer is gone, it has been silent for too long, or it could not be reached.
+   * The last link to the peer is gone, it has been silent for too long, or it could not be reached;
+   * it comes again at each failed try.
    *
    * @param peer the peer
    */
--- a/src/main/java/org/radishpost/link/PeerLinks.java
+++ b/src/main/java/org/radishpost/link/PeerLinks.java
@@ -1,6 +1,5 @@
 package org.radishpost.link;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -41,22 +40,23 @@
   boolean farewell;
   long demandUntilNanos;
   long lostNanos;
-  private final Comparator<LinkConnection> preference;
-  private final List<LinkConnection> standing = new ArrayList<>();
+  long roundTripNanos;
+  private final Comparator<Link> preference;
+  private final List<Link> standing = new CopyOnWriteArrayList<>();
   private final CopyOnWriteArrayList<KeyedSession> sessions = new CopyOnWriteArrayList<>();
-  private volatile LinkConnection preferred;
+  private volatile Link preferred;
 
   PeerLinks(VmId self, VmId id, Backoff backoff) {
     this.id = id;
     this.backoff = backoff;
     boolean ownDialsPreferred = self.compareTo(id) < 0;
     this.preference =
-        Comparator.comparing((LinkConnection link) -> link.dialer() == ownDialsPreferred)
-            .thenComparing(LinkConnection::openedNanos);
+        Comparator.comparing((Link link) -> link.dialer() == ownDialsPreferred)
+            .thenComparing(Link::openedNanos);
   }
 
   /** Returns the link to be used, while one stands. */
-  Optional<LinkConnection> preferred() {
+  Optional<Link> preferred() {
     return Optional.ofNullable(preferred);
   }
 
@@ -68,11 +68,16 @@
         .findFirst();
   }
 
-  List<LinkConnection> standing() {
+  /** Returns what went over the links. */
+  PeerTraffic snapshot() {
+    return traffic.snapshot(id, preferred().map(link -> link.health().roundTripNanos()).orElse(0L));
+  }
+
+  List<Link> standing() {
     return List.copyOf(standing);
   }
 
-  void add(LinkConnection link) {
+  void add(Link link) {
     standing.add(link);
     sessions.addFirst(link.session());
     if (sessions.size() > KEPT_SESSIONS) {
@@ -82,8 +87,9 @@
   }
 
   /** Removes a link; false when it was removed before. */
-  boolean remove(LinkConnection link) {
+  boolean remove(Link link) {
     boolean removed = standing.remove(link);
+    roundTripNanos = link.health().roundTripNanos();
     choose();
     return removed;
   }
@@ -99,16 +105,16 @@
   }
 
   /** Returns the links that this VM has dialed and that are of no use. */
-  List<LinkConnection> useless(long nowNanos, long graceNanos) {
+  List<Link> useless(long nowNanos, long graceNanos) {
     return standing.stream()
-        .filter(LinkConnection::dialer)
+        .filter(Link::dialer)
         .filter(link -> link != preferred || !wanted(nowNanos))
         .filter(link -> !link.busy() && nowNanos - link.openedNanos() > graceNanos)
         .filter(link -> link != preferred || idle(link, nowNanos, graceNanos))
         .toList();
   }
 
-  private static boolean idle(LinkConnection link, long nowNanos, long graceNanos) {
+  private static boolean idle(Link link, long nowNanos, long graceNanos) {
     return nowNanos - link.health().lastUseNanos() > graceNanos;
   }
 
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -1,10 +1,9 @@
 package org.radishpost.link;
 
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.DecoderException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,7 +12,7 @@
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.radishpost.errors.LinkException;
 import org.radishpost.errors.StartException;
 import org.radishpost.events.EventCode;
@@ -22,9 +21,9 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.VmId;
 import org.radishpost.platform.VmEntry;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
@@ -46,20 +45,17 @@
   private final byte[] key;
   private final LinkOptions options;
   private final Scheduler scheduler;
-  private final Scheduler.Worker control;
+  private final LinkControl control;
   private final EventSink events;
   private final RandomGenerator random;
   private final LongSupplier configVersion;
   private final LoopResources loops = LoopResources.create("link", EVENT_LOOPS, true);
-  private final Map<VmId, PeerLinks> peers = new ConcurrentHashMap<>();
   private final Set<LinkConnection> unproved = ConcurrentHashMap.newKeySet();
-  private final Sinks.Many<PeerEvent> emitted = Sinks.many().multicast().directBestEffort();
-  private final LinkConnection.Listener accepted = new AcceptListener();
   private volatile BiFunction<VmId, LinkMessage, Mono<LinkMessage>> answerer =
       (peer, message) -> Mono.empty();
   private volatile VmEntry self;
   private volatile boolean stopping;
-  private volatile DisposableServer server;
+  private volatile Optional<DisposableServer> server = Optional.empty();
 
   /**
    * Creates links that do not listen yet.
@@ -84,10 +80,10 @@
     this.key = key.clone();
     this.options = options;
     this.scheduler = scheduler;
-    this.control = scheduler.createWorker();
     this.events = events;
     this.random = random;
     this.configVersion = configVersion;
+    this.control = new LinkControl(self.id(), options, scheduler, events, random, this::dial);
   }
 
   /**
@@ -120,32 +116,17 @@
 
   /** Stays linked to these peers, and lets links to others go when nothing uses them. */
   public void keep(Set<VmEntry> wanted) {
-    control.schedule(
-        () -> {
-          Set<VmId> ids = wanted.stream().map(VmEntry::id).collect(Collectors.toSet());
-          peers.values().forEach(peer -> peer.kept = ids.contains(peer.id));
-          wanted.forEach(this::keepOne);
-          dialAll();
-        });
+    control.keep(wanted);
   }
 
   /** Opens a link to the peer if none stands, and keeps it while it is used. */
   public void connect(VmEntry entry) {
-    control.schedule(
-        () -> {
-          if (entry.id().equals(self.id())) {
-            return;
-          }
-          PeerLinks peer = peerOf(entry.id());
-          peer.target = Optional.of(entry);
-          peer.demandUntilNanos = nowNanos() + options.demandTime().toNanos();
-          dialAll();
-        });
+    control.connect(entry);
   }
 
   /** Says to all peers that this VM is about to stop; links stay up until {@link #stop}. */
   public void farewell() {
-    peers.keySet().forEach(peer -> tell(peer, new LinkMessage.Farewell()));
+    control.peers().forEach(peer -> tell(peer.id, new LinkMessage.Farewell()));
   }
 
   /** Says farewell, closes all links and stops listening. */
@@ -154,14 +135,15 @@
         () -> {
           farewell();
           stopping = true;
-          List<LinkConnection> open = new ArrayList<>(unproved);
-          peers.values().forEach(peer -> open.addAll(peer.standing()));
-          open.forEach(LinkConnection::close);
-          Mono<Void> closed = Mono.when(open.stream().map(LinkConnection::onClosed).toList());
-          if (server != null) {
-            server.dispose();
-          }
-          return closed
+          control.stopDialing();
+          server.ifPresent(Disposable::dispose);
+          List<Link> open =
+              Stream.concat(
+                      unproved.stream(),
+                      control.peers().stream().flatMap(peer -> peer.standing().stream()))
+                  .toList();
+          open.forEach(Link::close);
+          return Mono.when(open.stream().map(Link::onClosed).toList())
               .then(loops.disposeLater(Duration.ZERO, LOOP_STOP_LIMIT))
               .doFinally(signal -> control.dispose());
         });
@@ -169,13 +151,7 @@
 
   /** Returns what went over the links, one for each known peer. */
   public List<PeerTraffic> traffic() {
-    return peers.values().stream()
-        .map(
-            peer ->
-                peer.traffic.snapshot(
-                    peer.id,
-                    peer.preferred().map(link -> link.health().roundTripNanos()).orElse(0L)))
-        .toList();
+    return control.peers().stream().map(PeerLinks::snapshot).toList();
   }
 
   @Override
@@ -185,15 +161,7 @@
 
   @Override
   public Mono<LinkMessage> ask(VmId peer, LinkMessage message, Duration limit) {
-    return Mono.defer(
-            () ->
-                preferred(peer)
-                    .map(link -> link.ask(message))
-                    .orElseGet(
-                        () ->
-                            Mono.error(
-                                new LinkException(
-                                    "No link to " + peer + " stands. Ask another VM or later."))))
+    return Mono.defer(() -> askNow(peer, message))
         .timeout(limit, scheduler)
         .onErrorMap(
             TimeoutException.class,
@@ -209,29 +177,35 @@
 
   @Override
   public Flux<PeerEvent> events() {
-    return emitted.asFlux();
+    return control.events();
   }
 
   @Override
   public Optional<LinkSession> session(VmId peer) {
-    return preferred(peer).map(LinkConnection::session);
+    return preferred(peer).map(Link::session);
   }
 
   @Override
   public Optional<LinkSession> session(VmId peer, String id) {
-    return Optional.ofNullable(peers.get(peer)).flatMap(links -> links.session(id));
+    return control.peer(peer).flatMap(links -> links.session(id));
   }
 
-  private Optional<LinkConnection> preferred(VmId peer) {
-    return Optional.ofNullable(peers.get(peer)).flatMap(PeerLinks::preferred);
+  private Mono<LinkMessage> askNow(VmId peer, LinkMessage message) {
+    Optional<Link> link = preferred(peer);
+    return link.isPresent()
+        ? link.get().ask(message)
+        : Mono.error(new LinkException("No link to " + peer + " stands. Ask another VM or later."));
+  }
+
+  private Optional<Link> preferred(VmId peer) {
+    return control.peer(peer).flatMap(PeerLinks::preferred);
   }
 
   private VmEntry started(DisposableServer bound) {
-    server = bound;
+    server = Optional.of(bound);
     Endpoint link = new Endpoint(self.link().ip(), bound.port());
     self = new VmEntry(self.id(), self.place(), link, self.hop(), self.leaving());
-    long tickNanos = options.beatInterval().toNanos();
-    control.schedulePeriodically(this::tick, tickNanos, tickNanos, TimeUnit.NANOSECONDS);
+    control.start();
     return self;
   }
 
@@ -240,182 +214,45 @@
       connection.dispose();
       return;
     }
-    open(connection, Handshake.accept(key, self, nonce()), false, accepted);
-  }
-
-  private void open(
-      Connection connection,
-      Handshake handshake,
-      boolean dialer,
-      LinkConnection.Listener listener) {
-    LinkConnection link =
-        new LinkConnection(
-            connection, handshake, dialer, options, configVersion, this::nowNanos, listener);
-    unproved.add(link);
-    link.start();
-  }
-
-  private void keepOne(VmEntry entry) {
-    if (!entry.id().equals(self.id())) {
-      PeerLinks peer = peerOf(entry.id());
-      peer.target = Optional.of(entry);
-      peer.kept = true;
-    }
-  }
-
-  private PeerLinks peerOf(VmId id) {
-    return peers.computeIfAbsent(
-        id, unknown -> new PeerLinks(self.id(), id, new Backoff(options, random)));
-  }
-
-  private void tick() {
-    long now = nowNanos();
-    closeUnproved(now);
-    for (PeerLinks peer : peers.values()) {
-      beat(peer, now);
-      releaseUseless(peer, now);
-      if (peer.announced == PeerLinks.Announced.UP
-          && peer.standing().isEmpty()
-          && now - peer.lostNanos > silenceNanos()) {
-        announceDown(peer, "closed");
-      }
-    }
-    peers.values().removeIf(peer -> forgettable(peer, now));
-    dialAll();
-  }
-
-  private void closeUnproved(long now) {
-    unproved.stream()
-        .filter(link -> now - link.openedNanos() > options.connectLimit().toNanos())
-        .forEach(LinkConnection::close);
-  }
-
-  private void beat(PeerLinks peer, long now) {
-    for (LinkConnection link : peer.standing()) {
-      switch (link.health().tick(now)) {
-        case BEAT -> link.beat();
-        case SILENT -> silent(peer, link);
-        default -> {}
-      }
-    }
-  }
-
-  private void silent(PeerLinks peer, LinkConnection link) {
-    link.close();
-    peer.remove(link);
-    if (peer.standing().isEmpty()) {
-      announceDown(peer, "silent");
-    }
-  }
-
-  private void releaseUseless(PeerLinks peer, long now) {
-    for (LinkConnection link : peer.useless(now, options.busyTime().toNanos())) {
-      peer.remove(link);
-      link.release();
-      if (peer.standing().isEmpty()) {
-        announceReleased(peer);
-      }
-    }
-  }
-
-  private boolean forgettable(PeerLinks peer, long now) {
-    return !peer.wanted(now)
-        && !peer.dialing
-        && peer.standing().isEmpty()
-        && peer.announced != PeerLinks.Announced.UP;
-  }
-
-  private void dialAll() {
-    long now = nowNanos();
-    for (PeerLinks peer : peers.values()) {
-      if (!stopping && peer.shouldDial(now)) {
-        dial(peer);
-      }
-    }
+    open(connection, Handshake.accept(key, self, nonce()), false, new AcceptListener());
   }
 
-  private void dial(PeerLinks peer) {
-    peer.dialing = true;
-    Endpoint address = peer.target.orElseThrow().link();
+  private void dial(VmEntry target) {
     TcpClient.newConnection()
         .runOn(loops)
-        .host(address.ip())
-        .port(address.port())
+        .host(target.link().ip())
+        .port(target.link().port())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectLimit().toMillis())
-        .doOnConnected(
-            connection ->
-                open(connection, Handshake.dial(key, self, nonce()), true, new DialListener(peer)))
+        .doOnConnected(connection -> dialed(connection, target))
         .connect()
-        .subscribe(connection -> {}, cause -> control.schedule(() -> dialFailed(peer)));
+        .subscribe(connection -> {}, cause -> control.dialFailed(target.id()));
   }
 
-  private void dialFailed(PeerLinks peer) {
-    peer.dialing = false;
-    peer.backoff.failed(nowNanos());
-    if (peer.standing().isEmpty()) {
-      announceDown(peer, "unreachable");
-    }
+  private void dialed(Connection connection, VmEntry target) {
+    open(connection, Handshake.dial(key, self, nonce()), true, new DialListener(target.id()));
   }
 
-  private void up(LinkConnection link) {
-    VmEntry entry = link.peer();
-    PeerLinks peer = peerOf(entry.id());
-    peer.traffic = link.traffic();
-    peer.add(link);
-    peer.backoff.succeeded();
-    if (peer.announced != PeerLinks.Announced.UP) {
-      events.emit(EventCode.LINK_UP, EventField.of("peer", peer.id));
-    }
-    peer.announced = PeerLinks.Announced.UP;
-    emitted.tryEmitNext(new PeerEvent.Up(entry));
-    link.beat();
-  }
-
-  private void gone(LinkConnection link) {
-    PeerLinks peer = peers.get(link.peer().id());
-    if (peer == null || !peer.remove(link) || !peer.standing().isEmpty()) {
-      return;
-    }
-    if (link.released()) {
-      announceReleased(peer);
-    } else if (peer.farewell) {
-      announceDown(peer, "left");
-    } else {
-      peer.lostNanos = nowNanos();
-    }
-    dialAll();
-  }
-
-  private void announceDown(PeerLinks peer, String why) {
-    if (peer.announced == PeerLinks.Announced.DOWN) {
-      return;
-    }
-    peer.announced = PeerLinks.Announced.DOWN;
-    events.emit(EventCode.LINK_DOWN, EventField.of("peer", peer.id), EventField.of("why", why));
-    emitted.tryEmitNext(new PeerEvent.Down(peer.id));
-  }
-
-  private void announceReleased(PeerLinks peer) {
-    if (peer.announced == PeerLinks.Announced.UP) {
-      peer.announced = PeerLinks.Announced.NOTHING;
-      emitted.tryEmitNext(new PeerEvent.Released(peer.id));
-    }
+  private void open(
+      Connection connection,
+      Handshake handshake,
+      boolean dialer,
+      LinkConnection.Listener listener) {
+    LinkConnection link =
+        new LinkConnection(
+            connection, handshake, dialer, options, configVersion, control::nowNanos, listener);
+    unproved.add(link);
+    Disposable limit =
+        scheduler.schedule(
+            () -> closeUnproved(link), options.connectLimit().toNanos(), TimeUnit.NANOSECONDS);
+    connection.onDispose(limit);
+    link.start();
   }
 
-  private void told(VmId id, LinkMessage message) {
-    if (message instanceof LinkMessage.Farewell) {
-      peerOf(id).farewell = true;
+  private void closeUnproved(LinkConnection link) {
+    if (!link.proved()) {
+      link.close();
     }
-    emitted.tryEmitNext(new PeerEvent.Told(id, message));
-  }
-
-  private long silenceNanos() {
-    return options.missedBeats() * options.beatInterval().toNanos();
-  }
-
-  private long nowNanos() {
-    return scheduler.now(TimeUnit.NANOSECONDS);
   }
 
   private byte[] nonce() {
@@ -424,35 +261,33 @@
     return nonce;
   }
 
-  /** Listens to links that peers dialed. */
+  /** Listens to a link that a peer dialed. */
   private class AcceptListener implements LinkConnection.Listener {
     @Override
     public TrafficCounter counterOf(VmId peer) {
-      return peerOf(peer).traffic;
+      return control.peerOf(peer).traffic;
     }
 
     @Override
     public void proved(LinkConnection link) {
       unproved.remove(link);
-      control.schedule(() -> up(link));
+      control.up(link);
     }
 
     @Override
     public void closed(LinkConnection link, Optional<Throwable> cause) {
       unproved.remove(link);
       cause
-          .filter(LinkException.class::isInstance)
-          .ifPresent(
-              fault ->
-                  events.emit(EventCode.LINK_REFUSED, EventField.of("why", fault.getMessage())));
+          .filter(fault -> fault instanceof LinkException || fault instanceof DecoderException)
+          .ifPresent(fault -> control.refused(link.address(), fault.getMessage()));
       if (link.proved()) {
-        control.schedule(() -> gone(link));
+        control.gone(link);
       }
     }
 
     @Override
     public void told(VmId peer, LinkMessage message) {
-      control.schedule(() -> TcpLinks.this.told(peer, message));
+      control.told(peer, message);
     }
 
     @Override
@@ -472,23 +307,24 @@
 
   /** Listens to a link that this VM dialed. */
   private final class DialListener extends AcceptListener {
-    private final PeerLinks dialed;
+    private final VmId dialed;
 
-    DialListener(PeerLinks dialed) {
+    DialListener(VmId dialed) {
       this.dialed = dialed;
     }
 
     @Override
     public void proved(LinkConnection link) {
-      boolean expected = link.peer().id().equals(dialed.id);
-      control.schedule(expected ? () -> dialed.dialing = false : () -> dialFailed(dialed));
+      if (!link.peer().id().equals(dialed)) {
+        control.dialFailed(dialed);
+      }
       super.proved(link);
     }
 
     @Override
     public void closed(LinkConnection link, Optional<Throwable> cause) {
       if (!link.proved()) {
-        control.schedule(() -> dialFailed(dialed));
+        control.dialFailed(dialed);
       }
       super.closed(link, cause);
     }
--- a/src/main/java/org/radishpost/link/TrafficCounter.java
+++ b/src/main/java/org/radishpost/link/TrafficCounter.java
@@ -9,6 +9,7 @@
   private final LongAdder bytesOut = new LongAdder();
   private final LongAdder framesIn = new LongAdder();
   private final LongAdder framesOut = new LongAdder();
+  private final LongAdder unsupported = new LongAdder();
 
   void received(int bytes) {
     bytesIn.add(bytes);
@@ -20,8 +21,18 @@
     framesOut.increment();
   }
 
+  void unsupported() {
+    unsupported.increment();
+  }
+
   PeerTraffic snapshot(VmId peer, long roundTripNanos) {
     return new PeerTraffic(
-        peer, bytesIn.sum(), bytesOut.sum(), framesIn.sum(), framesOut.sum(), roundTripNanos);
+        peer,
+        bytesIn.sum(),
+        bytesOut.sum(),
+        framesIn.sum(),
+        framesOut.sum(),
+        unsupported.sum(),
+        roundTripNanos);
   }
 }
