Add the platform's clients over HTTP and its stand-in server

The log and the list of VMs were interfaces with a log in memory only. The clients speak HTTP and JSON; an append whose connection was refused, or that the log refused, has not landed, and every other failure leaves it unknown. The stand-in takes faults at run time. The log in memory now wakes its readers outside its lock, and its retention can change.

--- /dev/null
+++ b/src/main/java/org/radishpost/platform/http/HttpPlatformLog.java
@@ -0,0 +1,136 @@
+package org.radishpost.platform.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.radishpost.errors.AppendUnknownException;
+import org.radishpost.errors.LogUnavailableException;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.platform.LogPage;
+import org.radishpost.platform.LogRecord;
+import org.radishpost.platform.PlatformLog;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * The platform's log over HTTP and JSON; thread-safe.
+ *
+ * <p>An append that no connection could carry, or that the log refused with a status of 4xx or 503,
+ * has not landed. Every other failure, a reset or a missing answer among them, leaves it unknown. A
+ * request is never sent twice by itself.
+ */
+public final class HttpPlatformLog implements PlatformLog {
+  /** The largest answer that is read, in bytes. */
+  public static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+  private static final int MAX_LANDED_BYTES = 4096;
+  private static final String JSON = "application/json";
+
+  private final HttpClient client;
+  private final Duration answerLimit;
+  private final LogJson json = new LogJson();
+
+  /**
+   * Creates a client.
+   *
+   * @param connections where connections come from
+   * @param server where the log listens
+   * @param answerLimit the longest pause before an answer, beyond the wait that a read asks for
+   */
+  public HttpPlatformLog(ConnectionProvider connections, Endpoint server, Duration answerLimit) {
+    this.client =
+        PlatformHttp.client(connections, server)
+            .headers(headers -> headers.set(HttpHeaderNames.CONTENT_TYPE, JSON));
+    this.answerLimit = answerLimit;
+  }
+
+  @Override
+  public Mono<LogRecord> append(String stream, byte[] payload) {
+    return client
+        .responseTimeout(answerLimit)
+        .post()
+        .uri(path(stream))
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(json.encodePayload(payload))))
+        .response((response, content) -> landed(response, content, payload))
+        .singleOrEmpty()
+        .switchIfEmpty(Mono.error(() -> new IOException("the answer was empty")))
+        .onErrorMap(HttpPlatformLog::appendFailure);
+  }
+
+  @Override
+  public Mono<LogPage> read(String stream, long fromOffset, int maxRecords, Duration wait) {
+    String query = "?from=" + fromOffset + "&max=" + maxRecords + "&waitMillis=" + wait.toMillis();
+    return client
+        .responseTimeout(wait.plus(answerLimit))
+        .get()
+        .uri(path(stream) + query)
+        .response(this::page)
+        .singleOrEmpty()
+        .switchIfEmpty(Mono.error(() -> new IOException("the answer was empty")))
+        .onErrorMap(HttpPlatformLog::unavailable);
+  }
+
+  private Mono<LogRecord> landed(HttpClientResponse response, ByteBufFlux content, byte[] payload) {
+    int status = response.status().code();
+    if (status == PlatformHttp.UNAVAILABLE || isClientError(status)) {
+      return refused(status, content);
+    }
+    if (status != PlatformHttp.OK) {
+      return Mono.error(new IOException("the log answered with status " + status));
+    }
+    return PlatformHttp.body(content, MAX_LANDED_BYTES)
+        .flatMap(body -> Mono.fromCallable(() -> json.decodeLanded(body, payload)));
+  }
+
+  private Mono<LogPage> page(HttpClientResponse response, ByteBufFlux content) {
+    int status = response.status().code();
+    if (status != PlatformHttp.OK) {
+      return refused(status, content);
+    }
+    return PlatformHttp.body(content, MAX_ANSWER_BYTES)
+        .flatMap(body -> Mono.fromCallable(() -> json.decodePage(body)));
+  }
+
+  private static <T> Mono<T> refused(int status, ByteBufFlux content) {
+    LogUnavailableException failure =
+        new LogUnavailableException(
+            "The platform's log answered with status " + status + ": try again later.");
+    return content.then(Mono.error(failure));
+  }
+
+  private static Throwable appendFailure(Throwable cause) {
+    if (cause instanceof RadishpostException) {
+      return cause;
+    }
+    if (PlatformHttp.beforeSend(cause)) {
+      return unavailable(cause);
+    }
+    return new AppendUnknownException(
+        "The answer to the append was lost: read the stream to see whether the record landed.",
+        cause);
+  }
+
+  private static Throwable unavailable(Throwable cause) {
+    if (cause instanceof RadishpostException) {
+      return cause;
+    }
+    return new LogUnavailableException(
+        "The platform's log does not answer: check its address in the settings, or try later.",
+        cause);
+  }
+
+  private static boolean isClientError(int status) {
+    return status >= PlatformHttp.CLIENT_ERROR && status < PlatformHttp.SERVER_ERROR;
+  }
+
+  private static String path(String stream) {
+    return "/streams/" + URLEncoder.encode(stream, StandardCharsets.UTF_8) + "/records";
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/platform/http/HttpVmList.java
@@ -0,0 +1,61 @@
+package org.radishpost.platform.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import org.radishpost.errors.VmListUnavailableException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.platform.VmEntry;
+import org.radishpost.platform.VmList;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/** The platform's list of VMs over HTTP and JSON; thread-safe. */
+public final class HttpVmList implements VmList {
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+  private final HttpClient client;
+  private final LogJson json = new LogJson();
+
+  /**
+   * Creates a client.
+   *
+   * @param connections where connections come from
+   * @param server where the list is served
+   * @param answerLimit the longest pause before the answer
+   */
+  public HttpVmList(ConnectionProvider connections, Endpoint server, Duration answerLimit) {
+    this.client = PlatformHttp.client(connections, server).responseTimeout(answerLimit);
+  }
+
+  @Override
+  public Mono<List<VmEntry>> read() {
+    return client
+        .get()
+        .uri("/vms")
+        .response(this::vms)
+        .singleOrEmpty()
+        .switchIfEmpty(Mono.error(() -> new IOException("the answer was empty")))
+        .onErrorMap(HttpVmList::unavailable);
+  }
+
+  private Mono<List<VmEntry>> vms(HttpClientResponse response, ByteBufFlux content) {
+    int status = response.status().code();
+    if (status != PlatformHttp.OK) {
+      IOException failure = new IOException("the list answered with status " + status);
+      return content.then(Mono.error(failure));
+    }
+    return PlatformHttp.body(content, MAX_ANSWER_BYTES)
+        .flatMap(body -> Mono.fromCallable(() -> json.decodeVms(body)));
+  }
+
+  private static Throwable unavailable(Throwable cause) {
+    return new VmListUnavailableException(
+        "The platform's list of VMs does not answer: check its address in the settings, or try"
+            + " later.",
+        cause);
+  }
+}
--- a/src/main/java/org/radishpost/standin/LogFaults.java
+++ b/src/main/java/org/radishpost/standin/LogFaults.java
@@ -13,4 +13,14 @@
 public record LogFaults(boolean down, Duration delay, int lostAppendAnswers, int lostAppends) {
   /** Nothing is wrong. */
   public static final LogFaults NONE = new LogFaults(false, Duration.ZERO, 0, 0);
+
+  /** Returns the same faults with one lost answer fewer. */
+  LogFaults withoutLostAnswer() {
+    return new LogFaults(down, delay, lostAppendAnswers - 1, lostAppends);
+  }
+
+  /** Returns the same faults with one lost append fewer. */
+  LogFaults withoutLostAppend() {
+    return new LogFaults(down, delay, lostAppendAnswers, lostAppends - 1);
+  }
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/standin/LogServer.java
@@ -0,0 +1,227 @@
+package org.radishpost.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import org.radishpost.errors.AppendUnknownException;
+import org.radishpost.errors.LogUnavailableException;
+import org.radishpost.errors.StartException;
+import org.radishpost.errors.VmListUnavailableException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import org.radishpost.platform.http.LogJson;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * The stand-in of the platform over HTTP: the log, the list of VMs and the switches for faults.
+ *
+ * <p>Create it round a log and a list in memory, start it, and talk to it with the clients of
+ * {@code platform.http}. {@code PUT /faults} sets what is wrong from then on. Thread-safe.
+ */
+public final class LogServer {
+  private static final int MAX_WAIT_MILLIS = 60_000;
+  private static final int MAX_PAGE_RECORDS = 10_000;
+
+  private final Endpoint listen;
+  private final MemoryLog log;
+  private final MemoryVmList vms;
+  private final LogJson json = new LogJson();
+  private final ObjectMapper mapper = JsonMapper.builder().build();
+  private volatile LogServerFaults faults =
+      new LogServerFaults(false, false, 0, 0, 0, null, false, 0);
+  private DisposableServer server;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param listen where to listen; port 0 takes any free one
+   * @param log the log that it serves
+   * @param vms the list of VMs that it serves
+   */
+  public LogServer(Endpoint listen, MemoryLog log, MemoryVmList vms) {
+    this.listen = listen;
+    this.log = log;
+    this.vms = vms;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return where it listens
+   * @throws StartException if the address cannot be used
+   */
+  public synchronized Endpoint start() throws StartException {
+    server = HttpListener.start(listen, this::routes);
+    return HttpListener.address(listen, server);
+  }
+
+  /** Stops and closes all connections; the records stay in the log. */
+  public synchronized void stop() {
+    HttpListener.stop(server);
+  }
+
+  private void routes(HttpServerRoutes routes) {
+    routes
+        .post("/streams/{stream}/records", this::append)
+        .get("/streams/{stream}/records", this::read)
+        .get("/vms", this::readVms)
+        .put("/vms/{id}", this::putVm)
+        .delete("/vms/{id}", this::deleteVm)
+        .get("/faults", (request, response) -> answer(response, encode(faults)))
+        .put("/faults", this::putFaults)
+        .get("/counts", (request, response) -> answer(response, encode(counts())));
+  }
+
+  private Publisher<Void> append(HttpServerRequest request, HttpServerResponse response) {
+    if (faults.silent()) {
+      return Mono.never();
+    }
+    String stream = request.param("stream");
+    return body(request)
+        .flatMap(body -> Mono.fromCallable(() -> json.decodePayload(body)))
+        .flatMap(payload -> log.append(stream, payload))
+        .flatMap(landed -> answer(response, json.encodeLanded(landed)))
+        .onErrorResume(failure -> fail(request, response, failure));
+  }
+
+  private Publisher<Void> read(HttpServerRequest request, HttpServerResponse response) {
+    if (faults.silent()) {
+      return Mono.never();
+    }
+    QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    return Mono.fromCallable(() -> ReadQuery.of(query))
+        .flatMap(
+            wanted ->
+                log.read(
+                    request.param("stream"),
+                    wanted.from(),
+                    Math.min(wanted.max(), MAX_PAGE_RECORDS),
+                    Duration.ofMillis(Math.min(wanted.waitMillis(), MAX_WAIT_MILLIS))))
+        .flatMap(page -> answer(response, json.encodePage(page)))
+        .onErrorResume(failure -> fail(request, response, failure));
+  }
+
+  private Publisher<Void> readVms(HttpServerRequest request, HttpServerResponse response) {
+    return vms.read()
+        .flatMap(list -> answer(response, json.encodeVms(list)))
+        .onErrorResume(failure -> fail(request, response, failure));
+  }
+
+  private Publisher<Void> putVm(HttpServerRequest request, HttpServerResponse response) {
+    return body(request)
+        .flatMap(body -> Mono.fromCallable(() -> json.decodeVm(body)))
+        .flatMap(vm -> put(vm, request, response))
+        .onErrorResume(failure -> fail(request, response, failure));
+  }
+
+  private Mono<Void> put(VmEntry vm, HttpServerRequest request, HttpServerResponse response) {
+    if (!vm.id().value().equals(request.param("id"))) {
+      return Mono.error(new IOException("The identity differs from the one in the path."));
+    }
+    vms.put(vm);
+    return answer(response, json.encodeVm(vm));
+  }
+
+  private Publisher<Void> deleteVm(HttpServerRequest request, HttpServerResponse response) {
+    vms.remove(new VmId(request.param("id")));
+    return response.status(HttpResponseStatus.NO_CONTENT).send();
+  }
+
+  private Publisher<Void> putFaults(HttpServerRequest request, HttpServerResponse response) {
+    return body(request)
+        .flatMap(body -> Mono.fromCallable(() -> mapper.readValue(body, LogServerFaults.class)))
+        .flatMap(
+            wanted -> {
+              set(wanted);
+              return answer(response, encode(wanted));
+            })
+        .onErrorResume(failure -> fail(request, response, failure));
+  }
+
+  private void set(LogServerFaults wanted) {
+    faults = wanted;
+    log.faults(wanted.log());
+    vms.down(wanted.vmListDown());
+    vms.lag(Duration.ofMillis(wanted.vmListLagMillis()));
+    if (wanted.retentionMillis() != null) {
+      log.retention(Duration.ofMillis(wanted.retentionMillis()));
+    }
+  }
+
+  private Counts counts() {
+    return new Counts(log.appends(), log.appendBytes());
+  }
+
+  private static Mono<byte[]> body(HttpServerRequest request) {
+    return request.receive().aggregate().asByteArray().defaultIfEmpty(new byte[0]);
+  }
+
+  private static Mono<Void> answer(HttpServerResponse response, byte[] body) {
+    return response
+        .header(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(body.length))
+        .sendByteArray(Mono.just(body))
+        .then();
+  }
+
+  private Mono<Void> fail(
+      HttpServerRequest request, HttpServerResponse response, Throwable failure) {
+    return switch (failure) {
+      case AppendUnknownException lost -> cut(request);
+      case LogUnavailableException down ->
+          refuse(response, HttpResponseStatus.SERVICE_UNAVAILABLE, failure);
+      case VmListUnavailableException down ->
+          refuse(response, HttpResponseStatus.SERVICE_UNAVAILABLE, failure);
+      case IOException bad -> refuse(response, HttpResponseStatus.BAD_REQUEST, failure);
+      case IllegalArgumentException bad ->
+          refuse(response, HttpResponseStatus.BAD_REQUEST, failure);
+      default -> Mono.error(failure);
+    };
+  }
+
+  private Mono<Void> refuse(
+      HttpServerResponse response, HttpResponseStatus status, Throwable failure) {
+    return answer(
+        response.status(status), encode(new Fault(List.of(String.valueOf(failure.getMessage())))));
+  }
+
+  private static Mono<Void> cut(HttpServerRequest request) {
+    return Mono.fromRunnable(() -> request.withConnection(connection -> connection.dispose()));
+  }
+
+  private byte[] encode(Object value) {
+    try {
+      return mapper.writeValueAsBytes(value);
+    } catch (IOException e) {
+      throw new IllegalStateException("every answer of the stand-in has a JSON text", e);
+    }
+  }
+
+  private record Counts(long appends, long appendBytes) {}
+
+  private record Fault(List<String> faults) {}
+
+  private record ReadQuery(long from, int max, long waitMillis) {
+    private static ReadQuery of(QueryStringDecoder query) {
+      return new ReadQuery(
+          Long.parseLong(value(query, "from", "1")),
+          Integer.parseInt(value(query, "max", "1000")),
+          Long.parseLong(value(query, "waitMillis", "0")));
+    }
+
+    private static String value(QueryStringDecoder query, String name, String otherwise) {
+      return query.parameters().getOrDefault(name, List.of(otherwise)).getFirst();
+    }
+  }
+}
--- a/src/main/java/org/radishpost/standin/MemoryLog.java
+++ b/src/main/java/org/radishpost/standin/MemoryLog.java
@@ -22,10 +22,11 @@
  */
 public final class MemoryLog implements PlatformLog {
   private final Scheduler clock;
-  private final Duration retention;
   private final Map<String, Stream> streams = new HashMap<>();
+  private Duration retention;
   private LogFaults faults = LogFaults.NONE;
   private long appends;
+  private long appendBytes;
 
   /**
    * Creates an empty log.
@@ -48,11 +49,26 @@
     return faults;
   }
 
+  /** Sets how long records are kept from now on. */
+  public synchronized void retention(Duration kept) {
+    retention = kept;
+  }
+
+  /** Returns how long records are kept. */
+  public synchronized Duration retention() {
+    return retention;
+  }
+
   /** Returns the number of appends that took effect. */
   public synchronized long appends() {
     return appends;
   }
 
+  /** Returns the bytes of all payloads whose appends took effect. */
+  public synchronized long appendBytes() {
+    return appendBytes;
+  }
+
   @Override
   public Mono<LogRecord> append(String stream, byte[] payload) {
     return delayed(Mono.defer(() -> appendNow(stream, payload)));
@@ -71,23 +87,30 @@
         });
   }
 
-  private synchronized Mono<LogRecord> appendNow(String name, byte[] payload) {
-    if (faults.down()) {
-      return Mono.error(unavailable());
-    }
-    if (faults.lostAppends() > 0) {
-      faults =
-          new LogFaults(
-              false, faults.delay(), faults.lostAppendAnswers(), faults.lostAppends() - 1);
-      return Mono.error(unknown());
+  private Mono<LogRecord> appendNow(String name, byte[] payload) {
+    Sinks.One<Boolean> waiting;
+    Mono<LogRecord> answer;
+    synchronized (this) {
+      if (faults.down()) {
+        return Mono.error(unavailable());
+      }
+      if (faults.lostAppends() > 0) {
+        faults = faults.withoutLostAppend();
+        return Mono.error(unknown());
+      }
+      Stream stream = stream(name);
+      waiting = stream.grown;
+      answer = landed(stream.add(nowMillis(), payload));
     }
-    Stream stream = stream(name);
-    LogRecord landed = stream.add(nowMillis(), payload);
+    waiting.tryEmitValue(true);
+    return answer;
+  }
+
+  private Mono<LogRecord> landed(LogRecord landed) {
     appends++;
+    appendBytes += landed.payload().length;
     if (faults.lostAppendAnswers() > 0) {
-      faults =
-          new LogFaults(
-              false, faults.delay(), faults.lostAppendAnswers() - 1, faults.lostAppends());
+      faults = faults.withoutLostAnswer();
       return Mono.error(unknown());
     }
     return Mono.just(landed);
@@ -137,9 +160,7 @@
       lastMillis = Math.max(lastMillis, nowMillis);
       LogRecord landed = new LogRecord(nextOffset++, lastMillis, payload.clone());
       records.add(landed);
-      Sinks.One<Boolean> waiting = grown;
       grown = Sinks.one();
-      waiting.tryEmitValue(true);
       return landed;
     }
 
--- /dev/null
+++ b/src/main/java/org/radishpost/standin/MemoryVmList.java
@@ -0,0 +1,97 @@
+package org.radishpost.standin;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.errors.VmListUnavailableException;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import org.radishpost.platform.VmList;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * The platform's list of VMs kept in memory; it may lag or be down.
+ *
+ * <p>Thread-safe. Time is the scheduler's.
+ */
+public final class MemoryVmList implements VmList {
+  private static final int MAX_PAST = 1000;
+
+  private final Scheduler clock;
+  private final Map<VmId, VmEntry> entries = new TreeMap<>();
+  private final Deque<Past> past = new ArrayDeque<>();
+  private Duration lag = Duration.ZERO;
+  private boolean down;
+
+  /** Creates an empty list that does not lag. */
+  public MemoryVmList(Scheduler clock) {
+    this.clock = clock;
+    past.add(new Past(Long.MIN_VALUE, List.of()));
+  }
+
+  /** Adds or replaces a VM. */
+  public synchronized void put(VmEntry vm) {
+    entries.put(vm.id(), vm);
+    changed();
+  }
+
+  /** Removes a VM. */
+  public synchronized void remove(VmId vm) {
+    entries.remove(vm);
+    changed();
+  }
+
+  /** Sets how old the answers are from now on. */
+  public synchronized void lag(Duration behind) {
+    lag = behind;
+  }
+
+  /** Sets whether every read fails. */
+  public synchronized void down(boolean isDown) {
+    down = isDown;
+  }
+
+  /** Returns the list without lag. */
+  public synchronized List<VmEntry> entries() {
+    return List.copyOf(entries.values());
+  }
+
+  @Override
+  public Mono<List<VmEntry>> read() {
+    return Mono.defer(this::readNow);
+  }
+
+  private synchronized Mono<List<VmEntry>> readNow() {
+    if (down) {
+      return Mono.error(
+          new VmListUnavailableException("The platform's list of VMs is down: try again later."));
+    }
+    long horizon = nowMillis() - lag.toMillis();
+    List<VmEntry> seen = List.of();
+    for (Past state : past) {
+      if (state.sinceMillis() > horizon) {
+        break;
+      }
+      seen = state.vms();
+    }
+    return Mono.just(seen);
+  }
+
+  private void changed() {
+    past.add(new Past(nowMillis(), entries()));
+    if (past.size() > MAX_PAST) {
+      past.removeFirst();
+    }
+  }
+
+  private long nowMillis() {
+    return clock.now(TimeUnit.MILLISECONDS);
+  }
+
+  private record Past(long sinceMillis, List<VmEntry> vms) {}
+}
