Add the stand-in of targets and the load report header

Tests and measurements need targets that start cold, warm up, shed, cancel, crash, mislead and go silent on command.

--- /dev/null
+++ b/src/main/java/org/radishpost/http/LoadReportHeader.java
@@ -0,0 +1,76 @@
+package org.radishpost.http;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.pool.LoadReport;
+
+/**
+ * The text of a target's load report, in a header of an answer and at the load endpoint.
+ *
+ * <p>The form is {@code running=1, slots=2, warm=100, incarnation=abc, draining=0}, in any order.
+ */
+public final class LoadReportHeader {
+  /** The name of the header. */
+  public static final String NAME = "Radishpost-Load";
+
+  private static final int MAX_CHARS = 300;
+  private static final int MAX_INCARNATION_CHARS = 100;
+  private static final int MAX_CALLS = 1_000_000;
+  private static final int FULL_PERCENT = 100;
+
+  private LoadReportHeader() {}
+
+  /** Returns the text of a report. */
+  public static String format(LoadReport report) {
+    return "running="
+        + report.running()
+        + ", slots="
+        + report.slots()
+        + ", warm="
+        + report.warmPercent()
+        + ", incarnation="
+        + report.incarnation()
+        + ", draining="
+        + (report.draining() ? 1 : 0);
+  }
+
+  /** Returns the report, or nothing when the text has another form or a value is out of bounds. */
+  public static Optional<LoadReport> parse(String text) {
+    if (text == null || text.length() > MAX_CHARS) {
+      return Optional.empty();
+    }
+    Map<String, String> values = new HashMap<>();
+    for (String part : text.split(",")) {
+      int equals = part.indexOf('=');
+      if (equals < 0) {
+        return Optional.empty();
+      }
+      values.put(part.substring(0, equals).strip(), part.substring(equals + 1).strip());
+    }
+    return report(values);
+  }
+
+  private static Optional<LoadReport> report(Map<String, String> values) {
+    int running = number(values.get("running"), MAX_CALLS);
+    int slots = number(values.get("slots"), MAX_CALLS);
+    int warm = number(values.get("warm"), FULL_PERCENT);
+    int draining = number(values.get("draining"), 1);
+    String incarnation = values.getOrDefault("incarnation", "");
+    if (running < 0 || slots < 0 || warm < 0 || draining < 0) {
+      return Optional.empty();
+    }
+    if (incarnation.isEmpty() || incarnation.length() > MAX_INCARNATION_CHARS) {
+      return Optional.empty();
+    }
+    return Optional.of(new LoadReport(running, slots, warm, incarnation, draining == 1));
+  }
+
+  private static int number(String text, int max) {
+    if (text == null || !text.matches("\\d{1,7}")) {
+      return -1;
+    }
+    int value = Integer.parseInt(text);
+    return value <= max ? value : -1;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/standin/TargetCounters.java
@@ -0,0 +1,58 @@
+package org.radishpost.standin;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What one target has counted; thread-safe. */
+final class TargetCounters {
+  final AtomicLong runs = new AtomicLong();
+  final AtomicLong sheds = new AtomicLong();
+  final AtomicLong cancels = new AtomicLong();
+  final AtomicLong late = new AtomicLong();
+  final AtomicLong crashes = new AtomicLong();
+  final AtomicLong coldCrashes = new AtomicLong();
+  final AtomicLong probes = new AtomicLong();
+  final AtomicLong runsWhileDraining = new AtomicLong();
+  final AtomicLong refusedConnections = new AtomicLong();
+  final AtomicInteger connections = new AtomicInteger();
+  final AtomicInteger maxConnections = new AtomicInteger();
+  private final Map<String, AtomicLong> runsByKey = new ConcurrentHashMap<>();
+
+  /** Counts a call that begins to run. */
+  void ran(String key, boolean draining) {
+    runs.incrementAndGet();
+    if (draining) {
+      runsWhileDraining.incrementAndGet();
+    }
+    if (key != null) {
+      runsByKey.computeIfAbsent(key, unused -> new AtomicLong()).incrementAndGet();
+    }
+  }
+
+  /** Returns how often calls with the key began to run. */
+  long runsOf(String key) {
+    AtomicLong count = runsByKey.get(key);
+    return count == null ? 0 : count.get();
+  }
+
+  /** Returns the counts, with what the slots hold now. */
+  TargetStats stats(SlotQueue slots) {
+    return new TargetStats(
+        slots.running(),
+        slots.waiting(),
+        slots.maxRunning(),
+        runs.get(),
+        sheds.get(),
+        cancels.get(),
+        late.get(),
+        crashes.get(),
+        coldCrashes.get(),
+        probes.get(),
+        runsWhileDraining.get(),
+        connections.get(),
+        maxConnections.get(),
+        refusedConnections.get());
+  }
+}
