Read, write and judge manifests

Pipelines that are not trusted publish manifests, and every VM must reach the same verdict on one. ManifestCodec reads the JSON form within bounds and tells every member that is missing, unknown, repeated or of a wrong type with its path and remedy. ManifestValidator judges the records alone: bounds on every list, number and text, unique names and addresses, what a cold target bears, duplicate guards, home regions and routes that are never reached.

A gateway of 12,000 targets passes; each fault of the test is the only one told.

--- /dev/null
+++ b/src/main/java/org/radishpost/manifest/ManifestBounds.java
@@ -0,0 +1,71 @@
+package org.radishpost.manifest;
+
+import org.radishpost.lib.StrictJson;
+
+/** The bounds on everything in a manifest. */
+public final class ManifestBounds {
+  /** Largest JSON form, in bytes. */
+  public static final int MAX_DOCUMENT_BYTES = 4 * 1024 * 1024;
+
+  /** Longest text, in characters. */
+  public static final int MAX_TEXT_CHARS = 512;
+
+  /** Longest route name, in characters. */
+  public static final int MAX_NAME_CHARS = 100;
+
+  /** Longest host, in characters. */
+  public static final int MAX_HOST_CHARS = 253;
+
+  /** Largest number of segments in a path prefix. */
+  public static final int MAX_PATH_SEGMENTS = 32;
+
+  /** Smallest ratio of the interval between probes to the cost of one. */
+  public static final int MIN_PROBE_INTERVAL_TO_COST = 10;
+
+  /** Largest number of targets over all services of a gateway. */
+  public static final int MAX_TARGETS = 16_000;
+
+  static final int MAX_DEPTH = 8;
+  static final int MAX_TOKENS = 400_000;
+  static final StrictJson.Bounds DOCUMENT =
+      new StrictJson.Bounds(MAX_DOCUMENT_BYTES, MAX_DEPTH, MAX_TEXT_CHARS, MAX_TOKENS);
+
+  static final Range BASE_VERSION = new Range(0, Long.MAX_VALUE, "");
+  static final Range SERVICES = new Range(1, 512, "services");
+  static final Range ROUTES = new Range(1, 1_000, "routes");
+  static final Range TARGETS = new Range(1, MAX_TARGETS, "targets");
+  static final Range METHODS = new Range(1, 7, "methods");
+  static final Range HOME_REGIONS = new Range(0, 16, "regions");
+  static final Range PORT = new Range(1, 65_535, "");
+  static final Range SLOTS = new Range(1, 1_024, "calls");
+  static final Range CONNECTIONS = new Range(1, 10_000, "connections");
+  static final Range COLD_CALLS = new Range(2, 1_024, "calls");
+  static final Range COLD_CALLS_PER_SECOND = new Range(2, 100_000, "calls per second");
+  static final Range RAMP_MILLIS = new Range(1, 3_600_000, "ms");
+  static final Range PROBE_COST_MILLIS = new Range(0, 10_000, "ms");
+  static final Range PROBE_INTERVAL_MILLIS = new Range(100, 3_600_000, "ms");
+  static final Range EJECT_PERCENT = new Range(0, 100, "percent");
+  static final Range WEIGHT = new Range(1, 1_000, "");
+  static final Range DEADLINE_MILLIS = new Range(1, 3_600_000, "ms");
+  static final Range BODY_BYTES = new Range(0, 10L * 1024 * 1024 * 1024, "bytes");
+
+  private ManifestBounds() {}
+
+  /**
+   * The numbers that are allowed.
+   *
+   * @param min the smallest
+   * @param max the largest
+   * @param unit the unit, or empty
+   */
+  record Range(long min, long max, String unit) {
+    boolean holds(long value) {
+      return value >= min && value <= max;
+    }
+
+    @Override
+    public String toString() {
+      return min + " to " + max + (unit.isEmpty() ? "" : " " + unit);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/manifest/ManifestFault.java
@@ -0,0 +1,14 @@
+package org.radishpost.manifest;
+
+/**
+ * One thing that is wrong with a manifest.
+ *
+ * @param path where it is, such as {@code services[0].targets[3].slots}; empty for the whole
+ * @param remedy what to do about it
+ */
+public record ManifestFault(String path, String remedy) {
+  @Override
+  public String toString() {
+    return path.isEmpty() ? remedy : path + ": " + remedy;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/manifest/ManifestValidator.java
@@ -0,0 +1,120 @@
+package org.radishpost.manifest;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.ZoneName;
+
+/**
+ * Judges what a manifest says.
+ *
+ * <p>The verdict depends on the manifest alone, so that every VM reaches the same one. Thread-safe.
+ */
+public final class ManifestValidator {
+  /** Returns what is wrong, in the order of the manifest and up to a bound; empty when nothing. */
+  public List<ManifestFault> faults(Manifest manifest) {
+    FaultCollector faults = new FaultCollector();
+    checkHead(manifest, faults);
+    checkServices(manifest, faults);
+    RouteChecks routes = new RouteChecks(manifest.services(), faults);
+    for (int i = 0; i < manifest.routes().size() && !faults.full(); i++) {
+      routes.check(manifest.routes().get(i), "routes[" + i + "]");
+    }
+    return faults.faults();
+  }
+
+  private static void checkHead(Manifest manifest, FaultCollector faults) {
+    NameChecks.check(manifest.gateway().value(), "gateway", faults);
+    NameChecks.check(manifest.tenant().value(), "tenant", faults);
+    faults.addOutside("baseVersion", manifest.baseVersion(), ManifestBounds.BASE_VERSION);
+    faults.addOutside("services", manifest.services().size(), ManifestBounds.SERVICES);
+    faults.addOutside("routes", manifest.routes().size(), ManifestBounds.ROUTES);
+    long targets = manifest.services().stream().mapToLong(s -> s.targets().size()).sum();
+    faults.addIf(
+        targets > ManifestBounds.MAX_TARGETS,
+        "services",
+        "have " + targets + " targets together: keep them within " + ManifestBounds.MAX_TARGETS);
+  }
+
+  private static void checkServices(Manifest manifest, FaultCollector faults) {
+    Set<ServiceName> names = new HashSet<>();
+    TargetChecks targets = new TargetChecks(faults);
+    for (int i = 0; i < manifest.services().size() && !faults.full(); i++) {
+      ServiceSpec service = manifest.services().get(i);
+      String path = "services[" + i + "]";
+      NameChecks.check(service.name().value(), path + ".name", faults);
+      faults.addIf(!names.add(service.name()), path + ".name", "stands twice: rename one service");
+      checkSpecs(service, path, faults);
+      targets.check(service, path);
+    }
+  }
+
+  private static void checkSpecs(ServiceSpec service, String path, FaultCollector faults) {
+    ColdStartSpec cold = service.coldStart();
+    String coldPath = path + ".coldStart.";
+    faults.addOutside(coldPath + "calls", cold.calls(), ManifestBounds.COLD_CALLS);
+    faults.addOutside(
+        coldPath + "callsPerSecond", cold.callsPerSecond(), ManifestBounds.COLD_CALLS_PER_SECOND);
+    faults.addOutside(coldPath + "rampMillis", cold.ramp().toMillis(), ManifestBounds.RAMP_MILLIS);
+    faults.addOutside(path + ".ejectPercent", service.ejectPercent(), ManifestBounds.EJECT_PERCENT);
+    checkProbe(service.probe(), path + ".probe.", faults);
+  }
+
+  private static void checkProbe(ProbeSpec probe, String path, FaultCollector faults) {
+    long cost = probe.cost().toMillis();
+    long interval = probe.interval().toMillis();
+    PathChecks.check(probe.path(), path + "path", faults);
+    faults.addOutside(path + "costMillis", cost, ManifestBounds.PROBE_COST_MILLIS);
+    faults.addOutside(path + "intervalMillis", interval, ManifestBounds.PROBE_INTERVAL_MILLIS);
+    faults.addIf(
+        interval / ManifestBounds.MIN_PROBE_INTERVAL_TO_COST < cost,
+        path + "intervalMillis",
+        "give at least " + ManifestBounds.MIN_PROBE_INTERVAL_TO_COST + " times costMillis");
+  }
+
+  /** Checks targets over all services of a manifest. */
+  private static final class TargetChecks {
+    private final FaultCollector faults;
+    private final Set<Endpoint> addresses = new HashSet<>();
+    private final Map<ZoneName, RegionName> regions = new HashMap<>();
+
+    TargetChecks(FaultCollector faults) {
+      this.faults = faults;
+    }
+
+    void check(ServiceSpec service, String path) {
+      faults.addOutside(path + ".targets", service.targets().size(), ManifestBounds.TARGETS);
+      for (int i = 0; i < service.targets().size() && !faults.full(); i++) {
+        check(service.targets().get(i), path + ".targets[" + i + "]");
+      }
+    }
+
+    private void check(TargetSpec target, String path) {
+      checkAddress(target.address(), path + ".address");
+      NameChecks.check(target.place().region().value(), path + ".region", faults);
+      NameChecks.check(target.place().zone().value(), path + ".zone", faults);
+      RegionName region =
+          regions.computeIfAbsent(target.place().zone(), z -> target.place().region());
+      faults.addIf(
+          !region.equals(target.place().region()),
+          path + ".zone",
+          "stands in region " + region + " before: give each zone one region");
+      faults.addOutside(path + ".slots", target.slots(), ManifestBounds.SLOTS);
+      faults.addOutside(path + ".connections", target.connections(), ManifestBounds.CONNECTIONS);
+      faults.addIf(
+          target.connections() < target.slots(), path + ".connections", "give at least the slots");
+    }
+
+    private void checkAddress(Endpoint address, String path) {
+      faults.addOutside(path, address.port(), ManifestBounds.PORT);
+      faults.addIf(
+          NameChecks.hasLeadingZero(address.ip()), path, "write each number without leading zeros");
+      faults.addIf(!addresses.add(address), path, "stands twice: give each target its own address");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/manifest/RouteChecks.java
@@ -0,0 +1,128 @@
+package org.radishpost.manifest;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.ServiceName;
+
+/** Checks the routes of one manifest in their order. */
+final class RouteChecks {
+  private static final Set<String> METHODS =
+      Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+  private static final Pattern HOST = Pattern.compile("[a-z0-9]([a-z0-9.-]*[a-z0-9])?");
+
+  private final FaultCollector faults;
+  private final Map<ServiceName, Set<RegionName>> regions = new HashMap<>();
+  private final Set<String> names = new HashSet<>();
+  private final Map<Match, String> earlier = new HashMap<>();
+
+  RouteChecks(List<ServiceSpec> services, FaultCollector faults) {
+    this.faults = faults;
+    services.forEach(service -> regions.putIfAbsent(service.name(), regionsOf(service)));
+  }
+
+  void check(RouteSpec route, String path) {
+    NameChecks.check(route.name(), path + ".name", faults);
+    faults.addIf(!names.add(route.name()), path + ".name", "stands twice: rename one route");
+    checkMatch(route, path);
+    checkNumbers(route, path);
+    checkGuard(route, path);
+    checkHome(route, path);
+  }
+
+  private void checkMatch(RouteSpec route, String path) {
+    boolean host =
+        route.host().length() <= ManifestBounds.MAX_HOST_CHARS
+            && (route.host().isEmpty() || HOST.matcher(route.host()).matches());
+    faults.addIf(!host, path + ".host", "give a lower-case host name without port, or none");
+    PathChecks.check(route.pathPrefix(), path + ".pathPrefix", faults);
+    faults.addOutside(path + ".methods", route.methods().size(), ManifestBounds.METHODS);
+    boolean known = METHODS.containsAll(route.methods());
+    faults.addIf(!known, path + ".methods", "give only " + METHODS.stream().sorted().toList());
+    if (host && known) {
+      checkReached(route, path);
+    }
+  }
+
+  private void checkReached(RouteSpec route, String path) {
+    Set<Optional<String>> hidden =
+        route.methods().stream().map(m -> earlierThan(route, m)).collect(Collectors.toSet());
+    if (!hidden.contains(Optional.<String>empty())) {
+      String names =
+          hidden.stream().flatMap(Optional::stream).sorted().collect(Collectors.joining(", "));
+      faults.add(path, "is never reached: move it before " + names + ", or remove it");
+    }
+    for (String method : route.methods()) {
+      earlier.putIfAbsent(new Match(route.host(), method, route.pathPrefix()), route.name());
+    }
+  }
+
+  private Optional<String> earlierThan(RouteSpec route, String method) {
+    String prefix = route.pathPrefix();
+    while (!prefix.isEmpty()) {
+      for (String host : List.of(route.host(), "")) {
+        String found = earlier.get(new Match(host, method, prefix));
+        if (found != null) {
+          return Optional.of(found);
+        }
+      }
+      prefix = parent(prefix);
+    }
+    return Optional.empty();
+  }
+
+  private static String parent(String prefix) {
+    int slash = prefix.lastIndexOf('/');
+    if (slash > 0) {
+      return prefix.substring(0, slash);
+    }
+    return prefix.equals("/") ? "" : "/";
+  }
+
+  private void checkNumbers(RouteSpec route, String path) {
+    faults.addOutside(path + ".weight", route.weight(), ManifestBounds.WEIGHT);
+    faults.addOutside(
+        path + ".deadlineMillis", route.deadline().toMillis(), ManifestBounds.DEADLINE_MILLIS);
+    faults.addOutside(path + ".maxBodyBytes", route.maxBodyBytes(), ManifestBounds.BODY_BYTES);
+  }
+
+  private void checkGuard(RouteSpec route, String path) {
+    faults.addIf(
+        !route.idempotent() && route.duplicateGuard() == DuplicateGuard.NONE,
+        path + ".duplicateGuard",
+        "give KEY or CALLERS_NEVER_RESEND, as the route is not idempotent");
+  }
+
+  private void checkHome(RouteSpec route, String path) {
+    Set<RegionName> held = regions.get(route.service());
+    if (held == null) {
+      faults.add(path + ".service", "is not a service of this manifest: add it or mend the name");
+      return;
+    }
+    faults.addOutside(
+        path + ".homeRegions", route.homeRegions().size(), ManifestBounds.HOME_REGIONS);
+    route.homeRegions().stream()
+        .filter(region -> !held.contains(region))
+        .sorted()
+        .forEach(
+            region ->
+                faults.add(
+                    path + ".homeRegions",
+                    "the service has no target in " + region + ": add one or remove the region"));
+  }
+
+  private static Set<RegionName> regionsOf(ServiceSpec service) {
+    return service.targets().stream()
+        .map(target -> target.place().region())
+        .collect(Collectors.toSet());
+  }
+
+  /** What one route takes. */
+  private record Match(String host, String method, String pathPrefix) {}
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/manifest/ManifestTest.java
@@ -0,0 +1,151 @@
+package org.radishpost.manifest;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.radishpost.errors.ManifestException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Every fault of a manifest is refused with its path; a valid one survives its JSON form. */
+public class ManifestTest {
+  private static final String VALID = resource("valid.json");
+  private final ManifestCodec codec = new ManifestCodec();
+  private final ManifestValidator validator = new ManifestValidator();
+
+  @Test
+  public void validManifestSurvivesItsJsonForm() throws ManifestException {
+    Manifest manifest = decode(VALID);
+    assertEquals(validator.faults(manifest), List.of());
+    assertEquals(codec.decode(codec.encode(manifest)), manifest);
+  }
+
+  @Test
+  public void manyTargetsFitInOneGateway() throws ManifestException {
+    Manifest small = decode(VALID);
+    ServiceSpec service = small.services().getFirst();
+    List<TargetSpec> targets = IntStream.range(0, 12_000).mapToObj(ManifestTest::target).toList();
+    ServiceSpec large =
+        new ServiceSpec(service.name(), targets, service.coldStart(), service.probe(), 30);
+    Manifest manifest =
+        new Manifest(small.gateway(), small.tenant(), 0, List.of(large), small.routes());
+    assertEquals(validator.faults(manifest), List.of());
+    assertEquals(codec.decode(codec.encode(manifest)), manifest);
+  }
+
+  private static TargetSpec target(int number) {
+    String ip = "10.0." + number / 250 + "." + (1 + number % 250);
+    Place place = number % 2 == 0 ? Place.of("kozep", "kozep-1") : Place.of("kelet", "kelet-1");
+    return new TargetSpec(new Endpoint(ip, 8080), place, 2, 240);
+  }
+
+  /** Text of the valid manifest, what stands there instead, and the path that the fault names. */
+  @DataProvider
+  public Object[][] unreadable() {
+    return new Object[][] {
+      {"\"tenant\": \"test-tenant\"", "\"tenant\": \"\"", "tenant: "},
+      {"\"baseVersion\": 0", "\"baseVersion\": 1e3", "baseVersion: "},
+      {"\"baseVersion\": 0", "\"baseVersion\": 0, \"retries\": 3", "retries: is not known"},
+      {"\"baseVersion\": 0", "\"baseVersion\": 0, \"baseVersion\": 0", "Duplicate field"},
+      {"\"baseVersion\": 0", "\"baseVersion\": " + "9".repeat(21), "/baseVersion"},
+      {"\"baseVersion\": 0", "\"x\": " + "[".repeat(9) + "]".repeat(9), "depth"},
+      {"\"gateway\": \"Test", "\"gateway\": \"" + "x".repeat(513), "/gateway"},
+      {"\"name\": \"archive\",", "", "services[0].name: "},
+      {"127.0.0.1:9002", "localhost:9002", "services[0].targets[1].address: "},
+      {"\"slots\": 2,", "\"slots\": \"2\",", "services[0].targets[0].slots: "},
+      {"\"slots\": 2,", "\"slots\": 4294967298,", "services[0].targets[0].slots: "},
+      {"\"rampMillis\": 30000", "\"ramp\": \"30s\"", "services[0].coldStart.rampMillis: "},
+      {"[\"POST\"]", "[\"POST\", \"POST\"]", "routes[0].methods[1]: stands twice"},
+      {"\"COMMIT\"", "\"SIGN\"", "routes[0].kind: "},
+      {"\"idempotent\": false", "\"idempotent\": \"no\"", "routes[0].idempotent: "},
+      {"\"maxBodyBytes\": 0\n    }\n  ]\n}", "\"maxBodyBytes\": 0}]} {}", "goes on after its end"},
+    };
+  }
+
+  @Test(dataProvider = "unreadable")
+  public void unreadableManifestIsRefused(String text, String instead, String told) {
+    ManifestException e = expectThrows(ManifestException.class, () -> decode(edit(text, instead)));
+    assertTrue(e.getMessage().contains(told), e.getMessage());
+  }
+
+  /** Text of the valid manifest, what stands there instead, and the path of the only fault. */
+  @DataProvider
+  public Object[][] faulty() {
+    return new Object[][] {
+      {"\"Test Gateway\"", "\"Test/Gateway\"", "gateway"},
+      {"\"baseVersion\": 0", "\"baseVersion\": -1", "baseVersion"},
+      {"127.0.0.1:9002", "127.0.0.1:9001", "services[0].targets[1].address"},
+      {"127.0.0.1:9002", "127.0.0.1:0", "services[0].targets[1].address"},
+      {"127.0.0.1:9002", "127.0.0.01:9001", "services[0].targets[1].address"},
+      {"\"zone\": \"kelet-1\"", "\"zone\": \"kozep-1\"", "services[0].targets[1].zone"},
+      {"\"slots\": 2,", "\"slots\": 241,", "services[0].targets[0].connections"},
+      {"\"calls\": 2", "\"calls\": 1", "services[0].coldStart.calls"},
+      {"\"callsPerSecond\": 20", "\"callsPerSecond\": 1", "services[0].coldStart.callsPerSecond"},
+      {"\"rampMillis\": 30000", "\"rampMillis\": 0", "services[0].coldStart.rampMillis"},
+      {"\"costMillis\": 6", "\"costMillis\": 101", "services[0].probe.intervalMillis"},
+      {"\"/load\"", "\"/a/../load\"", "services[0].probe.path"},
+      {"\"ejectPercent\": 30", "\"ejectPercent\": 101", "services[0].ejectPercent"},
+      {"\"name\": \"read\"", "\"name\": \"dispatch\"", "routes[1].name"},
+      {"press.example", "Press.example:80", "routes[0].host"},
+      {"[\"POST\"]", "[\"BREW\"]", "routes[0].methods"},
+      {"/issues/dispatch", "/issues//dispatch", "routes[0].pathPrefix"},
+      {"/issues/dispatch", "/issues/", "routes[0].pathPrefix"},
+      {"/issues/dispatch", "/issues%2f", "routes[0].pathPrefix"},
+      {
+        "\"service\": \"archive\", \"kind\": \"READ\"",
+        "\"service\": \"x\", \"kind\": \"READ\"",
+        "routes[1].service"
+      },
+      {"\"weight\": 20", "\"weight\": 1001", "routes[0].weight"},
+      {"\"deadlineMillis\": 800", "\"deadlineMillis\": 3600001", "routes[1].deadlineMillis"},
+      {"\"maxBodyBytes\": 65536", "\"maxBodyBytes\": -1", "routes[0].maxBodyBytes"},
+      {"[\"kozep\"]", "[\"nyugat\"]", "routes[0].homeRegions"},
+      {"\"KEY\"", "\"NONE\"", "routes[0].duplicateGuard"},
+      {
+        "\"press.example\", \"methods\": [\"POST\"], \"pathPrefix\": \"/issues/dispatch\"",
+        "\"\", \"methods\": [\"GET\", \"HEAD\"], \"pathPrefix\": \"/\"",
+        "routes[1]"
+      },
+    };
+  }
+
+  @Test(dataProvider = "faulty")
+  public void faultIsToldWithItsPath(String text, String instead, String path)
+      throws ManifestException {
+    List<ManifestFault> faults = validator.faults(decode(edit(text, instead)));
+    assertEquals(faults.stream().map(ManifestFault::path).toList(), List.of(path));
+  }
+
+  @Test
+  public void oversizedManifestIsRefusedUnread() {
+    byte[] large = new byte[ManifestBounds.MAX_DOCUMENT_BYTES + 1];
+    assertThrows(ManifestException.class, () -> codec.decode(large));
+  }
+
+  private Manifest decode(String json) throws ManifestException {
+    return codec.decode(json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String edit(String text, String instead) {
+    int at = VALID.indexOf(text);
+    assertTrue(at >= 0, text);
+    return VALID.substring(0, at) + instead + VALID.substring(at + text.length());
+  }
+
+  private static String resource(String name) {
+    try (InputStream in = ManifestTest.class.getResourceAsStream(name)) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new AssertionError(name, e);
+    }
+  }
+}
