Read settings against a JSON schema

A process that starts with a wrong address, unit or zone fails later and elsewhere. SettingsCodec checks the file against a schema that also holds the defaults, then what a schema can't tell: addresses that collide, the wildcard where others must reach the VM, keys and tokens given twice. All faults of one stage are told together with path and remedy, and never with a value, as a secret may stand there by mistake.

--- a/src/main/java/org/radishpost/lib/StrictJson.java
+++ b/src/main/java/org/radishpost/lib/StrictJson.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.regex.Pattern;
 import org.radishpost.errors.MalformedJsonException;
 
 /**
@@ -19,6 +20,7 @@
  */
 public final class StrictJson {
   private static final int MAX_NUMBER_CHARS = 20;
+  private static final Pattern TOKEN = Pattern.compile("^Unrecognized token '.*?'");
 
   private final Bounds bounds;
   private final ObjectMapper mapper;
@@ -83,7 +85,7 @@
     } catch (JsonProcessingException e) {
       throw new MalformedJsonException(
           "The document is not acceptable JSON%s: mend it there. The reader says: %s."
-              .formatted(place(parser), e.getOriginalMessage()),
+              .formatted(place(parser), withoutToken(e.getOriginalMessage())),
           e);
     } catch (IOException e) {
       throw new MalformedJsonException(
@@ -91,6 +93,11 @@
     }
   }
 
+  /** Leaves out a token that is not JSON, as it may be a secret that was put there by mistake. */
+  private static String withoutToken(String message) {
+    return TOKEN.matcher(message).replaceFirst("Unrecognized token");
+  }
+
   private static String place(JsonParser parser) {
     JsonLocation location = parser.currentLocation();
     return " at line %d, column %d (%s)"
--- /dev/null
+++ b/src/main/java/org/radishpost/settings/SettingsChecks.java
@@ -0,0 +1,104 @@
+package org.radishpost.settings;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.radishpost.errors.SettingsFault;
+import org.radishpost.lib.Digest;
+import org.radishpost.lib.Endpoint;
+
+/** The checks over several members, which a schema cannot tell. */
+final class SettingsChecks {
+  private static final Set<String> WILDCARDS = Set.of("0.0.0.0", "::");
+
+  private final NodeSettings settings;
+  private final List<SettingsFault> faults = new ArrayList<>();
+
+  private SettingsChecks(NodeSettings settings) {
+    this.settings = settings;
+  }
+
+  static List<SettingsFault> faults(NodeSettings settings) {
+    SettingsChecks checks = new SettingsChecks(settings);
+    checks.checkOwnAddresses();
+    checks.checkPlatform("platform.log", settings.platform().log());
+    checks.checkPlatform("platform.vmList", settings.platform().vmList());
+    checks.checkSecrets();
+    checks.checkLimits();
+    return checks.faults;
+  }
+
+  private void checkOwnAddresses() {
+    List<Listener> listeners = listeners();
+    for (int i = 0; i < listeners.size(); i++) {
+      for (Listener before : listeners.subList(0, i)) {
+        addIf(
+            overlap(before.address(), listeners.get(i).address()),
+            listeners.get(i).path(),
+            "is the address of " + before.path() + " too: give each its own port");
+      }
+    }
+    addIf(isWildcard(settings.hop()), "hop", "give the IP number that other VMs reach it by");
+    addIf(isWildcard(settings.link()), "link", "give the IP number that other VMs reach it by");
+  }
+
+  private void checkPlatform(String path, Endpoint address) {
+    addIf(address.port() == 0, path, "give the port of the platform's service, not 0");
+    addIf(isWildcard(address), path, "give the IP number of the platform's service");
+    for (Listener own : listeners()) {
+      addIf(
+          overlap(own.address(), address),
+          path,
+          "is the address of " + own.path() + " too: give that of the platform's service");
+    }
+  }
+
+  private void checkSecrets() {
+    addIf(
+        settings.homeKeyEnv().filter(settings.linkKeyEnv()::equals).isPresent(),
+        "homeKeyEnv",
+        "names the variable of linkKeyEnv: give each key its own");
+    Set<Digest> digests = new HashSet<>();
+    for (int i = 0; i < settings.tokens().size(); i++) {
+      addIf(
+          !digests.add(settings.tokens().get(i).digest()),
+          "tokens[" + i + "].digest",
+          "stands twice: put all scopes of a token into one entry");
+    }
+  }
+
+  private void checkLimits() {
+    addIf(
+        settings.limits().callerConnections() > settings.limits().connections(),
+        "limits.callerConnections",
+        "give at most limits.connections");
+  }
+
+  private List<Listener> listeners() {
+    return List.of(
+        new Listener("edge", settings.edge()),
+        new Listener("hop", settings.hop()),
+        new Listener("link", settings.link()),
+        new Listener("admin", settings.admin()));
+  }
+
+  private void addIf(boolean wrong, String path, String remedy) {
+    if (wrong) {
+      faults.add(new SettingsFault(path, remedy));
+    }
+  }
+
+  private static boolean overlap(Endpoint one, Endpoint other) {
+    return one.port() != 0
+        && one.port() == other.port()
+        && (one.ip().equals(other.ip()) || isWildcard(one) || isWildcard(other));
+  }
+
+  private static boolean isWildcard(Endpoint address) {
+    return WILDCARDS.contains(address.ip());
+  }
+
+  /** One address that the process listens on, with its path in the settings. */
+  private record Listener(String path, Endpoint address) {}
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/settings/SettingsCodec.java
@@ -0,0 +1,53 @@
+package org.radishpost.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.radishpost.errors.MalformedJsonException;
+import org.radishpost.errors.SettingsException;
+import org.radishpost.errors.SettingsFault;
+import org.radishpost.lib.StrictJson;
+
+/**
+ * Reads the settings of one process.
+ *
+ * <p>The JSON schema beside this class says what a file holds and the defaults of what it leaves
+ * out. Faults are told all together. Thread-safe.
+ */
+public final class SettingsCodec {
+  private static final StrictJson.Bounds BOUNDS =
+      new StrictJson.Bounds(512 * 1024, 8, 1_024, 50_000);
+
+  private final StrictJson json = new StrictJson(BOUNDS);
+  private final SettingsSchema schema = new SettingsSchema();
+
+  /**
+   * Reads settings.
+   *
+   * @throws SettingsException if they are not acceptable; it holds each fault with path and remedy,
+   *     and no value of a member
+   */
+  public NodeSettings decode(byte[] bytes) throws SettingsException {
+    JsonNode tree = tree(bytes);
+    refuse(schema.faults(tree));
+    schema.addDefaults(tree);
+    SettingsReader reader = new SettingsReader(tree);
+    refuse(reader.faults());
+    NodeSettings settings = reader.settings();
+    refuse(SettingsChecks.faults(settings));
+    return settings;
+  }
+
+  private JsonNode tree(byte[] bytes) throws SettingsException {
+    try {
+      return json.read(bytes);
+    } catch (MalformedJsonException e) {
+      throw new SettingsException(e.getMessage(), e);
+    }
+  }
+
+  private static void refuse(List<SettingsFault> faults) throws SettingsException {
+    if (!faults.isEmpty()) {
+      throw new SettingsException(faults);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/settings/SettingsCodecTest.java
@@ -0,0 +1,119 @@
+package org.radishpost.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.radishpost.errors.SettingsException;
+import org.radishpost.errors.SettingsFault;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Every fault of settings is refused with its path; defaults come from the schema. */
+public class SettingsCodecTest {
+  private static final String VALID = resource("valid.json");
+  private final SettingsCodec codec = new SettingsCodec();
+
+  @Test
+  public void whatIsLeftOutHasTheDefaultsOfTheSchema() throws SettingsException {
+    NodeSettings settings = decode(VALID);
+    assertEquals(settings.limits().headerBytes(), 8_192);
+    assertEquals(settings.limits().replayBytes(), 65_536);
+    assertEquals(settings.shutdown().drainLimit(), Duration.ofMinutes(1));
+    assertEquals(settings.balancing(), NodeSettings.Balancing.OWNER);
+    assertEquals(settings.logFormat(), NodeSettings.LogFormat.JSON);
+  }
+
+  /** Text of the valid settings, what stands there instead, and the path of the only fault. */
+  @DataProvider
+  public Object[][] faulty() {
+    return new Object[][] {
+      {"\"zone\": \"kozep-1\",", "", "zone"},
+      {"\"vm\": \"kozep-1-a\"", "\"vm\": \" \"", "vm"},
+      {"\"vm\":", "\"color\": 1, \"vm\":", "color"},
+      {"\"edge\": \"127.0.1.1:8080\"", "\"edge\": \"edge.example:8080\"", "edge"},
+      {"\"edge\": \"127.0.1.1:8080\"", "\"edge\": \"127.0.1.256:8080\"", "edge"},
+      {"\"edge\": \"127.0.1.1:8080\"", "\"edge\": \"127.0.1.1:65536\"", "edge"},
+      {"\"admin\": \"127.0.1.1:8083\"", "\"admin\": \"127.0.1.1:8080\"", "admin"},
+      {"\"admin\": \"127.0.1.1:8083\"", "\"admin\": \"0.0.0.0:8080\"", "admin"},
+      {"\"link\": \"127.0.1.1:8082\"", "\"link\": \"0.0.0.0:8082\"", "link"},
+      {"127.0.0.1:7001", "127.0.1.1:8083", "platform.log"},
+      {"127.0.0.1:7001", "127.0.0.1:0", "platform.log"},
+      {"\"log\":", "\"store\":", "platform.log,platform.store"},
+      {"RADISHPOST_HOME_KEY", "RADISHPOST_LINK_KEY", "homeKeyEnv"},
+      {"\"publish:szaklap\"", "\"publish\"", "tokens[0].scopes[1]"},
+      {"\"publish:szaklap\"", "\"read\"", "tokens[0].scopes"},
+      {"{\"headerBytes\": 8192}", "{\"headerBytes\": 100}", "limits.headerBytes"},
+      {"{\"headerBytes\": 8192}", "{\"headerBytes\": \"8k\"}", "limits.headerBytes"},
+      {"{\"headerBytes\": 8192}", "{\"slowSenderSeconds\": 10}", "limits.slowSenderSeconds"},
+      {"{\"headerBytes\": 8192}", "{\"connections\": 9}", "limits.callerConnections"},
+      {"\"limits\":", "\"balancing\": \"RANDOM\", \"limits\":", "balancing"},
+      {VALID, "[]", ""},
+      {VALID, "", ""},
+    };
+  }
+
+  @Test(dataProvider = "faulty")
+  public void faultIsToldWithItsPath(String text, String instead, String paths) {
+    List<SettingsFault> faults = refused(edit(text, instead)).faults();
+    assertEquals(
+        String.join(",", faults.stream().map(SettingsFault::path).sorted().toList()), paths);
+    assertTrue(faults.stream().allMatch(f -> f.remedy().length() > 20), faults.toString());
+  }
+
+  @Test
+  public void allFaultsAreToldTogether() {
+    String json = edit("\"zone\": \"kozep-1\",", "").replace("127.0.1.1:8080", "edge:1");
+    assertEquals(refused(json).faults().size(), 2);
+  }
+
+  @Test
+  public void freePortsMayBeTheSame() throws SettingsException {
+    NodeSettings settings = decode(VALID.replaceAll("127.0.1.1:808.", "127.0.0.1:0"));
+    assertEquals(settings.edge(), settings.admin());
+  }
+
+  /** Text of the valid settings and a secret that stands there instead. */
+  @DataProvider
+  public Object[][] secrets() {
+    return new Object[][] {
+      {"\"RADISHPOST_LINK_KEY\"", "\"hunter2\""},
+      {"\"RADISHPOST_LINK_KEY\"", "hunter2"},
+      {"\"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\"", "\"hunter2\""},
+      {"\"publish:szaklap\"", "\"hunter2\""},
+    };
+  }
+
+  @Test(dataProvider = "secrets")
+  public void secretPutThereByMistakeIsNotPrinted(String text, String instead) {
+    assertFalse(refused(edit(text, instead)).getMessage().contains("hunter2"));
+  }
+
+  private NodeSettings decode(String json) throws SettingsException {
+    return codec.decode(json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private SettingsException refused(String json) {
+    return expectThrows(SettingsException.class, () -> decode(json));
+  }
+
+  private static String edit(String text, String instead) {
+    int at = VALID.indexOf(text);
+    assertTrue(at >= 0, text);
+    return VALID.substring(0, at) + instead + VALID.substring(at + text.length());
+  }
+
+  private static String resource(String name) {
+    try (InputStream in = SettingsCodecTest.class.getResourceAsStream(name)) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new AssertionError(name, e);
+    }
+  }
+}
