Find routes and pools of a configuration

Every VM must find the same route and the same pools. Within a gateway the first route wins; of two gateways the one that names the host, then the longer prefix, then the gateway's name. A service has one pool for each zone in service; a pool of more than 64 targets is split into shards by rendezvous hashing, so that a 961st target, which adds a shard, moves less than twice its share of a sixteenth. What did not change between two configurations is kept.

--- /dev/null
+++ b/src/main/java/org/radishpost/routing/IndexedRouteTable.java
@@ -0,0 +1,99 @@
+package org.radishpost.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.RouteSpec;
+import org.radishpost.manifest.ServiceSpec;
+
+/**
+ * A route table that looks hosts up first and then walks the segments of the path.
+ *
+ * <p>Within a gateway the first route in its order wins. Of two gateways the one whose route names
+ * the host wins, then the longer path prefix, then the gateway's name, so that every VM finds the
+ * same route. Thread-safe.
+ */
+final class IndexedRouteTable implements RouteTable {
+  private static final String ANY_HOST = "";
+  private static final Comparator<RouteEntry> BETWEEN_GATEWAYS =
+      Comparator.comparing((RouteEntry entry) -> entry.route().host().isEmpty())
+          .thenComparing(entry -> -entry.route().pathPrefix().length())
+          .thenComparing(entry -> entry.gateway().value());
+
+  private final Configuration configuration;
+  private final Map<String, PathNode> hosts = new HashMap<>();
+  private final Map<RouteKey, RouteMatch> names = new HashMap<>();
+
+  IndexedRouteTable(Configuration configuration) {
+    this.configuration = configuration;
+    configuration.manifests().values().forEach(this::add);
+  }
+
+  @Override
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  @Override
+  public Optional<RouteMatch> find(String host, String method, String path) {
+    List<RouteEntry> found = new ArrayList<>();
+    collect(host, method, path, found);
+    if (!host.equals(ANY_HOST)) {
+      collect(ANY_HOST, method, path, found);
+    }
+    return found.stream().min(BETWEEN_GATEWAYS).map(RouteEntry::match);
+  }
+
+  @Override
+  public Optional<RouteMatch> byName(String gateway, String route) {
+    return Optional.ofNullable(names.get(new RouteKey(gateway, route)));
+  }
+
+  private void add(VersionedManifest versioned) {
+    Manifest manifest = versioned.manifest();
+    Map<ServiceName, ServiceSpec> services =
+        manifest.services().stream()
+            .collect(Collectors.toMap(ServiceSpec::name, Function.identity()));
+    int position = 0;
+    for (RouteSpec route : manifest.routes()) {
+      RouteMatch match = new RouteMatch(versioned, route, services.get(route.service()));
+      names.put(RouteKey.of(match), match);
+      hosts
+          .computeIfAbsent(route.host(), unused -> new PathNode())
+          .descend(route.pathPrefix())
+          .add(new RouteEntry(match, position++));
+    }
+  }
+
+  private void collect(String host, String method, String path, List<RouteEntry> found) {
+    PathNode root = hosts.get(host);
+    if (root != null) {
+      root.visit(path, entry -> keepFirst(entry, method, found));
+    }
+  }
+
+  /** Keeps at most one entry for each gateway: the first in its order. */
+  private static void keepFirst(RouteEntry entry, String method, List<RouteEntry> found) {
+    if (!entry.route().methods().contains(method)) {
+      return;
+    }
+    for (int i = 0; i < found.size(); i++) {
+      if (found.get(i).gateway().equals(entry.gateway())) {
+        if (entry.position() < found.get(i).position()) {
+          found.set(i, entry);
+        }
+        return;
+      }
+    }
+    found.add(entry);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/routing/PoolMap.java
@@ -0,0 +1,105 @@
+package org.radishpost.routing;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.PoolId;
+import org.radishpost.manifest.RouteSpec;
+import org.radishpost.manifest.TargetSpec;
+
+/**
+ * The pools of a configuration that are in service, and which of them may serve a route.
+ *
+ * <p>A service has one pool for each availability zone in service where it has targets; a pool of
+ * many targets is split into shards. Every VM builds the same pools from the same configuration.
+ * Start with {@link #EMPTY} and call {@link #next} at each change. Immutable and thread-safe.
+ */
+public final class PoolMap {
+  /** The pools before the first configuration. */
+  public static final PoolMap EMPTY = new PoolMap(Configuration.EMPTY, Map.of());
+
+  private final Map<GatewayName, GatewayPools> gateways = new HashMap<>();
+  private final Map<PoolId, PoolSpec> pools = new LinkedHashMap<>();
+  private final Map<RouteKey, Set<PoolId>> candidates = new HashMap<>();
+
+  private PoolMap(Configuration configuration, Map<GatewayName, GatewayPools> before) {
+    configuration.manifests().forEach((name, manifest) -> addGateway(before.get(name), manifest));
+    gateways.values().forEach(gateway -> addInService(gateway, configuration));
+  }
+
+  /** Returns the pools of the configuration. */
+  public static PoolMap of(Configuration configuration) {
+    return EMPTY.next(configuration);
+  }
+
+  /** Returns the pools of a later configuration; what did not change is not worked out again. */
+  public PoolMap next(Configuration configuration) {
+    return new PoolMap(configuration, gateways);
+  }
+
+  /** Returns all pools in service. */
+  public Set<PoolId> pools() {
+    return Collections.unmodifiableSet(pools.keySet());
+  }
+
+  /** Returns what a pool consists of, empty for a pool that is not in service. */
+  public Optional<PoolSpec> spec(PoolId pool) {
+    return Optional.ofNullable(pools.get(pool));
+  }
+
+  /** Returns the targets of a pool, none for a pool that is not in service. */
+  public List<TargetSpec> targetsOf(PoolId pool) {
+    return spec(pool).map(PoolSpec::targets).orElse(List.of());
+  }
+
+  /** Returns the slots of a pool's targets when warm, 0 for a pool that is not in service. */
+  public int slots(PoolId pool) {
+    PoolSpec spec = pools.get(pool);
+    return spec == null ? 0 : spec.slots();
+  }
+
+  /**
+   * Returns the pools in service that may serve a route, all within its home regions and always in
+   * the same order.
+   */
+  public Set<PoolId> candidates(RouteMatch match) {
+    return candidates.getOrDefault(RouteKey.of(match), Set.of());
+  }
+
+  private void addGateway(GatewayPools before, VersionedManifest manifest) {
+    boolean same = before != null && before.isOf(manifest);
+    gateways.put(manifest.manifest().gateway(), same ? before : new GatewayPools(manifest));
+  }
+
+  private void addInService(GatewayPools gateway, Configuration configuration) {
+    gateway
+        .pools()
+        .forEach(
+            (id, spec) -> {
+              if (configuration.inService(id.place())) {
+                pools.put(id, spec);
+              }
+            });
+    for (RouteSpec route : gateway.manifest().manifest().routes()) {
+      candidates.put(RouteKey.of(gateway.manifest(), route), allowed(gateway, route));
+    }
+  }
+
+  private Set<PoolId> allowed(GatewayPools gateway, RouteSpec route) {
+    Set<PoolId> found = new LinkedHashSet<>();
+    for (PoolId pool : gateway.of(route.service())) {
+      if (pools.containsKey(pool) && route.allows(pool.place().region())) {
+        found.add(pool);
+      }
+    }
+    return Collections.unmodifiableSet(found);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/routing/RouteKey.java
@@ -0,0 +1,15 @@
+package org.radishpost.routing;
+
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.manifest.RouteSpec;
+
+/** The names by which a route is known to all VMs. */
+record RouteKey(String gateway, String route) {
+  static RouteKey of(VersionedManifest manifest, RouteSpec route) {
+    return new RouteKey(manifest.manifest().gateway().value(), route.name());
+  }
+
+  static RouteKey of(RouteMatch match) {
+    return of(match.manifest(), match.route());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/routing/ShardSplit.java
@@ -0,0 +1,63 @@
+package org.radishpost.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.radishpost.manifest.TargetSpec;
+
+/**
+ * Splits the targets of one service in one zone into shards of a bounded mean size.
+ *
+ * <p>Each target goes to the shard that ranks highest for its address, so that a new target moves
+ * no other one, and a new shard takes only its own share from each of the others.
+ */
+final class ShardSplit {
+  static final int MAX_TARGETS_PER_SHARD = 64;
+
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+  private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
+
+  private ShardSplit() {}
+
+  /** Returns the targets of each shard that has any. */
+  static SortedMap<Integer, List<TargetSpec>> split(List<TargetSpec> targets) {
+    int shards = Math.ceilDiv(targets.size(), MAX_TARGETS_PER_SHARD);
+    SortedMap<Integer, List<TargetSpec>> split = new TreeMap<>();
+    for (TargetSpec target : targets) {
+      int shard = shardOf(target, shards);
+      split.computeIfAbsent(shard, unused -> new ArrayList<>()).add(target);
+    }
+    return split;
+  }
+
+  private static int shardOf(TargetSpec target, int shards) {
+    long hash = hash(target.address().toString());
+    int best = 0;
+    for (int shard = 1; shard < shards; shard++) {
+      if (Long.compareUnsigned(rank(hash, shard), rank(hash, best)) > 0) {
+        best = shard;
+      }
+    }
+    return best;
+  }
+
+  private static long rank(long hash, int shard) {
+    return mix(hash + GOLDEN_GAMMA * (shard + 1));
+  }
+
+  private static long hash(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return hash;
+  }
+
+  private static long mix(long bits) {
+    long once = (bits ^ (bits >>> 30)) * 0xbf58476d1ce4e5b9L;
+    long twice = (once ^ (once >>> 27)) * 0x94d049bb133111ebL;
+    return twice ^ (twice >>> 31);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/routing/PoolMapTest.java
@@ -0,0 +1,83 @@
+package org.radishpost.routing;
+
+import static org.radishpost.routing.Fixtures.configuration;
+import static org.radishpost.routing.Fixtures.gateway;
+import static org.radishpost.routing.Fixtures.route;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.Scope;
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.PoolId;
+import org.radishpost.manifest.TargetSpec;
+import org.testng.annotations.Test;
+
+/** Pools follow zones, home regions and what is in service. */
+public class PoolMapTest {
+  private static final VersionedManifest GATEWAY =
+      gateway(
+          "g",
+          Fixtures.service(2),
+          route("all", "", "/", "GET"),
+          route("home", "", "/home", "GET", "kozep", "kelet"));
+
+  @Test
+  public void poolsAreThoseInServiceWithinTheHomeRegions() {
+    PoolMap map = PoolMap.of(configuration(Set.of(), GATEWAY));
+    assertEquals(zones(map, "all").size(), 6);
+    assertEquals(zones(map, "home"), Set.of("kozep-1", "kozep-2", "kelet-1", "kelet-2"));
+    Scope zone = new Scope(Scope.Kind.ZONE, "kozep-1");
+    Scope region = new Scope(Scope.Kind.REGION, "kelet");
+    PoolMap less = map.next(configuration(Set.of(zone, region), GATEWAY));
+    assertEquals(zones(less, "home"), Set.of("kozep-2"));
+    assertEquals(less.pools().size(), 3);
+    PoolId gone = map.pools().iterator().next();
+    assertEquals(map.slots(gone), 4);
+    assertEquals(less.targetsOf(gone), List.of());
+  }
+
+  @Test
+  public void newTargetMovesFewOthersBetweenShards() {
+    List<TargetSpec> all = Fixtures.service(1_000).targets().subList(0, 1_000);
+    Map<Endpoint, Integer> before = shards(all.subList(0, 960));
+    Map<Endpoint, Integer> sameShards = shards(all.subList(0, 959));
+    Map<Endpoint, Integer> moreShards = shards(all.subList(0, 961));
+    assertEquals(moved(sameShards, before), 0);
+    long moved = moved(before, moreShards);
+    assertTrue(moved > 0 && moved < 2 * 960 / 16, "moved " + moved);
+  }
+
+  @Test
+  public void shardsShareTheTargetsEvenly() {
+    List<TargetSpec> targets = Fixtures.service(1_000).targets().subList(0, 1_000);
+    ShardSplit.split(targets)
+        .values()
+        .forEach(shard -> assertTrue(shard.size() > 32 && shard.size() < 128, "" + shard.size()));
+  }
+
+  private static Set<String> zones(PoolMap map, String route) {
+    Configuration configuration = configuration(Set.of(), GATEWAY);
+    RouteMatch match = RouteTables.of(configuration).byName("g", route).orElseThrow();
+    return map.candidates(match).stream()
+        .map(pool -> pool.place().zone().value())
+        .collect(Collectors.toSet());
+  }
+
+  private static Map<Endpoint, Integer> shards(List<TargetSpec> targets) {
+    Map<Endpoint, Integer> shards = new HashMap<>();
+    ShardSplit.split(targets)
+        .forEach((shard, members) -> members.forEach(each -> shards.put(each.address(), shard)));
+    return shards;
+  }
+
+  private static long moved(Map<Endpoint, Integer> before, Map<Endpoint, Integer> after) {
+    return before.keySet().stream().filter(e -> !before.get(e).equals(after.get(e))).count();
+  }
+}
