--- /dev/null
+++ b/src/main/java/org/radishpost/config/ConfigState.java
@@ -0,0 +1,122 @@
+package org.radishpost.config;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.manifest.Manifest;
+
+/**
+ * Everything that the records of the configuration stream up to one version amount to; immutable.
+ *
+ * <p>Two VMs at the same version have equal states, whichever way the records reached them.
+ *
+ * @param version the offset of the last record applied, 0 for none
+ * @param timeMillis the log's time of that record
+ * @param manifests the manifests in force
+ * @param scopes the last change of each scope
+ * @param operations the outcomes of the last operations, oldest first
+ */
+public record ConfigState(
+    long version,
+    long timeMillis,
+    Map<GatewayName, VersionedManifest> manifests,
+    Map<Scope, ScopeState> scopes,
+    Map<String, OperationOutcome> operations) {
+  /** How many operations are remembered. */
+  public static final int MAX_OPERATIONS = 2048;
+
+  /** How many VMs are remembered that were taken out or in. */
+  public static final int MAX_VM_SCOPES = 4096;
+
+  /** The state before the first record. */
+  public static final ConfigState EMPTY = new ConfigState(0, 0, Map.of(), Map.of(), Map.of());
+
+  /** Copies the maps. */
+  public ConfigState {
+    manifests = Map.copyOf(manifests);
+    scopes = Map.copyOf(scopes);
+    operations = Collections.unmodifiableMap(new LinkedHashMap<>(operations));
+  }
+
+  /** Returns the outcome of an operation, if it is remembered. */
+  public Optional<OperationOutcome> outcome(String operationId) {
+    return Optional.ofNullable(operations.get(operationId));
+  }
+
+  /** Returns the version of the gateway's manifest, 0 for none. */
+  public long manifestVersion(GatewayName gateway) {
+    VersionedManifest current = manifests.get(gateway);
+    return current == null ? 0 : current.version();
+  }
+
+  /** Returns the version of the scope's last change, 0 for none. */
+  public long scopeVersion(Scope scope) {
+    ScopeState current = scopes.get(scope);
+    return current == null ? 0 : current.version();
+  }
+
+  /** Returns what the VM works with. */
+  public Configuration configuration() {
+    return new Configuration(
+        version,
+        manifests,
+        scopes.entrySet().stream()
+            .filter(entry -> entry.getValue().out())
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toSet()));
+  }
+
+  /** Returns the state after a record that changes nothing. */
+  ConfigState skipped(long offset, long atMillis) {
+    return new ConfigState(offset, atMillis, manifests, scopes, operations);
+  }
+
+  /** Returns the state after an accepted change. */
+  ConfigState with(ConfigChange change, long offset) {
+    return switch (change) {
+      case ConfigChange.Publish publish -> withManifest(publish.manifest(), offset);
+      case ConfigChange.SetService set -> withScope(set, offset);
+    };
+  }
+
+  /** Returns the state that remembers the outcome. */
+  ConfigState remembering(OperationOutcome outcome) {
+    LinkedHashMap<String, OperationOutcome> kept = new LinkedHashMap<>(operations);
+    kept.put(outcome.operationId(), outcome);
+    if (kept.size() > MAX_OPERATIONS) {
+      kept.pollFirstEntry();
+    }
+    return new ConfigState(version, timeMillis, manifests, scopes, kept);
+  }
+
+  private ConfigState withManifest(Manifest manifest, long offset) {
+    Map<GatewayName, VersionedManifest> changed = new HashMap<>(manifests);
+    changed.put(manifest.gateway(), new VersionedManifest(offset, manifest));
+    return new ConfigState(version, timeMillis, changed, scopes, operations);
+  }
+
+  private ConfigState withScope(ConfigChange.SetService set, long offset) {
+    Map<Scope, ScopeState> changed = new HashMap<>(scopes);
+    changed.put(set.scope(), new ScopeState(set.out(), offset));
+    forgetOldVms(changed);
+    return new ConfigState(version, timeMillis, manifests, changed, operations);
+  }
+
+  private static void forgetOldVms(Map<Scope, ScopeState> scopes) {
+    TreeMap<Long, Scope> vms = new TreeMap<>();
+    scopes.forEach(
+        (scope, state) -> {
+          if (scope.kind() == Scope.Kind.VM) {
+            vms.put(state.version(), scope);
+          }
+        });
+    while (vms.size() > MAX_VM_SCOPES) {
+      scopes.remove(vms.pollFirstEntry().getValue());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/config/ConfigVerdicts.java
@@ -0,0 +1,104 @@
+package org.radishpost.config;
+
+import java.util.List;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ManifestFault;
+import org.radishpost.manifest.ManifestValidator;
+
+/**
+ * Decides whether a change is accepted, from the change and the state before it alone.
+ *
+ * <p>Thread-safe. Every VM must come to the same verdict, so these rules are part of the protocol.
+ */
+public final class ConfigVerdicts {
+  /** The base version that overrules whatever stands. */
+  public static final long ANY_VERSION = -1;
+
+  /** Longest name of a scope, in characters. */
+  public static final int MAX_SCOPE_CHARS = 100;
+
+  private final ManifestValidator validator;
+
+  /**
+   * Creates the verdicts.
+   *
+   * @param validator what makes a manifest acceptable
+   */
+  public ConfigVerdicts(ManifestValidator validator) {
+    this.validator = validator;
+  }
+
+  /** Returns why the change is refused in the state; none when it is accepted. */
+  public List<String> reasons(ConfigState before, ConfigChange change) {
+    List<String> faults = faults(change);
+    return faults.isEmpty() ? conflicts(before, change) : faults;
+  }
+
+  /** Returns why the change is refused now and in every later state; none when it may still do. */
+  public List<String> finalReasons(ConfigState now, ConfigChange change) {
+    List<String> faults = faults(change);
+    if (!faults.isEmpty()) {
+      return faults;
+    }
+    boolean overtaken = base(change) != ANY_VERSION && base(change) < standing(now, change);
+    return overtaken ? conflicts(now, change) : List.of();
+  }
+
+  private List<String> faults(ConfigChange change) {
+    return switch (change) {
+      case ConfigChange.Publish publish -> manifestFaults(publish.manifest());
+      case ConfigChange.SetService set -> scopeFaults(set);
+    };
+  }
+
+  private List<String> manifestFaults(Manifest manifest) {
+    return validator.faults(manifest).stream().map(ManifestFault::toString).toList();
+  }
+
+  private static List<String> scopeFaults(ConfigChange.SetService set) {
+    String name = set.scope().name();
+    if (name.isBlank() || name.length() > MAX_SCOPE_CHARS) {
+      return List.of("scope.name: must have 1 to " + MAX_SCOPE_CHARS + " characters");
+    }
+    if (set.baseVersion() < ANY_VERSION) {
+      return List.of("baseVersion: must be a version, 0 for none or -1 for any");
+    }
+    return List.of();
+  }
+
+  private static List<String> conflicts(ConfigState before, ConfigChange change) {
+    if (change instanceof ConfigChange.Publish(Manifest manifest) && foreign(before, manifest)) {
+      return List.of("gateway: the name is taken by another tenant: choose another name");
+    }
+    long base = base(change);
+    long standing = standing(before, change);
+    if (base == ANY_VERSION && change instanceof ConfigChange.SetService || base == standing) {
+      return List.of();
+    }
+    return List.of(
+        "baseVersion: the change was made for version "
+            + base
+            + ", but version "
+            + standing
+            + " is in force: read that one and make the change again");
+  }
+
+  private static boolean foreign(ConfigState before, Manifest manifest) {
+    VersionedManifest current = before.manifests().get(manifest.gateway());
+    return current != null && !current.manifest().tenant().equals(manifest.tenant());
+  }
+
+  private static long base(ConfigChange change) {
+    return switch (change) {
+      case ConfigChange.Publish publish -> publish.manifest().baseVersion();
+      case ConfigChange.SetService set -> set.baseVersion();
+    };
+  }
+
+  private static long standing(ConfigState state, ConfigChange change) {
+    return switch (change) {
+      case ConfigChange.Publish publish -> state.manifestVersion(publish.manifest().gateway());
+      case ConfigChange.SetService set -> state.scopeVersion(set.scope());
+    };
+  }
+}
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -19,6 +19,21 @@
   /** The process has stopped. */
   STOPPED(1005, Level.INFO),
 
+  /** A newer configuration is in force on this VM. */
+  CONFIG_APPLIED(2001, Level.INFO),
+  /** This VM knows a configuration as new as any it was told of, for the first time. */
+  CONFIG_CAUGHT_UP(2002, Level.INFO),
+  /** The log no longer keeps the records that come next; a snapshot has to bridge the gap. */
+  CONFIG_GAP(2003, Level.WARN),
+  /** This VM has appended a snapshot of the configuration. */
+  CONFIG_SNAPSHOT_WRITTEN(2004, Level.INFO),
+  /** A snapshot from the log or from a peer could not be read; it was left out. */
+  CONFIG_SNAPSHOT_MALFORMED(2005, Level.ERROR),
+  /** The log's last record is older than what this VM has applied; the log has lost records. */
+  CONFIG_LOG_WENT_BACK(2006, Level.ERROR),
+  /** A peer wanted more of the configuration than one message to it could hold or carry. */
+  CONFIG_PEER_UNSERVED(2007, Level.WARN),
+
   /** A link to a peer stands. */
   LINK_UP(3001, Level.INFO),
   /** No link to the peer stands any more, or it could not be reached. */
@@ -26,7 +41,12 @@
   /** A connection was closed because its peer broke the link protocol or holds another key. */
   LINK_REFUSED(3003, Level.WARN),
   /** A message of a type or version came that this release does not know; it was left out. */
-  LINK_MESSAGE_UNSUPPORTED(3004, Level.WARN);
+  LINK_MESSAGE_UNSUPPORTED(3004, Level.WARN),
+
+  /** The platform's log has been silent for long. */
+  LOG_SILENT(8001, Level.WARN),
+  /** The platform's log answers again. */
+  LOG_HEARD(8002, Level.INFO);
 
   /** How much an event matters. */
   public enum Level {
--- /dev/null
+++ b/src/main/java/org/radishpost/node/ConfigReplicaService.java
@@ -0,0 +1,259 @@
+package org.radishpost.node;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.config.ConfigAction;
+import org.radishpost.config.ConfigChange;
+import org.radishpost.config.ConfigEvent;
+import org.radishpost.config.ConfigFreshness;
+import org.radishpost.config.ConfigReplica;
+import org.radishpost.config.ConfigReplicaOptions;
+import org.radishpost.config.ConfigService;
+import org.radishpost.config.ConfigStreams;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.PublishResult;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventSink;
+import org.radishpost.lib.VmId;
+import org.radishpost.link.LinkMessage;
+import org.radishpost.link.Links;
+import org.radishpost.link.PeerEvent;
+import org.radishpost.platform.PlatformLog;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * The configuration service of one VM: does what its {@link ConfigReplica} decides.
+ *
+ * <p>Create it, {@link #start} it before the links are started, and {@link #stop} it at the end.
+ * Thread-safe: every event passes through one worker of the scheduler.
+ */
+public final class ConfigReplicaService implements ConfigService {
+  private static final Duration ANSWER_LIMIT = Duration.ofSeconds(5);
+
+  private final ConfigReplica replica;
+  private final ConfigReplicaOptions options;
+  private final PlatformLog log;
+  private final Links links;
+  private final EventSink events;
+  private final Scheduler scheduler;
+  private final Scheduler.Worker worker;
+  private final Sinks.Empty<Void> stopped = Sinks.empty();
+  private final Map<Long, MonoSink<PublishResult>> waiting = new HashMap<>();
+  private final Sinks.Many<Configuration> installed =
+      Sinks.many().replay().latestOrDefault(Configuration.EMPTY);
+  private volatile Configuration current = Configuration.EMPTY;
+  private volatile boolean caughtUp;
+  private volatile long announcedVersion;
+  private volatile ConfigFreshness freshness;
+  private long lastTicket;
+
+  /**
+   * Creates a service that does nothing yet.
+   *
+   * @param replica the decisions; used by this service alone from now on
+   * @param options the same as the replica's
+   * @param log the platform's log
+   * @param links the links to other VMs
+   * @param events takes the events
+   * @param scheduler runs the work on one of its workers and gives the time
+   */
+  public ConfigReplicaService(
+      ConfigReplica replica,
+      ConfigReplicaOptions options,
+      PlatformLog log,
+      Links links,
+      EventSink events,
+      Scheduler scheduler) {
+    this.replica = replica;
+    this.options = options;
+    this.log = log;
+    this.links = links;
+    this.events = events;
+    this.scheduler = scheduler;
+    this.worker = scheduler.createWorker();
+    this.freshness = replica.freshness(nowNanos());
+  }
+
+  /** Begins to read the log and to listen to peers. */
+  public void start() {
+    links.events().takeUntilOther(stopped.asMono()).subscribe(this::peerEvent);
+    worker.schedule(() -> replica.start().forEach(this::perform));
+    long tickNanos = options.tick().toNanos();
+    worker.schedulePeriodically(
+        () -> handle(new ConfigEvent.Tick()), tickNanos, tickNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Stops; whoever still waits for an answer gets an unknown one at its own limit. */
+  public void stop() {
+    stopped.tryEmitEmpty();
+    worker.dispose();
+  }
+
+  @Override
+  public Configuration current() {
+    return current;
+  }
+
+  @Override
+  public Flux<Configuration> changes() {
+    return installed.asFlux();
+  }
+
+  @Override
+  public Mono<PublishResult> publish(String operationId, ConfigChange change, Duration limit) {
+    Mono<PublishResult> answer =
+        Mono.create(sink -> worker.schedule(() -> ask(sink, operationId, change, limit)));
+    PublishResult unknown = new PublishResult.Unknown(operationId);
+    Duration guard = limit.plus(options.tick().multipliedBy(2));
+    return answer
+        .onErrorReturn(RejectedExecutionException.class, unknown)
+        .timeout(guard, Mono.just(unknown), scheduler);
+  }
+
+  @Override
+  public boolean caughtUp() {
+    return caughtUp;
+  }
+
+  /** Returns the version to tell peers with heartbeats: 0 until this VM has caught up. */
+  public long announcedVersion() {
+    return announcedVersion;
+  }
+
+  /** Returns how well this VM knows the configuration, as of the last tick. */
+  public ConfigFreshness freshness() {
+    return freshness;
+  }
+
+  private void ask(
+      MonoSink<PublishResult> sink, String operationId, ConfigChange change, Duration limit) {
+    long ticket = ++lastTicket;
+    waiting.put(ticket, sink);
+    handle(new ConfigEvent.PublishAsked(ticket, operationId, change, limit));
+  }
+
+  private void submit(ConfigEvent event) {
+    if (!worker.isDisposed()) {
+      worker.schedule(() -> handle(event));
+    }
+  }
+
+  private void handle(ConfigEvent event) {
+    replica.handle(event, nowNanos()).forEach(this::perform);
+    caughtUp = replica.caughtUp();
+    announcedVersion = replica.announcedVersion();
+    freshness = replica.freshness(nowNanos());
+  }
+
+  private void perform(ConfigAction action) {
+    switch (action) {
+      case ConfigAction.ReadLog read -> readLog(read);
+      case ConfigAction.ReadSnapshots read -> readSnapshots(read);
+      case ConfigAction.Append append -> append(append);
+      case ConfigAction.AppendSnapshot append -> appendSnapshot(append);
+      case ConfigAction.AskPeer ask ->
+          tell(ask.peer(), new LinkMessage.ConfigWanted(ask.fromOffset()));
+      case ConfigAction.SendRecords send ->
+          tell(send.peer(), new LinkMessage.ConfigRecords(send.records()));
+      case ConfigAction.SendSnapshot send ->
+          tell(send.peer(), new LinkMessage.ConfigSnapshot(send.snapshot()));
+      case ConfigAction.Answer answer ->
+          Optional.ofNullable(waiting.remove(answer.ticket()))
+              .ifPresent(sink -> sink.success(answer.result()));
+      case ConfigAction.Install install -> install(install.configuration());
+      case ConfigAction.Note note ->
+          events.emit(note.code(), note.fields().toArray(new EventField[0]));
+    }
+  }
+
+  private void install(Configuration configuration) {
+    current = configuration;
+    installed.emitNext(configuration, Sinks.EmitFailureHandler.FAIL_FAST);
+  }
+
+  private void readLog(ConfigAction.ReadLog read) {
+    Duration limit = options.readWait().plus(ANSWER_LIMIT);
+    later(
+        read.pause(),
+        log.read(ConfigStreams.CONFIG, read.fromOffset(), options.readRecords(), options.readWait())
+            .timeout(limit, scheduler)
+            .<ConfigEvent>map(ConfigEvent.LogRead::new),
+        new ConfigEvent.LogReadFailed());
+  }
+
+  private void readSnapshots(ConfigAction.ReadSnapshots read) {
+    later(
+        read.pause(),
+        log.read(ConfigStreams.SNAPSHOT, read.fromOffset(), read.maxRecords(), Duration.ZERO)
+            .timeout(ANSWER_LIMIT, scheduler)
+            .<ConfigEvent>map(ConfigEvent.SnapshotsRead::new),
+        new ConfigEvent.SnapshotsReadFailed());
+  }
+
+  private void append(ConfigAction.Append append) {
+    String operation = append.operationId();
+    later(
+        Duration.ZERO,
+        log.append(ConfigStreams.CONFIG, append.payload())
+            .timeout(ANSWER_LIMIT, scheduler)
+            .<ConfigEvent>map(landed -> new ConfigEvent.Appended(operation, landed)),
+        new ConfigEvent.AppendFailed(operation));
+  }
+
+  private void appendSnapshot(ConfigAction.AppendSnapshot append) {
+    later(
+        Duration.ZERO,
+        log.append(ConfigStreams.SNAPSHOT, append.payload())
+            .timeout(ANSWER_LIMIT, scheduler)
+            .<ConfigEvent>map(landed -> new ConfigEvent.SnapshotAppended(true)),
+        new ConfigEvent.SnapshotAppended(false));
+  }
+
+  private void later(Duration pause, Mono<ConfigEvent> request, ConfigEvent onFailure) {
+    Mono<ConfigEvent> paused =
+        pause.isZero() ? request : Mono.delay(pause, scheduler).then(request);
+    paused.onErrorReturn(onFailure).takeUntilOther(stopped.asMono()).subscribe(this::submit);
+  }
+
+  private void tell(VmId peer, LinkMessage message) {
+    if (!links.tell(peer, message)) {
+      events.emit(EventCode.CONFIG_PEER_UNSERVED, EventField.of("peer", peer));
+    }
+  }
+
+  private void peerEvent(PeerEvent event) {
+    switch (event) {
+      case PeerEvent.Up up -> submit(new ConfigEvent.PeerUp(up.peer()));
+      case PeerEvent.Down down -> submit(new ConfigEvent.PeerDown(down.peer()));
+      case PeerEvent.Released released -> submit(new ConfigEvent.PeerDown(released.peer()));
+      case PeerEvent.Told told -> told(told.peer(), told.message());
+    }
+  }
+
+  private void told(VmId peer, LinkMessage message) {
+    switch (message) {
+      case LinkMessage.Heartbeat beat ->
+          submit(new ConfigEvent.PeerVersion(peer, beat.configVersion()));
+      case LinkMessage.ConfigWanted wanted ->
+          submit(new ConfigEvent.PeerWants(peer, wanted.fromOffset()));
+      case LinkMessage.ConfigRecords sent ->
+          submit(new ConfigEvent.PeerRecords(peer, sent.records()));
+      case LinkMessage.ConfigSnapshot sent ->
+          submit(new ConfigEvent.PeerSnapshot(peer, sent.snapshot()));
+      default -> {}
+    }
+  }
+
+  private long nowNanos() {
+    return scheduler.now(TimeUnit.NANOSECONDS);
+  }
+}
