--- /dev/null
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -0,0 +1,332 @@
+package org.radishpost.link;
+
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.DecoderException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.radishpost.errors.LinkException;
+import org.radishpost.errors.StartException;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventSink;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * Links over TCP, proved by a shared key; thread-safe.
+ *
+ * <p>Subscribe to {@link #events}, set the answerer, {@link #start}, then say with {@link #keep}
+ * which peers to stay linked to and with {@link #connect} which one is needed for a while. {@link
+ * #stop} says farewell first.
+ */
+public final class TcpLinks implements Links {
+  private static final int EVENT_LOOPS = 2;
+  private static final Duration LOOP_STOP_LIMIT = Duration.ofSeconds(1);
+
+  private final byte[] key;
+  private final LinkOptions options;
+  private final Scheduler scheduler;
+  private final LinkControl control;
+  private final EventSink events;
+  private final RandomGenerator random;
+  private final LongSupplier configVersion;
+  private final LoopResources loops = LoopResources.create("link", EVENT_LOOPS, true);
+  private final Set<LinkConnection> unproved = ConcurrentHashMap.newKeySet();
+  private volatile BiFunction<VmId, LinkMessage, Mono<LinkMessage>> answerer =
+      (peer, message) -> Mono.empty();
+  private volatile VmEntry self;
+  private volatile boolean stopping;
+  private volatile Optional<DisposableServer> server = Optional.empty();
+
+  /**
+   * Creates links that do not listen yet.
+   *
+   * @param self this VM; port 0 of its link address stands for any free one
+   * @param key the key that all VMs share
+   * @param options bounds and intervals
+   * @param scheduler runs the control work on one of its workers and gives the time
+   * @param events takes the events of the links
+   * @param random a cryptographically strong source, for nonces and waits
+   * @param configVersion the version of the configuration in force, told with heartbeats
+   */
+  public TcpLinks(
+      VmEntry self,
+      byte[] key,
+      LinkOptions options,
+      Scheduler scheduler,
+      EventSink events,
+      RandomGenerator random,
+      LongSupplier configVersion) {
+    this.self = self;
+    this.key = key.clone();
+    this.options = options;
+    this.scheduler = scheduler;
+    this.events = events;
+    this.random = random;
+    this.configVersion = configVersion;
+    this.control = new LinkControl(self.id(), options, scheduler, events, random, this::dial);
+  }
+
+  /**
+   * Listens and starts to keep links.
+   *
+   * @return this VM with the address that it listens on; or {@link StartException}
+   */
+  public Mono<VmEntry> start() {
+    return TcpServer.create()
+        .runOn(loops)
+        .host(self.link().ip())
+        .port(self.link().port())
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .doOnConnection(this::accept)
+        .bind()
+        .map(this::started)
+        .onErrorMap(
+            cause ->
+                new StartException(
+                    "The link address "
+                        + self.link()
+                        + " cannot be listened on. Free it or change the settings.",
+                    cause));
+  }
+
+  /** Returns the address that peers reach this VM at. */
+  public Endpoint boundAddress() {
+    return self.link();
+  }
+
+  /** Stays linked to these peers, and lets links to others go when nothing uses them. */
+  public void keep(Set<VmEntry> wanted) {
+    control.keep(wanted);
+  }
+
+  /** Opens a link to the peer if none stands, and keeps it while it is used. */
+  public void connect(VmEntry entry) {
+    control.connect(entry);
+  }
+
+  /** Says to all peers that this VM is about to stop; links stay up until {@link #stop}. */
+  public void farewell() {
+    control.peers().forEach(peer -> tell(peer.id, new LinkMessage.Farewell()));
+  }
+
+  /** Says farewell, closes all links and stops listening. */
+  public Mono<Void> stop() {
+    return Mono.defer(
+        () -> {
+          farewell();
+          stopping = true;
+          control.stopDialing();
+          server.ifPresent(Disposable::dispose);
+          List<Link> open =
+              Stream.concat(
+                      unproved.stream(),
+                      control.peers().stream().flatMap(peer -> peer.standing().stream()))
+                  .toList();
+          open.forEach(Link::close);
+          return Mono.when(open.stream().map(Link::onClosed).toList())
+              .then(loops.disposeLater(Duration.ZERO, LOOP_STOP_LIMIT))
+              .doFinally(signal -> control.dispose());
+        });
+  }
+
+  /** Returns what went over the links, one for each known peer. */
+  public List<PeerTraffic> traffic() {
+    return control.peers().stream().map(PeerLinks::snapshot).toList();
+  }
+
+  @Override
+  public boolean tell(VmId peer, LinkMessage message) {
+    return preferred(peer).map(link -> link.tell(message)).orElse(false);
+  }
+
+  @Override
+  public Mono<LinkMessage> ask(VmId peer, LinkMessage message, Duration limit) {
+    return Mono.defer(() -> askNow(peer, message))
+        .timeout(limit, scheduler)
+        .onErrorMap(
+            TimeoutException.class,
+            cause ->
+                new LinkException(
+                    "No answer came from " + peer + " in time. Ask another VM or later.", cause));
+  }
+
+  @Override
+  public void answerWith(BiFunction<VmId, LinkMessage, Mono<LinkMessage>> newAnswerer) {
+    answerer = newAnswerer;
+  }
+
+  @Override
+  public Flux<PeerEvent> events() {
+    return control.events();
+  }
+
+  @Override
+  public Optional<LinkSession> session(VmId peer) {
+    return preferred(peer).map(Link::session);
+  }
+
+  @Override
+  public Optional<LinkSession> session(VmId peer, String id) {
+    return control.peer(peer).flatMap(links -> links.session(id));
+  }
+
+  private Mono<LinkMessage> askNow(VmId peer, LinkMessage message) {
+    Optional<Link> link = preferred(peer);
+    return link.isPresent()
+        ? link.get().ask(message)
+        : Mono.error(new LinkException("No link to " + peer + " stands. Ask another VM or later."));
+  }
+
+  private Optional<Link> preferred(VmId peer) {
+    return control.peer(peer).flatMap(PeerLinks::preferred);
+  }
+
+  private VmEntry started(DisposableServer bound) {
+    server = Optional.of(bound);
+    Endpoint link = new Endpoint(self.link().ip(), bound.port());
+    self = new VmEntry(self.id(), self.place(), link, self.hop(), self.leaving());
+    control.start();
+    return self;
+  }
+
+  private void accept(Connection connection) {
+    if (stopping || unproved.size() >= options.unprovedConnections()) {
+      connection.dispose();
+      return;
+    }
+    open(connection, Handshake.accept(key, self, nonce()), false, new AcceptListener());
+  }
+
+  private void dial(VmEntry target) {
+    TcpClient.newConnection()
+        .runOn(loops)
+        .host(target.link().ip())
+        .port(target.link().port())
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectLimit().toMillis())
+        .doOnConnected(connection -> dialed(connection, target))
+        .connect()
+        .subscribe(connection -> {}, cause -> control.dialFailed(target.id()));
+  }
+
+  private void dialed(Connection connection, VmEntry target) {
+    open(connection, Handshake.dial(key, self, nonce()), true, new DialListener(target.id()));
+  }
+
+  private void open(
+      Connection connection,
+      Handshake handshake,
+      boolean dialer,
+      LinkConnection.Listener listener) {
+    LinkConnection link =
+        new LinkConnection(
+            connection, handshake, dialer, options, configVersion, control::nowNanos, listener);
+    unproved.add(link);
+    Disposable limit =
+        scheduler.schedule(
+            () -> closeUnproved(link), options.connectLimit().toNanos(), TimeUnit.NANOSECONDS);
+    connection.onDispose(limit);
+    link.start();
+  }
+
+  private void closeUnproved(LinkConnection link) {
+    if (!link.proved()) {
+      link.close();
+    }
+  }
+
+  private byte[] nonce() {
+    byte[] nonce = new byte[Handshake.NONCE_BYTES];
+    random.nextBytes(nonce);
+    return nonce;
+  }
+
+  /** Listens to a link that a peer dialed. */
+  private class AcceptListener implements LinkConnection.Listener {
+    @Override
+    public TrafficCounter counterOf(VmId peer) {
+      return control.peerOf(peer).traffic;
+    }
+
+    @Override
+    public void proved(LinkConnection link) {
+      unproved.remove(link);
+      control.up(link);
+    }
+
+    @Override
+    public void closed(LinkConnection link, Optional<Throwable> cause) {
+      unproved.remove(link);
+      cause
+          .filter(fault -> fault instanceof LinkException || fault instanceof DecoderException)
+          .ifPresent(fault -> control.refused(link.address(), fault.getMessage()));
+      if (link.proved()) {
+        control.gone(link);
+      }
+    }
+
+    @Override
+    public void told(VmId peer, LinkMessage message) {
+      control.told(peer, message);
+    }
+
+    @Override
+    public Mono<LinkMessage> answer(VmId peer, LinkMessage message) {
+      return answerer.apply(peer, message);
+    }
+
+    @Override
+    public void unsupported(VmId peer, Frame frame) {
+      events.emit(
+          EventCode.LINK_MESSAGE_UNSUPPORTED,
+          EventField.of("peer", peer),
+          EventField.of("type", frame.type()),
+          EventField.of("version", frame.version()));
+    }
+  }
+
+  /** Listens to a link that this VM dialed. */
+  private final class DialListener extends AcceptListener {
+    private final VmId dialed;
+
+    DialListener(VmId dialed) {
+      this.dialed = dialed;
+    }
+
+    @Override
+    public void proved(LinkConnection link) {
+      if (!link.peer().id().equals(dialed)) {
+        control.dialFailed(dialed);
+      }
+      super.proved(link);
+    }
+
+    @Override
+    public void closed(LinkConnection link, Optional<Throwable> cause) {
+      if (!link.proved()) {
+        control.dialFailed(dialed);
+      }
+      super.closed(link, cause);
+    }
+  }
+}
