--- /dev/null
+++ b/src/test/java/org/radishpost/config/ConfigScheduleTest.java
@@ -0,0 +1,96 @@
+package org.radishpost.config;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.radishpost.platform.LogRecord;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Random schedules keep the invariants, and broken rules do not. */
+public class ConfigScheduleTest {
+  private static final int SEEDS = Integer.getInteger("seeds", 30);
+
+  @Test
+  public void randomSchedulesKeepTheInvariants() {
+    long accepted = 0;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      ConfigSchedule schedule = new ConfigSchedule(seed, new LogOrderRules());
+      schedule.run();
+      accepted += schedule.acceptedCount();
+    }
+    assertTrue(accepted > 5L * SEEDS, "only " + accepted + " changes were accepted");
+  }
+
+  /** Rules that break the protocol. */
+  @DataProvider
+  public Object[][] brokenRules() {
+    return new Object[][] {
+      {new ArrivalOrder()}, {new NewVersionCarried()}, {new OldStateAdopted()},
+    };
+  }
+
+  @Test(dataProvider = "brokenRules")
+  public void brokenRulesAreFound(ReplicaRules broken) {
+    long found = LongStream.rangeClosed(1, 10).filter(seed -> fails(seed, broken)).count();
+    assertTrue(found > 0, broken + " went unseen");
+  }
+
+  private static boolean fails(long seed, ReplicaRules rules) {
+    try {
+      new ConfigSchedule(seed, rules).run();
+      return false;
+    } catch (AssertionError found) {
+      return true;
+    }
+  }
+
+  /** Applies every newer record as it arrives. */
+  private static final class ArrivalOrder extends Delegating {
+    @Override
+    public boolean comesNext(ConfigState state, LogRecord record) {
+      return record.offset() > state.version();
+    }
+  }
+
+  /** Carries the state on as if it were a new change. */
+  private static final class NewVersionCarried extends Delegating {
+    @Override
+    public ConfigState carried(ConfigState state, long toldVersion) {
+      return state.skipped(toldVersion + 1, state.timeMillis());
+    }
+  }
+
+  /** Takes the newest snapshot on the stream for the newest state. */
+  private static final class OldStateAdopted extends Delegating {
+    @Override
+    public Optional<ConfigState> adopted(ConfigState own, ConfigState other) {
+      return Optional.of(other.skipped(Math.max(own.version(), other.version()), 0));
+    }
+  }
+
+  private abstract static class Delegating implements ReplicaRules {
+    private final ReplicaRules right = new LogOrderRules();
+
+    @Override
+    public boolean comesNext(ConfigState state, LogRecord record) {
+      return right.comesNext(state, record);
+    }
+
+    @Override
+    public Optional<ConfigState> adopted(ConfigState own, ConfigState other) {
+      return right.adopted(own, other);
+    }
+
+    @Override
+    public ConfigState carried(ConfigState state, long toldVersion) {
+      return right.carried(state, toldVersion);
+    }
+
+    @Override
+    public String toString() {
+      return getClass().getSimpleName();
+    }
+  }
+}
