Decide claims by the order of the platform's log

Cause: a call with an idempotency key may run once, whichever VM its caller sends it through, with two owners, paused VMs and lost answers.

Claims.withdraw takes the whole request, as the owner and the time of the key are needed to record it.

--- /dev/null
+++ b/src/main/java/org/radishpost/claims/ClaimCodec.java
@@ -0,0 +1,143 @@
+package org.radishpost.claims;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Writes and reads the records of a claim stream: a MessagePack array of the version, then each
+ * entry's fields in turn.
+ */
+final class ClaimCodec {
+  /** More than any entry takes besides the body and the content type of its outcome. */
+  static final int ENTRY_BYTES = 64;
+
+  private static final int VERSION = 1;
+  private static final int CLAIM = 1;
+  private static final int WITHDRAWAL = 2;
+  private static final int SETTLEMENT = 3;
+  private static final MessagePackFactory FACTORY = new MessagePackFactory();
+
+  private ClaimCodec() {}
+
+  /** Returns the most bytes that the entry takes in a record. */
+  static int size(ClaimEntry entry) {
+    if (entry instanceof ClaimEntry.Settlement settlement) {
+      ClaimOutcome outcome = settlement.outcome();
+      return ENTRY_BYTES + outcome.body().length + 3 * outcome.contentType().length();
+    }
+    return ENTRY_BYTES;
+  }
+
+  /** Encodes one record. */
+  static byte[] encode(List<ClaimEntry> entries) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (JsonGenerator generator = FACTORY.createGenerator(out)) {
+      generator.writeStartArray();
+      generator.writeNumber(VERSION);
+      for (ClaimEntry entry : entries) {
+        write(generator, entry);
+      }
+      generator.writeEndArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("writing to memory cannot fail", e);
+    }
+    return out.toByteArray();
+  }
+
+  /** Decodes one record, empty when it is not one of this version. */
+  static Optional<List<ClaimEntry>> decode(byte[] payload) {
+    if (payload.length > ClaimLimits.MAX_RECORD_BYTES) {
+      return Optional.empty();
+    }
+    try (JsonParser parser = FACTORY.createParser(payload)) {
+      return Optional.of(readAll(parser, payload.length));
+    } catch (IOException | MessagePackException | ArithmeticException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static void write(JsonGenerator generator, ClaimEntry entry) throws IOException {
+    generator.writeNumber(kind(entry));
+    generator.writeBinary(entry.key().bytes());
+    generator.writeBinary(entry.attempt().bytes());
+    generator.writeNumber(entry.keyMillis());
+    switch (entry) {
+      case ClaimEntry.Claim claim -> generator.writeNumber(claim.check());
+      case ClaimEntry.Withdrawal unused -> {}
+      case ClaimEntry.Settlement settlement -> {
+        generator.writeNumber(settlement.outcome().status());
+        generator.writeString(settlement.outcome().contentType());
+        generator.writeBinary(settlement.outcome().body());
+      }
+    }
+  }
+
+  private static int kind(ClaimEntry entry) {
+    return switch (entry) {
+      case ClaimEntry.Claim unused -> CLAIM;
+      case ClaimEntry.Withdrawal unused -> WITHDRAWAL;
+      case ClaimEntry.Settlement unused -> SETTLEMENT;
+    };
+  }
+
+  private static List<ClaimEntry> readAll(JsonParser parser, int length) throws IOException {
+    require(parser.nextToken() == JsonToken.START_ARRAY);
+    require(readLong(parser) == VERSION);
+    List<ClaimEntry> entries = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      require(parser.currentToken() == JsonToken.VALUE_NUMBER_INT);
+      entries.add(readEntry(parser, parser.getIntValue()));
+    }
+    require(parser.currentLocation().getByteOffset() == length);
+    return entries;
+  }
+
+  private static ClaimEntry readEntry(JsonParser parser, int kind) throws IOException {
+    ShortDigest key = readDigest(parser);
+    ShortDigest attempt = readDigest(parser);
+    long keyMillis = readLong(parser);
+    return switch (kind) {
+      case CLAIM -> new ClaimEntry.Claim(key, attempt, keyMillis, readLong(parser));
+      case WITHDRAWAL -> new ClaimEntry.Withdrawal(key, attempt, keyMillis);
+      case SETTLEMENT -> new ClaimEntry.Settlement(key, attempt, keyMillis, readOutcome(parser));
+      default -> throw new IOException("unknown kind of entry");
+    };
+  }
+
+  private static ClaimOutcome readOutcome(JsonParser parser) throws IOException {
+    int status = Math.toIntExact(readLong(parser));
+    require(parser.nextToken() == JsonToken.VALUE_STRING);
+    String contentType = parser.getText();
+    return new ClaimOutcome(status, contentType, readBinary(parser));
+  }
+
+  private static ShortDigest readDigest(JsonParser parser) throws IOException {
+    byte[] bytes = readBinary(parser);
+    require(bytes.length == ShortDigest.BYTES);
+    return ShortDigest.read(bytes);
+  }
+
+  private static byte[] readBinary(JsonParser parser) throws IOException {
+    require(parser.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
+    return parser.getBinaryValue();
+  }
+
+  private static long readLong(JsonParser parser) throws IOException {
+    require(parser.nextToken() == JsonToken.VALUE_NUMBER_INT);
+    return parser.getLongValue();
+  }
+
+  private static void require(boolean wellFormed) throws IOException {
+    if (!wellFormed) {
+      throw new IOException("not a record of claims");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/claims/ClaimLimits.java
@@ -0,0 +1,66 @@
+package org.radishpost.claims;
+
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.radishpost.lib.Digest;
+
+/**
+ * The bounds of the claim protocol, the same on every VM.
+ *
+ * <p>{@link #SHARDS}, {@link #MAX_SKEW_MILLIS} and {@link #MAX_DEAD_ATTEMPTS} are part of the
+ * protocol: VMs that use other values must not share a log.
+ */
+public final class ClaimLimits {
+  /** The number of streams that claims are spread over. */
+  public static final int SHARDS = 4;
+
+  /** How far the time of a key may be ahead of the log's time. */
+  public static final long MAX_SKEW_MILLIS = 60_000;
+
+  /** The most appends a second to one stream, all VMs together. */
+  public static final int APPENDS_PER_SECOND = 50;
+
+  /** The appends that an idle stream takes at once. */
+  public static final int APPEND_BURST = 5;
+
+  /** The largest record. */
+  public static final int MAX_RECORD_BYTES = 65_536;
+
+  /** The largest body that is kept of an answer. */
+  public static final int MAX_BODY_BYTES = 1_024;
+
+  /** The longest content type that is kept of an answer. */
+  public static final int MAX_CONTENT_TYPE_CHARS = 100;
+
+  /** The attempts that a key remembers as never to be granted. */
+  static final int MAX_DEAD_ATTEMPTS = 8;
+
+  /** The claims and endings that wait for one stream on one VM. */
+  static final int MAX_OPEN = 20_000;
+
+  /** The memory that one stream's index may take, by estimate. */
+  static final long MAX_INDEX_BYTES = 16L << 20;
+
+  /** The records asked for by one read. */
+  static final int READ_RECORDS = 100;
+
+  /** The wait before the log is tried again after a failure. */
+  static final long RETRY_NANOS = 100_000_000;
+
+  /** How often an idle index looks for new records and for those that have expired. */
+  static final long REFRESH_NANOS = 5_000_000_000L;
+
+  private static final String PREFIX = "claims-";
+
+  private ClaimLimits() {}
+
+  /** Returns the stream that holds the claims of a key, which is also the name of its shard. */
+  public static String streamOf(Digest key) {
+    return PREFIX + Long.remainderUnsigned(key.prefix(), SHARDS);
+  }
+
+  /** Returns all streams. */
+  public static Stream<String> streams() {
+    return IntStream.range(0, SHARDS).mapToObj(number -> PREFIX + number);
+  }
+}
--- a/src/main/java/org/radishpost/claims/Claims.java
+++ b/src/main/java/org/radishpost/claims/Claims.java
@@ -1,7 +1,6 @@
 package org.radishpost.claims;
 
 import java.time.Duration;
-import org.radishpost.lib.Digest;
 import reactor.core.publisher.Mono;
 
 /**
@@ -24,5 +23,5 @@
   void settle(ClaimRequest request, ClaimOutcome outcome);
 
   /** Gives a granted claim back that was not and will never be sent. */
-  void withdraw(Digest key, Digest attempt);
+  void withdraw(ClaimRequest request);
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/claims/IdempotencyKey.java
@@ -0,0 +1,66 @@
+package org.radishpost.claims;
+
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The key by which a caller marks all sendings of one call, with the time that it bears.
+ *
+ * @param text the key in its one spelling
+ * @param timeMillis when the caller made it, in milliseconds since 1970
+ */
+public record IdempotencyKey(String text, long timeMillis) {
+  /** The longest key, in characters. */
+  public static final int MAX_CHARS = 128;
+
+  private static final Pattern UUID_V7 =
+      Pattern.compile("([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}");
+  private static final Pattern MILLIS_RANDOM =
+      Pattern.compile("([1-9]\\d{12})-[0-9A-Za-z_-]{16,114}");
+  private static final int HEX = 16;
+
+  /** What became of a text. */
+  public sealed interface Parsed {}
+
+  /**
+   * The text is a key.
+   *
+   * @param key the key
+   */
+  public record Valid(IdempotencyKey key) implements Parsed {}
+
+  /**
+   * The text is no key.
+   *
+   * @param remedy what a key looks like
+   */
+  public record Invalid(String remedy) implements Parsed {}
+
+  /**
+   * Reads a UUID of version 7 (RFC 9562), or milliseconds since 1970, a hyphen and at least 16
+   * random letters or digits.
+   */
+  public static Parsed parse(String text) {
+    if (text.length() > MAX_CHARS) {
+      return invalid();
+    }
+    String lower = text.toLowerCase(Locale.ROOT);
+    Matcher uuid = UUID_V7.matcher(lower);
+    if (uuid.matches()) {
+      long millis = Long.parseLong(uuid.group(1) + uuid.group(2), HEX);
+      return new Valid(new IdempotencyKey(lower, millis));
+    }
+    Matcher plain = MILLIS_RANDOM.matcher(text);
+    if (plain.matches()) {
+      return new Valid(new IdempotencyKey(text, Long.parseLong(plain.group(1))));
+    }
+    return invalid();
+  }
+
+  private static Invalid invalid() {
+    return new Invalid(
+        "Send a UUID of version 7, or <milliseconds since 1970>-<16 or more random letters or"
+            + " digits>, and the same key each time the call is sent again.");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/claims/ShortDigest.java
@@ -0,0 +1,29 @@
+package org.radishpost.claims;
+
+import java.nio.ByteBuffer;
+import org.radishpost.lib.Digest;
+
+/**
+ * The first 128 bits of a digest, as the log and the index keep them.
+ *
+ * <p>Two keys with the same bits would block each other; neither would run twice.
+ */
+record ShortDigest(long high, long low) {
+  static final int BYTES = 16;
+  private static final int HEX_CHARS = 16;
+  private static final int RADIX = 16;
+
+  static ShortDigest of(Digest digest) {
+    long low = Long.parseUnsignedLong(digest.hex(), HEX_CHARS, 2 * HEX_CHARS, RADIX);
+    return new ShortDigest(digest.prefix(), low);
+  }
+
+  static ShortDigest read(byte[] bytes) {
+    ByteBuffer buffer = ByteBuffer.wrap(bytes);
+    return new ShortDigest(buffer.getLong(), buffer.getLong());
+  }
+
+  byte[] bytes() {
+    return ByteBuffer.allocate(BYTES).putLong(high).putLong(low).array();
+  }
+}
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -17,7 +17,20 @@
   /** A graceful shutdown has begun. */
   STOPPING(1004, Level.INFO),
   /** The process has stopped. */
-  STOPPED(1005, Level.INFO);
+  STOPPED(1005, Level.INFO),
+
+  /** This VM has read a claim stream through and answers for its keys. */
+  CLAIM_STREAM_READY(6001, Level.INFO),
+  /** A record of a claim stream is not of a known version. */
+  CLAIM_RECORD_UNREADABLE(6002, Level.ERROR),
+  /** A claim stream has lost records that were read before. */
+  CLAIM_STREAM_CUT(6003, Level.ERROR),
+  /** The log does not answer for a claim stream. */
+  CLAIM_LOG_FAILING(6004, Level.WARN),
+  /** The log answers again for a claim stream. */
+  CLAIM_LOG_BACK(6005, Level.INFO),
+  /** The outcome or the withdrawal of a claim could not be recorded. */
+  CLAIM_END_LOST(6006, Level.WARN);
 
   /** How much an event matters. */
   public enum Level {
--- /dev/null
+++ b/src/test/java/org/radishpost/node/PausableScheduler.java
@@ -0,0 +1,96 @@
+package org.radishpost.node;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** The work of one VM in virtual time, which can be paused, resumed late and stopped for good. */
+final class PausableScheduler implements Scheduler {
+  private final VirtualTimeScheduler time;
+  private final Deque<Runnable> held = new ArrayDeque<>();
+  private boolean paused;
+  private boolean stopped;
+
+  PausableScheduler(VirtualTimeScheduler time) {
+    this.time = time;
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  void resume() {
+    paused = false;
+    while (!paused && !held.isEmpty()) {
+      held.poll().run();
+    }
+  }
+
+  void stop() {
+    stopped = true;
+    held.clear();
+  }
+
+  boolean isStopped() {
+    return stopped;
+  }
+
+  private Runnable guarded(Runnable task) {
+    return () -> {
+      if (stopped) {
+        return;
+      }
+      if (paused) {
+        held.add(task);
+      } else {
+        task.run();
+      }
+    };
+  }
+
+  @Override
+  public long now(TimeUnit unit) {
+    return time.now(unit);
+  }
+
+  @Override
+  public Disposable schedule(Runnable task) {
+    return time.schedule(guarded(task));
+  }
+
+  @Override
+  public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
+    return time.schedule(guarded(task), delay, unit);
+  }
+
+  @Override
+  public Disposable schedulePeriodically(Runnable task, long first, long period, TimeUnit unit) {
+    return time.schedulePeriodically(guarded(task), first, period, unit);
+  }
+
+  @Override
+  public Worker createWorker() {
+    Disposable.Composite tasks = Disposables.composite();
+    return new Worker() {
+      @Override
+      public Disposable schedule(Runnable task) {
+        return PausableScheduler.this.schedule(() -> runUnlessDisposed(task));
+      }
+
+      private void runUnlessDisposed(Runnable task) {
+        if (!tasks.isDisposed()) {
+          task.run();
+        }
+      }
+
+      @Override
+      public void dispose() {
+        tasks.dispose();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/node/ScheduledLog.java
@@ -0,0 +1,85 @@
+package org.radishpost.node;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.radishpost.errors.AppendUnknownException;
+import org.radishpost.errors.LogUnavailableException;
+import org.radishpost.platform.LogPage;
+import org.radishpost.platform.LogRecord;
+import org.radishpost.platform.PlatformLog;
+import org.radishpost.standin.MemoryLog;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+
+/** A log whose appends land late, twice as late as their answers, or never, as chance has it. */
+final class ScheduledLog implements PlatformLog {
+  private final MemoryLog memory;
+  private final Scheduler time;
+  private final RandomGenerator random;
+  private boolean down;
+  private boolean faulty = true;
+
+  ScheduledLog(MemoryLog memory, Scheduler time, RandomGenerator random) {
+    this.memory = memory;
+    this.time = time;
+    this.random = random;
+  }
+
+  void down(boolean isDown) {
+    down = isDown;
+  }
+
+  void heal() {
+    down = false;
+    faulty = false;
+  }
+
+  @Override
+  public Mono<LogRecord> append(String stream, byte[] payload) {
+    return Mono.defer(() -> down ? Mono.error(unavailable()) : send(stream, payload));
+  }
+
+  @Override
+  public Mono<LogPage> read(String stream, long fromOffset, int maxRecords, Duration wait) {
+    return Mono.defer(
+        () -> {
+          if (down || chance(0.03)) {
+            return Mono.error(unavailable());
+          }
+          Mono<LogPage> page = memory.read(stream, fromOffset, maxRecords, wait);
+          return pause().then(page).delayUntil(unused -> pause());
+        });
+  }
+
+  private Mono<LogRecord> send(String stream, byte[] payload) {
+    Sinks.One<LogRecord> landed = Sinks.one();
+    boolean lost = chance(0.05);
+    boolean late = chance(0.05);
+    boolean answerLost = chance(0.1);
+    long delay = late ? random.nextLong(20_000) : random.nextLong(30);
+    if (!lost) {
+      time.schedule(
+          () -> memory.append(stream, payload).subscribe(landed::tryEmitValue),
+          delay,
+          TimeUnit.MILLISECONDS);
+    }
+    if (lost || late || answerLost) {
+      return pause().then(Mono.error(new AppendUnknownException("Lost: read the stream.")));
+    }
+    return landed.asMono().delayUntil(unused -> pause());
+  }
+
+  private Mono<Long> pause() {
+    return Mono.delay(Duration.ofMillis(faulty ? random.nextLong(60) : 1), time);
+  }
+
+  private boolean chance(double share) {
+    return faulty && random.nextDouble() < share;
+  }
+
+  private static LogUnavailableException unavailable() {
+    return new LogUnavailableException("Down: try again.");
+  }
+}
