--- /dev/null
+++ b/src/test/java/org/radishpost/routing/HomeRegionTest.java
@@ -0,0 +1,155 @@
+package org.radishpost.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.Distance;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.pool.HandBackReason;
+import org.radishpost.pool.PoolView;
+import org.testng.annotations.Test;
+
+/** Random schedules over both choosers: no pool outside the home regions; -Dseeds=N runs more. */
+public class HomeRegionTest {
+  private static final int SEEDS = Integer.getInteger("seeds", 40);
+  private static final int STEPS = 2_000;
+  private static final Place OWN = Fixtures.PLACES.getFirst();
+  private static final List<PoolId> POOLS = pools();
+
+  private final Set<Distance> distances = EnumSet.noneOf(Distance.class);
+  private boolean noneChosen;
+
+  @Test
+  public void localityChooserStaysWithinTheHomeRegions() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      PoolChooser chooser =
+          new LocalityPoolChooser(OWN, LinkCosts.DEFAULT, pool -> 4, random.split());
+      assertEquals(fault(chooser, random), "", "seed " + seed);
+    }
+    assertEquals(distances, EnumSet.allOf(Distance.class));
+    assertEquals(noneChosen, true);
+  }
+
+  @Test
+  public void proportionalChooserStaysWithinTheHomeRegions() {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      PoolChooser chooser = new ProportionalPoolChooser(OWN, pool -> 4, random.split());
+      assertEquals(fault(chooser, random), "", "seed " + seed);
+    }
+  }
+
+  @Test
+  public void chooserThatIgnoresHomeRegionsIsFound() {
+    SplittableRandom random = new SplittableRandom(1);
+    PoolChooser chooser =
+        new IgnoringHome(
+            new LocalityPoolChooser(OWN, LinkCosts.DEFAULT, pool -> 4, random.split()));
+    assertNotEquals(fault(chooser, random), "");
+  }
+
+  /** Runs one schedule and returns the first fault, empty when there is none. */
+  private String fault(PoolChooser chooser, SplittableRandom random) {
+    long nowNanos = 0;
+    for (int step = 0; step < STEPS; step++) {
+      nowNanos += random.nextLong(20 * Fixtures.MILLI_NANOS);
+      disturb(chooser, random, nowNanos);
+      CallFacts call = call(random, nowNanos);
+      Set<PoolId> candidates = some(random, 0.9);
+      Set<PoolId> tried = random.nextBoolean() ? Set.of() : some(random, 0.3);
+      Optional<PoolId> chosen = chooser.choose(call, candidates, tried, nowNanos);
+      noneChosen |= chosen.isEmpty();
+      if (chosen.isEmpty()) {
+        continue;
+      }
+      PoolId pool = chosen.get();
+      distances.add(OWN.distanceTo(pool.place()));
+      if (!call.allows(pool.place().region())
+          || tried.contains(pool)
+          || !candidates.contains(pool)) {
+        return "step " + step + ": " + pool + " for " + call + ", tried " + tried;
+      }
+    }
+    return "";
+  }
+
+  private static void disturb(PoolChooser chooser, SplittableRandom random, long nowNanos) {
+    PoolId pool = POOLS.get(random.nextInt(POOLS.size()));
+    HandBackReason[] reasons = HandBackReason.values();
+    switch (random.nextInt(4)) {
+      case 0 -> chooser.unreachable(pool, nowNanos);
+      case 1 -> chooser.handedBack(pool, reasons[random.nextInt(reasons.length)], nowNanos);
+      default -> {
+        int slots = random.nextInt(5);
+        long wait = random.nextLong(100 * Fixtures.MILLI_NANOS);
+        long service = random.nextLong(40 * Fixtures.MILLI_NANOS);
+        chooser.seen(new PoolView(pool, slots, slots, 3, wait, service, 1), nowNanos);
+      }
+    }
+  }
+
+  private static CallFacts call(SplittableRandom random, long nowNanos) {
+    RequestKind[] kinds = RequestKind.values();
+    String[][] homes = {{}, {"kozep"}, {"kelet"}, {"kelet", "nyugat"}, {"elsewhere"}};
+    long deadline = nowNanos + random.nextLong(60 * Fixtures.MILLI_NANOS);
+    return Fixtures.call(
+        kinds[random.nextInt(kinds.length)],
+        random.nextInt(100_000) - 1,
+        deadline,
+        homes[random.nextInt(homes.length)]);
+  }
+
+  private static Set<PoolId> some(SplittableRandom random, double share) {
+    Set<PoolId> some = new LinkedHashSet<>(POOLS);
+    some.removeIf(pool -> random.nextDouble() > share);
+    return some;
+  }
+
+  private static List<PoolId> pools() {
+    List<PoolId> pools = new ArrayList<>();
+    for (Place place : Fixtures.PLACES) {
+      for (int shard = 0; shard < 2; shard++) {
+        pools.add(new PoolId(new GatewayName("g"), Fixtures.ARCHIVE, place, shard));
+      }
+    }
+    return pools;
+  }
+
+  /** The mutation that the check must find: it hides the home regions from the chooser. */
+  private record IgnoringHome(PoolChooser chooser) implements PoolChooser {
+    @Override
+    public Optional<PoolId> choose(
+        CallFacts call, Set<PoolId> candidates, Set<PoolId> tried, long nowNanos) {
+      CallFacts anywhere = Fixtures.call(call.kind(), call.bodyBytes(), call.deadlineNanos());
+      return chooser.choose(anywhere, candidates, new HashSet<>(tried), nowNanos);
+    }
+
+    @Override
+    public void seen(PoolView view, long nowNanos) {
+      chooser.seen(view, nowNanos);
+    }
+
+    @Override
+    public void handedBack(PoolId pool, HandBackReason reason, long nowNanos) {
+      chooser.handedBack(pool, reason, nowNanos);
+    }
+
+    @Override
+    public void unreachable(PoolId pool, long nowNanos) {
+      chooser.unreachable(pool, nowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/routing/LocalityCalculationTest.java
@@ -0,0 +1,64 @@
+package org.radishpost.routing;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+import org.radishpost.lib.Place;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Compares the ways to spill by a queueing calculation; -Dseeds=N runs more of it. */
+public class LocalityCalculationTest {
+  private static final int SEEDS = Integer.getInteger("seeds", 2);
+  private static final int SECONDS = 10;
+
+  /** Load as a share of the capacity, and how many times the load of the first region is. */
+  @DataProvider
+  public Object[][] loads() {
+    return new Object[][] {{0.5, 1.0}, {0.8, 1.0}, {0.95, 1.0}, {0.5, 4.0}, {0.8, 4.0}};
+  }
+
+  @Test(dataProvider = "loads")
+  public void spillHelpsTheTailAndSparesLinks(double load, double skew) {
+    System.out.printf("load %.2f, first region x%.0f, %d seeds%n", load, skew, SEEDS);
+    final LocalityModel.Result stay = run("stay until handed back", 0, load, skew);
+    final LocalityModel.Result any = run("follow any advantage  ", 1e9, load, skew);
+    run("gain 4                ", 4, load, skew);
+    run("gain 2                ", 2, load, skew);
+    final LocalityModel.Result chosen = run("gain 1, chosen        ", 1, load, skew);
+    run(
+        "own region at random  ",
+        (place, random) -> new ProportionalPoolChooser(place, pool -> 4, random),
+        load,
+        skew);
+    assertTrue(chosen.crossedShare() < any.crossedShare(), chosen + " against " + any);
+    assertTrue(chosen.p99Millis() < stay.p99Millis(), chosen + " against " + stay);
+  }
+
+  private static LocalityModel.Result run(String name, double gain, double load, double skew) {
+    SpillRule rule = new SpillRule(gain);
+    return run(
+        name,
+        (place, random) ->
+            new LocalityPoolChooser(place, LinkCosts.DEFAULT, pool -> 4, random, rule),
+        load,
+        skew);
+  }
+
+  private static LocalityModel.Result run(
+      String name,
+      BiFunction<Place, RandomGenerator, PoolChooser> chooser,
+      double load,
+      double skew) {
+    List<LocalityModel.Result> results = new ArrayList<>();
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      results.add(new LocalityModel(seed, chooser).run(load, skew, SECONDS));
+    }
+    LocalityModel.Result median = LocalityModel.Result.median(results);
+    System.out.println("  " + name + ": " + median);
+    return median;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/routing/LocalityModel.java
@@ -0,0 +1,237 @@
+package org.radishpost.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.pool.HandBackReason;
+import org.radishpost.pool.PoolView;
+
+/**
+ * A queueing calculation: entry VMs with a chooser each, one pool in each zone, slow links between.
+ *
+ * <p>Service times are lognormal. A pool's targets become slow together for spells. Views travel on
+ * answers, so that each VM knows only what its own calls brought back.
+ */
+final class LocalityModel {
+  private static final int SLOTS = 4;
+  private static final int QUEUE_BOUND = 64;
+  private static final int ENTRIES = 16;
+  private static final double SERVICE_NANOS = 10e6;
+  private static final double SIGMA = 0.8;
+  private static final double SLOW_FACTOR = 4;
+  private static final double SLOW_SPELL_NANOS = 400e6;
+  private static final double FAST_SPELL_NANOS = 4_600e6;
+  private static final long BODY_BYTES = 4_096;
+  private static final long DEADLINE_NANOS = 5_000_000_000L;
+  private static final LinkCosts LINKS = LinkCosts.DEFAULT;
+
+  private final SplittableRandom random;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparing(Event::number));
+  private final Map<PoolId, PoolModel> pools = new LinkedHashMap<>();
+  private final List<Entry> entries = new ArrayList<>();
+  private final List<Long> latencies = new ArrayList<>();
+  private long nowNanos;
+  private long number;
+  private int refused;
+  private int crossed;
+
+  LocalityModel(long seed, BiFunction<Place, RandomGenerator, PoolChooser> chooser) {
+    random = new SplittableRandom(seed);
+    for (Place place : Fixtures.PLACES) {
+      PoolId id = new PoolId(new GatewayName("g"), Fixtures.ARCHIVE, place, 0);
+      pools.put(id, new PoolModel(id));
+    }
+    for (int i = 0; i < ENTRIES; i++) {
+      Place place = Fixtures.PLACES.get(i % Fixtures.PLACES.size());
+      entries.add(new Entry(place, chooser.apply(place, random.split())));
+    }
+  }
+
+  /**
+   * Runs the calculation.
+   *
+   * @param load the offered load as a share of what all slots carry
+   * @param skew how many times as many calls come to an entry VM of the first region
+   * @param seconds how long
+   */
+  Result run(double load, double skew, int seconds) {
+    double total = entries.stream().mapToDouble(entry -> entry.weight(skew)).sum();
+    double meanFactor = slowShare() * SLOW_FACTOR + 1 - slowShare();
+    double capacity = pools.size() * SLOTS / (SERVICE_NANOS * meanFactor);
+    long endNanos = seconds * 1_000_000_000L;
+    entries.forEach(
+        entry -> arrivals(entry, capacity * load * entry.weight(skew) / total, endNanos));
+    pools.values().forEach(pool -> spell(pool, false, endNanos));
+    while (!events.isEmpty()) {
+      Event event = events.poll();
+      nowNanos = event.atNanos();
+      event.action().run();
+    }
+    long[] sorted = latencies.stream().mapToLong(Long::longValue).sorted().toArray();
+    int calls = sorted.length + refused;
+    return new Result(
+        sorted[sorted.length / 2] / 1e6,
+        sorted[(int) (sorted.length * 0.99)] / 1e6,
+        (double) crossed / calls,
+        (double) refused / calls);
+  }
+
+  private void arrivals(Entry entry, double callsPerNano, long endNanos) {
+    at(
+        exponential(1 / callsPerNano),
+        () -> {
+          if (nowNanos < endNanos) {
+            send(entry, new HashSet<>(), nowNanos);
+            arrivals(entry, callsPerNano, endNanos);
+          }
+        });
+  }
+
+  private void spell(PoolModel pool, boolean slow, long endNanos) {
+    pool.slow = slow;
+    at(
+        exponential(slow ? SLOW_SPELL_NANOS : FAST_SPELL_NANOS),
+        () -> {
+          if (nowNanos < endNanos) {
+            spell(pool, !slow, endNanos);
+          }
+        });
+  }
+
+  private void send(Entry entry, Set<PoolId> tried, long startNanos) {
+    CallFacts call = Fixtures.call(RequestKind.READ, BODY_BYTES, startNanos + DEADLINE_NANOS);
+    Set<PoolId> candidates = new LinkedHashSet<>(pools.keySet());
+    Optional<PoolId> chosen = entry.chooser.choose(call, candidates, tried, nowNanos);
+    if (chosen.isEmpty()) {
+      refused++;
+      return;
+    }
+    PoolModel pool = pools.get(chosen.get());
+    crossed += entry.place.region().equals(pool.id.place().region()) ? 0 : 1;
+    at(way(entry, pool), () -> pool.take(new Call(entry, tried, startNanos)));
+  }
+
+  private long way(Entry entry, PoolModel pool) {
+    return LINKS.roundTripNanos(entry.place.distanceTo(pool.id.place())) / 2;
+  }
+
+  private void at(long delayNanos, Runnable action) {
+    events.add(new Event(nowNanos + delayNanos, number++, action));
+  }
+
+  private long exponential(double mean) {
+    return (long) (-mean * Math.log(1 - random.nextDouble()));
+  }
+
+  private static double slowShare() {
+    return SLOW_SPELL_NANOS / (SLOW_SPELL_NANOS + FAST_SPELL_NANOS);
+  }
+
+  record Result(double p50Millis, double p99Millis, double crossedShare, double refusedShare) {
+    static Result median(List<Result> results) {
+      return new Result(
+          median(results.stream().mapToDouble(Result::p50Millis).toArray()),
+          median(results.stream().mapToDouble(Result::p99Millis).toArray()),
+          median(results.stream().mapToDouble(Result::crossedShare).toArray()),
+          median(results.stream().mapToDouble(Result::refusedShare).toArray()));
+    }
+
+    private static double median(double[] values) {
+      Arrays.sort(values);
+      return values[values.length / 2];
+    }
+
+    @Override
+    public String toString() {
+      return "p50 %6.1f ms, p99 %6.1f ms, to other regions %4.1f %%, refused %4.2f %%"
+          .formatted(p50Millis, p99Millis, 100 * crossedShare, 100 * refusedShare);
+    }
+  }
+
+  private record Event(long atNanos, long number, Runnable action) {}
+
+  private record Call(Entry entry, Set<PoolId> tried, long startNanos) {}
+
+  private record Entry(Place place, PoolChooser chooser) {
+    double weight(double skew) {
+      return place.region().equals(Fixtures.PLACES.getFirst().region()) ? skew : 1;
+    }
+  }
+
+  private final class PoolModel {
+    private final PoolId id;
+    private final ArrayDeque<Call> queue = new ArrayDeque<>();
+    private boolean slow;
+    private int running;
+    private double meanServiceNanos = SERVICE_NANOS;
+
+    PoolModel(PoolId id) {
+      this.id = id;
+    }
+
+    void take(Call call) {
+      if (queue.size() >= QUEUE_BOUND) {
+        PoolView view = view();
+        at(way(call.entry, this), () -> handBack(call, view));
+        return;
+      }
+      queue.add(call);
+      startNext();
+    }
+
+    private void startNext() {
+      if (running == SLOTS || queue.isEmpty()) {
+        return;
+      }
+      Call call = queue.poll();
+      running++;
+      double spread = Math.exp(SIGMA * random.nextGaussian() - SIGMA * SIGMA / 2);
+      long serviceNanos = (long) (SERVICE_NANOS * spread * (slow ? SLOW_FACTOR : 1));
+      at(serviceNanos, () -> end(call, serviceNanos));
+    }
+
+    private void end(Call call, long serviceNanos) {
+      running--;
+      meanServiceNanos += 0.1 * (serviceNanos - meanServiceNanos);
+      startNext();
+      PoolView view = view();
+      at(way(call.entry, this), () -> answered(call, view));
+    }
+
+    private void answered(Call call, PoolView view) {
+      call.entry.chooser.seen(view, nowNanos);
+      latencies.add(nowNanos - call.startNanos);
+    }
+
+    private void handBack(Call call, PoolView view) {
+      call.entry.chooser.seen(view, nowNanos);
+      call.entry.chooser.handedBack(id, HandBackReason.QUEUE_FULL, nowNanos);
+      call.tried.add(id);
+      send(call.entry, call.tried, call.startNanos);
+    }
+
+    private PoolView view() {
+      double ahead = Math.max(0, running + queue.size() + 1 - SLOTS);
+      long wait = (long) (ahead * meanServiceNanos / SLOTS);
+      return new PoolView(id, SLOTS, running, queue.size(), wait, (long) meanServiceNanos, 1);
+    }
+  }
+}
