Serve real requests from a published manifest, through three VMs

Cause: the parts stood alone; nothing took a request from a caller to a target. Change: the edge, the hop between VMs, the sender, the runner of pools, the gate of claims, readiness, graceful stop, and the commands demo and serve. A guard in front of the decoder refuses requests whose limits are ambiguous.

--- /dev/null
+++ b/src/main/java/org/radishpost/http/BodyTooLarge.java
@@ -0,0 +1,27 @@
+package org.radishpost.http;
+
+import io.netty.buffer.ByteBuf;
+import java.util.concurrent.atomic.AtomicLong;
+import reactor.core.publisher.Flux;
+
+/** Ends a body that is larger than its route allows. */
+final class BodyTooLarge extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private BodyTooLarge() {
+    super("body too large", null, false, false);
+  }
+
+  /** Returns the same body, which fails once it has more than so many bytes. */
+  static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
+    AtomicLong seen = new AtomicLong();
+    return body.handle(
+        (part, sink) -> {
+          if (seen.addAndGet(part.readableBytes()) > maxBytes) {
+            sink.error(new BodyTooLarge());
+          } else {
+            sink.next(part);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/Call.java
@@ -0,0 +1,23 @@
+package org.radishpost.http;
+
+import java.util.Optional;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.routing.RouteMatch;
+
+/**
+ * A call on its way through this VM.
+ *
+ * @param facts what decisions know about it
+ * @param match its route
+ * @param head the head that is passed on
+ * @param body the body
+ * @param idempotencyKey the key that the caller sent
+ * @param retriesLeft how many retries the whole chain below may still use
+ */
+public record Call(
+    CallFacts facts,
+    RouteMatch match,
+    RequestHead head,
+    CallBody body,
+    Optional<String> idempotencyKey,
+    int retriesLeft) {}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/Readiness.java
@@ -0,0 +1,27 @@
+package org.radishpost.http;
+
+/** Whether this VM takes callers' requests, for the platform's balancer and for the edge. */
+public interface Readiness {
+  /** The path at which the platform's balancer asks. */
+  String PATH = "/.radishpost/ready";
+
+  /** Tells whether the balancer should send requests here. */
+  boolean ready();
+
+  /** Tells whether requests that come all the same are served. */
+  boolean mayServe();
+
+  /** Tells whether callers may keep their connections. */
+  boolean keepAlive();
+
+  /** Returns why this VM is not ready, or an empty text. */
+  String why();
+
+  /** Returns the answer for the balancer. */
+  default Reply reply() {
+    if (!ready()) {
+      return Reply.of(Problems.notReady(why()));
+    }
+    return Replies.text(200, "ready\n");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/Replies.java
@@ -0,0 +1,32 @@
+package org.radishpost.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Makes answers of the system's own. */
+public final class Replies {
+  private Replies() {}
+
+  /** Returns a plain text. */
+  public static Reply text(int status, String text) {
+    return bytes(status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns bytes of a media type. */
+  public static Reply bytes(int status, String type, byte[] bytes) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("content-type", type);
+    headers.set("content-length", bytes.length);
+    return new Reply(
+        status,
+        headers,
+        Flux.defer(() -> Flux.just(Unpooled.wrappedBuffer(bytes))),
+        Mono.empty(),
+        Optional.empty());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/Reply.java
@@ -0,0 +1,46 @@
+package org.radishpost.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.radishpost.lib.Verdict;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * An answer on its way to the caller.
+ *
+ * @param status the HTTP status
+ * @param headers the end-to-end fields
+ * @param body the body, to be read once; an error in it means that the answer was cut short
+ * @param trailers the fields after the body; they come when the body has ended
+ * @param refusal what a refusal of the system says, empty for a target's answer
+ */
+public record Reply(
+    int status,
+    HttpHeaders headers,
+    Flux<ByteBuf> body,
+    Mono<HttpHeaders> trailers,
+    Optional<Verdict> refusal) {
+  /** Returns an answer of the system itself with a small body. */
+  public static Reply of(Problem problem) {
+    byte[] bytes = problem.toJson();
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("content-type", Problem.MEDIA_TYPE);
+    headers.set("content-length", bytes.length);
+    headers.set(HeaderNames.OUTCOME, problem.verdict().text());
+    return new Reply(
+        problem.status(),
+        headers,
+        Flux.defer(() -> Flux.just(Unpooled.wrappedBuffer(bytes))),
+        Mono.empty(),
+        Optional.of(problem.verdict()));
+  }
+
+  /** Returns the same answer with another body. */
+  public Reply withBody(Flux<ByteBuf> other) {
+    return new Reply(status, headers, other, trailers, refusal);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/RequestCheck.java
@@ -0,0 +1,95 @@
+package org.radishpost.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Checks the head of a request and makes the head that is passed on. */
+final class RequestCheck {
+  private static final Set<String> METHODS =
+      Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+
+  private RequestCheck() {}
+
+  /** Returns what is wrong with the head, if anything. */
+  static Optional<Problem> fault(HttpServerRequest request) {
+    HttpHeaders headers = request.requestHeaders();
+    if (!request.version().equals(HttpVersion.HTTP_1_1)) {
+      return bad("Use HTTP/1.1.");
+    }
+    if (!METHODS.contains(request.method().name())) {
+      return bad("Use one of the methods " + String.join(", ", METHODS) + ".");
+    }
+    if (headers.getAll("host").size() != 1) {
+      return bad("Send one Host field.");
+    }
+    if (!request.uri().startsWith("/")) {
+      return bad("Send the path in origin form, with the host in the Host field.");
+    }
+    if (headers.contains("content-length") && headers.contains("transfer-encoding")) {
+      return bad("Send either Content-Length or Transfer-Encoding.");
+    }
+    List<String> codings = headers.getAll("transfer-encoding");
+    if (codings.size() > 1 || codings.size() == 1 && !codings.get(0).equalsIgnoreCase("chunked")) {
+      return bad("Use the transfer coding chunked alone.");
+    }
+    if (headers.contains("upgrade") && headers.containsValue("connection", "upgrade", true)) {
+      return bad("Upgrades are not supported.");
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the host in lower case without the port. */
+  static String host(HttpServerRequest request) {
+    String host = request.requestHeaders().get("host", "").toLowerCase(Locale.ROOT);
+    int colon = host.lastIndexOf(':');
+    return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+  }
+
+  /** Returns the length of the body, 0 for none and -1 when it is not known. */
+  static long bodyBytes(HttpHeaders headers) {
+    if (headers.contains("transfer-encoding")) {
+      return -1;
+    }
+    return Long.parseLong(headers.get("content-length", "0"));
+  }
+
+  /** Returns the head that is passed on. */
+  static RequestHead onward(HttpServerRequest request) {
+    HttpHeaders all = request.requestHeaders();
+    HttpHeaders kept = new DefaultHttpHeaders();
+    for (Map.Entry<String, String> field : all) {
+      String name = field.getKey();
+      if (!HeaderNames.perConnection(name)
+          && !HeaderNames.betweenVms(name)
+          && !all.containsValue("connection", name, true)) {
+        kept.add(name, field.getValue());
+      }
+    }
+    forwarded(request, kept);
+    return new RequestHead(request.method().name(), request.uri(), kept);
+  }
+
+  private static void forwarded(HttpServerRequest request, HttpHeaders kept) {
+    InetSocketAddress peer = request.remoteAddress();
+    if (peer == null) {
+      return;
+    }
+    String caller = peer.getAddress().getHostAddress();
+    String before = kept.get("x-forwarded-for");
+    kept.set("x-forwarded-for", before == null ? caller : before + ", " + caller);
+    kept.set("x-forwarded-proto", "http");
+    kept.set("via", "1.1 radishpost");
+  }
+
+  private static Optional<Problem> bad(String detail) {
+    return Optional.of(Problems.badRequest(detail));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/node/PoolDirectory.java
@@ -0,0 +1,56 @@
+package org.radishpost.node;
+
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.config.Configuration;
+import org.radishpost.lib.PoolId;
+import org.radishpost.routing.PoolMap;
+import org.radishpost.routing.PoolSlots;
+import org.radishpost.routing.PoolSpec;
+import org.radishpost.routing.RouteMatch;
+import org.radishpost.routing.RouteTable;
+import org.radishpost.routing.RouteTables;
+
+/** The routes and pools of the configuration in force; thread-safe. */
+final class PoolDirectory implements PoolSlots {
+  private volatile InForce inForce =
+      new InForce(RouteTables.of(Configuration.EMPTY), PoolMap.of(Configuration.EMPTY));
+
+  /** Puts a configuration in force. */
+  void configuration(Configuration configuration) {
+    inForce = new InForce(RouteTables.of(configuration), inForce.pools().next(configuration));
+  }
+
+  /** Returns the routes in force. */
+  RouteTable routes() {
+    return inForce.routes();
+  }
+
+  /** Returns the pools that may serve a route. */
+  Set<PoolId> candidates(RouteMatch match) {
+    return inForce.pools().candidates(match);
+  }
+
+  /** Returns all pools in service. */
+  Set<PoolId> pools() {
+    return inForce.pools().pools();
+  }
+
+  @Override
+  public int of(PoolId pool) {
+    return inForce.pools().slots(pool);
+  }
+
+  /** Returns the service and the targets of a pool, if it is in service. */
+  Optional<PoolSpec> spec(PoolId pool) {
+    return inForce.pools().spec(pool);
+  }
+
+  /**
+   * What belongs to one configuration.
+   *
+   * @param routes the routes
+   * @param pools the pools
+   */
+  private record InForce(RouteTable routes, PoolMap pools) {}
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/Files.java
@@ -0,0 +1,24 @@
+package org.radishpost.pgm;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.radishpost.errors.SettingsException;
+
+/** Reads the files that commands are given. */
+final class Files {
+  private Files() {}
+
+  /**
+   * Reads a whole file.
+   *
+   * @throws SettingsException if it cannot be read
+   */
+  static byte[] read(Path file) throws SettingsException {
+    try {
+      return java.nio.file.Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new SettingsException(
+          "The file " + file + " cannot be read: check the path and its permissions.", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/HelpCommand.java
@@ -0,0 +1,34 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.model.GlobalMetadata;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.errors.StartException;
+
+/** Prints the list of commands, or the help page of one. */
+@Command(name = "help", description = "Print the commands, or the help page of one command.")
+public final class HelpCommand extends PgmCommand {
+  @AirlineModule private GlobalMetadata<PgmCommand> metadata;
+
+  @Arguments(description = "The command whose page is wanted.")
+  private List<String> words = new ArrayList<>();
+
+  /** Creates the command. */
+  public HelpCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    try {
+      Help.help(metadata, words, System.out);
+      return ExitCode.OK;
+    } catch (IOException e) {
+      throw new StartException("The help page could not be printed: check standard output.", e);
+    }
+  }
+}
--- a/src/main/java/org/radishpost/pgm/Main.java
+++ b/src/main/java/org/radishpost/pgm/Main.java
@@ -1,11 +1,57 @@
 package org.radishpost.pgm;
 
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.radishpost.errors.RadishpostException;
+
 /** The entry point of the one binary. */
+@com.github.rvesse.airline.annotations.Cli(
+    name = "radishpost",
+    description = "A load balancer for servers whose load shifts in milliseconds.",
+    defaultCommand = HelpCommand.class,
+    commands = {
+      HelpCommand.class,
+      VersionCommand.class,
+      ServeCommand.class,
+      DemoCommand.class,
+    })
 public final class Main {
   private Main() {}
 
-  /** Runs the command that the arguments name. */
+  /** Runs the command that the arguments name and exits with its code. */
   public static void main(String[] args) {
-    System.out.println("radishpost");
+    System.exit(run(args));
+  }
+
+  /**
+   * Runs the command that the arguments name.
+   *
+   * @return the exit code: see {@link ExitCode}
+   */
+  static int run(String... args) {
+    Cli<PgmCommand> cli = new Cli<>(Main.class);
+    try {
+      return cli.parse(words(args)).call().number();
+    } catch (ParseException e) {
+      System.err.println(e.getMessage() + ": see radishpost --help.");
+      return ExitCode.USAGE.number();
+    } catch (RadishpostException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.FAILED.number();
+    }
+  }
+
+  private static String[] words(String[] args) {
+    if (args.length == 0) {
+      return args;
+    }
+    String[] words = args.clone();
+    words[0] =
+        switch (args[0]) {
+          case "--help", "-h" -> "help";
+          case "--version" -> "version";
+          default -> args[0];
+        };
+    return words;
   }
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/ServeCommand.java
@@ -0,0 +1,52 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.node.Node;
+import org.radishpost.node.NodeSecrets;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.settings.NodeSettings;
+import org.radishpost.settings.SettingsCodec;
+
+/** Runs one VM process. */
+@Command(name = "serve", description = "Run one VM process until SIGTERM or Ctrl-C.")
+public final class ServeCommand extends PgmCommand {
+  private static final Duration MARGIN = Duration.ofSeconds(5);
+
+  @Option(
+      name = {"--settings"},
+      description = "The settings file (JSON).")
+  @Required
+  private String settingsFile;
+
+  /** Creates the command. */
+  public ServeCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    NodeSettings settings = new SettingsCodec().decode(Files.read(Path.of(settingsFile)));
+    System.setProperty(
+        "radishpost.log", settings.logFormat() == NodeSettings.LogFormat.JSON ? "json" : "text");
+    StopSignal stop = StopSignal.listen();
+    Node node =
+        new Node(
+            settings,
+            NodeSecrets.read(settings, System.getenv()),
+            new RuntimeClock(),
+            new SecureRandom());
+    node.start();
+    Duration limit =
+        settings
+            .shutdown()
+            .balancerWait()
+            .plus(settings.shutdown().drainLimit().multipliedBy(2))
+            .plus(MARGIN);
+    stop.awaitAndStop(node.stop(), limit);
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/pgm/WholePathTest.java
@@ -0,0 +1,177 @@
+package org.radishpost.pgm;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Digest;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.RuntimeClock;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Real requests through three VMs on loopback. */
+public class WholePathTest {
+  private static final long SEED = 11;
+  private static final int LARGE_BYTES = 5_000_000;
+
+  private final RuntimeClock clock = new RuntimeClock();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private DemoSystem demo;
+
+  /** Starts the system. */
+  @BeforeClass
+  public void start() throws RadishpostException {
+    demo = new DemoSystem(clock, new java.util.Random(SEED));
+    demo.start(0);
+  }
+
+  /** Stops the system. */
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    demo.stop().block();
+  }
+
+  @Test
+  public void everyEntryAnswers() throws Exception {
+    for (Endpoint entry : demo.edges()) {
+      for (int i = 0; i < 20; i++) {
+        HttpResponse<String> answer = send(get(entry, "/archive/" + i));
+        assertEquals(answer.statusCode(), 200, answer.body());
+        assertTrue(answer.body().contains("\"path\":\"/archive/" + i + "\""), answer.body());
+      }
+    }
+  }
+
+  @Test
+  public void largeUploadArrivesWhole() throws Exception {
+    byte[] body = new byte[LARGE_BYTES];
+    new java.util.Random(SEED).nextBytes(body);
+    for (Endpoint entry : demo.edges()) {
+      HttpResponse<String> answer =
+          send(request(entry, "/proof").PUT(BodyPublishers.ofByteArray(body)).build());
+      assertEquals(answer.statusCode(), 200, answer.body());
+      assertTrue(answer.body().contains(Digest.of(body).hex()), answer.body());
+    }
+  }
+
+  @Test
+  public void largeDownloadArrivesWhole() throws Exception {
+    for (Endpoint entry : demo.edges()) {
+      HttpResponse<byte[]> answer =
+          client.send(get(entry, "/bytes/" + LARGE_BYTES), BodyHandlers.ofByteArray());
+      assertEquals(answer.body().length, LARGE_BYTES);
+    }
+  }
+
+  @Test
+  public void headHasTheLengthAndNoBody() throws Exception {
+    HttpRequest request =
+        request(demo.edges().getFirst(), "/bytes/77")
+            .method("HEAD", BodyPublishers.noBody())
+            .build();
+    HttpResponse<String> answer = send(request);
+    assertEquals(answer.statusCode(), 200);
+    assertEquals(answer.headers().firstValue("content-length").orElse(""), "77");
+    assertEquals(answer.body(), "");
+  }
+
+  @Test
+  public void guardedCallRunsOnceThroughAnyEntry() throws Exception {
+    String key = clock.now(TimeUnit.MILLISECONDS) + "-abcdefghijklmnopq";
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      for (Endpoint entry : demo.edges()) {
+        answers.add(
+            client.sendAsync(
+                request(entry, "/dispatch")
+                    .header("Idempotency-Key", key)
+                    .POST(BodyPublishers.ofString("issue 7"))
+                    .build(),
+                BodyHandlers.ofString()));
+      }
+    }
+    for (CompletableFuture<HttpResponse<String>> future : answers) {
+      HttpResponse<String> answer = future.get();
+      boolean truthful =
+          answer.statusCode() == 200
+              || "unknown".equals(answer.headers().firstValue("radishpost-outcome").orElse(""));
+      assertTrue(truthful, answer.statusCode() + " " + answer.body());
+    }
+    assertEquals(demo.runs(key), 1);
+  }
+
+  @Test
+  public void guardedCallWithoutKeyIsRefusedAsNotRun() throws Exception {
+    HttpResponse<String> answer =
+        send(
+            request(demo.edges().getFirst(), "/dispatch")
+                .POST(BodyPublishers.ofString("x"))
+                .build());
+    assertEquals(answer.statusCode(), 400);
+    assertEquals(answer.headers().firstValue("radishpost-outcome").orElse(""), "not-run");
+  }
+
+  /** Requests whose limits two readers could see differently. */
+  @DataProvider
+  public Object[][] smuggling() {
+    String head = "POST /dispatch HTTP/1.1\r\nHost: a\r\n";
+    return new Object[][] {
+      {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n"},
+      {head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc"},
+      {head + "Content-Length: +3\r\n\r\nabc"},
+      {head + "Content-Length : 3\r\n\r\nabc"},
+      {head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n"},
+      {"GET /a HTTP/1.1\nHost: a\r\n\r\n"},
+      {"GET /a HTTP/1.1\r\nHost: a\n\r\n"},
+      {"GET /a HTTP/1.1\r\nHost: a\r\n folded: b\r\n\r\n"},
+      {"GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+      {"GET /a HTTP/1.1\r\n\r\n"},
+      {"GET http://b/a HTTP/1.1\r\nHost: a\r\n\r\n"},
+      {"GET /a HTTP/1.0\r\nHost: a\r\n\r\n"},
+    };
+  }
+
+  @Test(dataProvider = "smuggling")
+  public void ambiguousRequestIsRefusedAndTheConnectionClosed(String text) throws IOException {
+    Endpoint entry = demo.edges().getFirst();
+    try (Socket socket = new Socket(entry.ip(), entry.port())) {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      String answer =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(answer.startsWith("HTTP/1.1 400 "), answer);
+      assertEquals(answer.split("HTTP/1.1 ", -1).length, 2, answer);
+    }
+  }
+
+  private HttpResponse<String> send(HttpRequest request) throws Exception {
+    return client.send(request, BodyHandlers.ofString());
+  }
+
+  private static HttpRequest get(Endpoint entry, String path) {
+    return request(entry, path).GET().build();
+  }
+
+  private static HttpRequest.Builder request(Endpoint entry, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + entry + path));
+  }
+}
