--- a/src/main/java/org/radishpost/pool/OwnerPool.java
+++ b/src/main/java/org/radishpost/pool/OwnerPool.java
@@ -42,9 +42,8 @@
   private final Map<Endpoint, ProbeClock> probes = new HashMap<>();
   private final Map<CallId, SentCall> sent = new HashMap<>();
   private final CrashWatch crashes;
-  private final MovingMean service = new MovingMean(POOL_ANSWERS);
+  private final ServiceTimes times = new ServiceTimes();
   private final MovingMean errorPercent = new MovingMean(POOL_ANSWERS);
-  private final TypicalTime typical = new TypicalTime(POOL_ANSWERS);
   private long probeIntervalNanos;
   private int ejectQuota;
   private boolean released;
@@ -144,7 +143,7 @@
         tracker.reported(answered.report(), nowNanos);
       }
       case TargetOutcome.Shed shed -> {
-        tracker.shed(service.value(), nowNanos);
+        tracker.shed(times.meanNanos(), nowNanos);
         tracker.reported(shed.report(), nowNanos);
       }
       case TargetOutcome.NotConnected n -> {
@@ -210,7 +209,7 @@
       noteChange(tracker, before, out);
       probeIfDue(tracker, nowNanos, out);
     }
-    queue.expire(nowNanos, service.value(), late -> handBack(late, HandBackReason.TOO_LATE, out));
+    queue.expire(nowNanos, times.meanNanos(), late -> handBack(late, HandBackReason.TOO_LATE, out));
     dispatch(nowNanos, out);
   }
 
@@ -225,14 +224,15 @@
 
   @Override
   public PoolView view(long nowNanos) {
-    long wait = targets.anyFree(nowNanos, service.value()) ? 0 : waitNanos(queue.size(), nowNanos);
+    long wait =
+        targets.anyFree(nowNanos, times.meanNanos()) ? 0 : waitNanos(queue.size(), nowNanos);
     return new PoolView(
         id,
         targets.slots(nowNanos),
         sent.size(),
         queue.size(),
         wait,
-        service.value(),
+        times.meanNanos(),
         configVersion.getAsLong());
   }
 
@@ -255,9 +255,9 @@
       return Optional.of(HandBackReason.NO_TARGET);
     }
     long left = call.deadlineNanos() - nowNanos;
-    boolean free = queue.isEmpty() && targets.anyFree(nowNanos, service.value());
+    boolean free = queue.isEmpty() && targets.anyFree(nowNanos, times.meanNanos());
     long wait = free ? 0 : waitNanos(queue.ahead(call.tenant()), nowNanos);
-    if (left <= 0 || wait + service.value() > left) {
+    if (left <= 0 || wait + times.meanNanos() > left) {
       return Optional.of(HandBackReason.TOO_LATE);
     }
     return Optional.empty();
@@ -273,9 +273,8 @@
     errorPercent.add(0);
     tracker.ejection().good(nowNanos);
     long serviceNanos = Math.max(1, answer.serviceNanos() - ended.waitedNanos());
-    tracker.answered(serviceNanos, typical.nanos(), nowNanos);
-    service.add(serviceNanos);
-    typical.add(serviceNanos);
+    long typicalNanos = times.typicalNanos();
+    tracker.answered(times.add(ended.call(), serviceNanos), typicalNanos, nowNanos);
     ended.call().fingerprint().ifPresent(suspects::answered);
   }
 
@@ -283,7 +282,7 @@
     errorPercent.add(PERCENT);
     boolean alone = errorPercent.value() < PERCENT / 2;
     int doublings = alone ? Math.min(tracker.ejection().errorsInRow() - 1, MAX_DOUBLINGS) : 0;
-    long pause = Math.max(service.value(), MIN_PAUSE_NANOS);
+    long pause = Math.max(times.meanNanos(), MIN_PAUSE_NANOS);
     tracker.block(pause << Math.max(0, doublings), nowNanos);
   }
 
@@ -301,9 +300,9 @@
 
   private void dispatch(long nowNanos, Consumer<PoolAction> out) {
     while (!queue.isEmpty()) {
-      Optional<TargetTracker> target = targets.chooseFree(nowNanos, service.value());
+      Optional<TargetTracker> target = targets.chooseFree(nowNanos, times.meanNanos());
       if (target.isEmpty() && queue.size() >= limits.aheadFromCalls()) {
-        target = targets.chooseAhead(nowNanos, typical.nanos());
+        target = targets.chooseAhead(nowNanos, times.typicalNanos());
       }
       if (target.isEmpty()) {
         break;
@@ -316,7 +315,7 @@
   }
 
   private void send(CallFacts call, TargetTracker target, long nowNanos, Consumer<PoolAction> out) {
-    if (call.deadlineNanos() - nowNanos <= service.value()) {
+    if (call.deadlineNanos() - nowNanos <= times.meanNanos()) {
       handBack(call, HandBackReason.TOO_LATE, out);
       return;
     }
@@ -327,7 +326,7 @@
   }
 
   private long waitNanos(int ahead, long nowNanos) {
-    double perSecond = targets.callsPerSecond(nowNanos, service.value());
+    double perSecond = targets.callsPerSecond(nowNanos, times.meanNanos());
     return perSecond == 0 ? 0 : (long) ((ahead + 1) * SECOND_NANOS / perSecond);
   }
 
--- a/src/main/java/org/radishpost/pool/TargetTracker.java
+++ b/src/main/java/org/radishpost/pool/TargetTracker.java
@@ -176,8 +176,13 @@
 
   /** Takes note that the target can't be reached or has died: it may have started anew. */
   void lost() {
-    if (state == TargetState.WARM || state == TargetState.RAMPING) {
-      becomeCold(true);
+    switch (state) {
+      case WARM -> {
+        becomeCold(true);
+        sends.reset();
+      }
+      case RAMPING -> becomeCold(true);
+      default -> goodInRow = 0;
     }
   }
 
--- a/src/main/java/org/radishpost/suspects/SuspectRegistry.java
+++ b/src/main/java/org/radishpost/suspects/SuspectRegistry.java
@@ -32,25 +32,27 @@
   private static final int MAX_POINTS = 1_000_000;
 
   private final VmId self;
+  private final SuspectListener listener;
   private final Map<Digest, Suspect> suspects = new LinkedHashMap<>(16, 0.75f, true);
 
-  /** Creates an empty registry of the VM. */
-  public SuspectRegistry(VmId self) {
+  /**
+   * Creates an empty registry.
+   *
+   * @param self the VM
+   * @param listener told of each crash that this VM counts, so that the other VMs learn of it
+   */
+  public SuspectRegistry(VmId self, SuspectListener listener) {
     this.self = self;
+    this.listener = listener;
   }
 
   /**
    * Takes note that a target crashed while the request ran on it.
    *
    * @param sharers how many requests died with the target, this one among them
-   * @return the points that this VM has counted for the request, for telling the other VMs
    */
-  public synchronized int crashed(Digest fingerprint, int sharers, long nowNanos) {
-    Suspect suspect = suspectFor(fingerprint, nowNanos);
-    int points = suspect.pointsByVm.getOrDefault(self, 0) + CRASH_POINTS / Math.max(1, sharers);
-    suspect.pointsByVm.put(self, points);
-    suspect.lastCrashNanos = nowNanos;
-    return points;
+  public void crashed(Digest fingerprint, int sharers, long nowNanos) {
+    listener.counted(fingerprint, count(fingerprint, sharers, nowNanos));
   }
 
   /** Takes the points that another VM has counted for a request. */
@@ -84,16 +86,19 @@
     return points(fingerprint, nowNanos) >= CONDEMNED_POINTS;
   }
 
-  /** Tells whether the request should run alone on its target. */
-  public synchronized boolean suspected(Digest fingerprint, long nowNanos) {
-    return points(fingerprint, nowNanos) > 0;
-  }
-
   /** Returns the number of remembered requests. */
   public synchronized int size() {
     return suspects.size();
   }
 
+  private synchronized int count(Digest fingerprint, int sharers, long nowNanos) {
+    Suspect suspect = suspectFor(fingerprint, nowNanos);
+    int points = suspect.pointsByVm.getOrDefault(self, 0) + CRASH_POINTS / Math.max(1, sharers);
+    suspect.pointsByVm.put(self, points);
+    suspect.lastCrashNanos = nowNanos;
+    return points;
+  }
+
   private int points(Digest fingerprint, long nowNanos) {
     if (suspects.isEmpty()) {
       return 0;
