--- a/src/main/java/org/radishpost/bench/PoolModel.java
+++ b/src/main/java/org/radishpost/bench/PoolModel.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 import org.HdrHistogram.Histogram;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
@@ -46,6 +47,8 @@
   private static final int ENTRY_VMS = 16;
   private static final int TENANTS = 4;
   private static final int MAX_WAITING_AT_TARGET = 32;
+  private static final int[] MEANS_MILLIS = {3, 10};
+  private static final int[] LOADS_PERCENT = {50, 80, 95, 120, 200};
   private static final double SLOW_FACTOR = 4;
   private static final double SLOW_SHARE = 0.08;
   private static final double SIGMA = 0.8;
@@ -92,15 +95,25 @@
     this.gapNanos = meanNanos / (TARGETS * SLOTS * speed * loadPercent / 100.0);
   }
 
-  /** Runs every variant, mean time and load with the seed, and prints a table. */
-  public static List<PoolModelLine> run(long seed, PrintStream out) {
+  /**
+   * Runs every variant, mean time and load, and prints a table of medians as it goes.
+   *
+   * @param seed the first seed
+   * @param runs the runs of each setting, each with the next seed
+   * @param out where the table goes
+   */
+  public static List<PoolModelLine> run(long seed, int runs, PrintStream out) {
     out.println("| variant | mean ms | load % | p50 ms | p99 ms | p99.9 ms | weight % |");
     out.println("|---|---|---|---|---|---|---|");
     List<PoolModelLine> lines = new ArrayList<>();
-    for (int meanMillis : new int[] {3, 10}) {
-      for (int loadPercent : new int[] {50, 80, 95, 120}) {
+    for (int mean : MEANS_MILLIS) {
+      for (int load : LOADS_PERCENT) {
         for (PoolVariant variant : PoolVariant.values()) {
-          PoolModelLine line = cell(variant, meanMillis, loadPercent, seed);
+          List<PoolModelLine> all =
+              LongStream.range(seed, seed + runs)
+                  .mapToObj(each -> cell(variant, mean, load, each))
+                  .toList();
+          PoolModelLine line = PoolModelLine.median(all);
           out.println(line);
           lines.add(line);
         }
--- a/src/main/java/org/radishpost/bench/PoolModelLine.java
+++ b/src/main/java/org/radishpost/bench/PoolModelLine.java
@@ -1,6 +1,8 @@
 package org.radishpost.bench;
 
+import java.util.List;
 import java.util.Locale;
+import java.util.function.ToDoubleFunction;
 
 /**
  * One line of the table of {@link PoolModel}.
@@ -21,6 +23,24 @@
     double p99Millis,
     double p999Millis,
     double deliveredPercent) {
+  /** Returns the line with the median of each figure over several runs of one setting. */
+  static PoolModelLine median(List<PoolModelLine> runs) {
+    PoolModelLine any = runs.getFirst();
+    return new PoolModelLine(
+        any.variant,
+        any.meanMillis,
+        any.loadPercent,
+        middle(runs, PoolModelLine::p50Millis),
+        middle(runs, PoolModelLine::p99Millis),
+        middle(runs, PoolModelLine::p999Millis),
+        middle(runs, PoolModelLine::deliveredPercent));
+  }
+
+  private static double middle(List<PoolModelLine> runs, ToDoubleFunction<PoolModelLine> figure) {
+    double[] sorted = runs.stream().mapToDouble(figure).sorted().toArray();
+    return sorted[sorted.length / 2];
+  }
+
   @Override
   public String toString() {
     return String.format(
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -43,6 +43,28 @@
   /** A message of a type or version came that this release does not know; it was left out. */
   LINK_MESSAGE_UNSUPPORTED(3004, Level.WARN),
 
+  /** A call was sent again. */
+  CALL_RETRIED(4201, Level.DEBUG),
+  /** A call was also sent to a second target. */
+  CALL_HEDGED(4202, Level.DEBUG),
+  /** The owner of a pool gave a call back unsent. */
+  CALL_HANDED_BACK(4203, Level.DEBUG),
+  /** The retry budget of this VM is used up. */
+  RETRY_BUDGET_EMPTY(4204, Level.WARN),
+
+  /** This VM became the owner of a pool. */
+  POOL_TAKEN(5001, Level.INFO),
+  /** This VM gave a pool up. */
+  POOL_RELEASED(5002, Level.INFO),
+  /** A target changed its state. */
+  TARGET_STATE_CHANGED(5003, Level.INFO),
+  /** A target was ejected as an outlier. */
+  TARGET_EJECTED(5004, Level.WARN),
+  /** A target crashed while a request ran on it. */
+  SUSPECT_COUNTED(5005, Level.WARN),
+  /** A request that crashes targets was refused. */
+  SUSPECT_REFUSED(5006, Level.WARN),
+
   /** This VM has read a claim stream through and answers for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
   /** A record of a claim stream is not of a known version. */
--- a/src/test/java/org/radishpost/pool/FakeTarget.java
+++ b/src/test/java/org/radishpost/pool/FakeTarget.java
@@ -17,6 +17,7 @@
   final List<SentTo> running = new ArrayList<>();
   final List<Long> probes = new ArrayList<>();
   Mode mode = Mode.GOOD;
+  boolean draining;
   int calls;
   private final int slots;
   private final ArrayDeque<Long> lastSecond = new ArrayDeque<>();
@@ -98,7 +99,7 @@
 
   LoadReport report(long nowNanos) {
     int percent = (int) (100 * warmth(nowNanos));
-    return new LoadReport(running.size(), slots, percent, "i" + incarnation, false);
+    return new LoadReport(running.size(), slots, percent, "i" + incarnation, draining);
   }
 
   private double warmth(long nowNanos) {
--- a/src/test/java/org/radishpost/pool/TargetFaultTest.java
+++ b/src/test/java/org/radishpost/pool/TargetFaultTest.java
@@ -111,6 +111,29 @@
     assertTrue(world.state(0, 0) != TargetState.WARM);
   }
 
+  @Test
+  public void newOwnerOfWarmTargetsHasTheirSlotsAfterFewAnswers() {
+    PoolWorld world = warmWorld(0);
+    world.replaceOwner(0);
+    world.load(100 * PoolFixture.MILLI, GAP);
+    assertEquals(world.owners.getFirst().view(world.now).slots(), 2 * TARGETS);
+  }
+
+  @Test
+  public void targetThatSaysItDrainsGetsNoNewWorkUntilItStartsAnew() {
+    PoolWorld world = warmWorld(0);
+    FakeTarget target = world.target(0);
+    target.draining = true;
+    world.load(50 * PoolFixture.MILLI, GAP);
+    int before = target.calls;
+    world.load(3 * PoolFixture.SECOND, GAP);
+    assertEquals(target.calls, before);
+    target.draining = false;
+    target.restart(world.now);
+    world.load(3 * PoolFixture.SECOND, GAP);
+    assertTrue(target.calls > before);
+  }
+
   @Test
   public void requestThatCrashesTargetsIsCondemnedAndItsNeighboursAreNot() {
     PoolWorld world = warmWorld(0);
