--- a/src/main/java/org/radishpost/bench/RotatingPeers.java
+++ b/src/main/java/org/radishpost/bench/RotatingPeers.java
@@ -51,7 +51,7 @@
 
   private void refill(int vm) {
     for (int seed = 0; seed < seeds && graph.degree(vm) < seeds; seed++) {
-      if (!connect(vm, seed)) {
+      if (!connect(vm, seed) && seed != vm) {
         connect(vm, pick(graph.neighbours(seed)));
       }
     }
--- a/src/main/java/org/radishpost/link/LinkConnection.java
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -6,13 +6,17 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.VmId;
 import org.radishpost.platform.VmEntry;
+import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
 
 /**
@@ -30,7 +34,7 @@
   private final Handshake handshake;
   private final LinkOptions options;
   private final LongSupplier configVersion;
-  private final LongSupplier clockNanos;
+  private final Scheduler scheduler;
   private final Listener listener;
   private final boolean dialer;
   private final long openedNanos;
@@ -85,7 +89,7 @@
       boolean dialer,
       LinkOptions options,
       LongSupplier configVersion,
-      LongSupplier clockNanos,
+      Scheduler scheduler,
       Listener listener) {
     this.connection = connection;
     this.channel = connection.channel();
@@ -93,15 +97,16 @@
     this.dialer = dialer;
     this.options = options;
     this.configVersion = configVersion;
-    this.clockNanos = clockNanos;
+    this.scheduler = scheduler;
     this.listener = listener;
     this.asks = new AskTable(options.pendingAsks());
-    this.openedNanos = clockNanos.getAsLong();
+    this.openedNanos = nowNanos();
     this.health = new LinkHealth(options, openedNanos);
   }
 
-  /** Starts to read, and to prove this end. */
+  /** Starts to read, and to prove this end; closes when the peer takes too long to do so. */
   void start() {
+    closeLater(() -> proof == null);
     connection.addHandlerLast(FRAMES_HANDLER, frames(Frame.MAX_UNPROVED_BYTES));
     connection
         .inbound()
@@ -171,26 +176,21 @@
   public Mono<LinkMessage> ask(LinkMessage message) {
     return asks.ask(
         correlation -> {
-          health.used(clockNanos.getAsLong());
+          health.used(nowNanos());
           return send(Frame.of(Frame.Kind.ASK, message, correlation));
         });
   }
 
   @Override
   public void beat() {
-    sendUncounted(health.next(clockNanos.getAsLong(), configVersion.getAsLong()));
+    sendUncounted(health.next(nowNanos(), configVersion.getAsLong()));
   }
 
   @Override
   public void release() {
     released = true;
-    channel
-        .eventLoop()
-        .execute(
-            () -> {
-              write(Frame.empty(Frame.Kind.RELEASE).encode());
-              close();
-            });
+    channel.eventLoop().execute(() -> write(Frame.empty(Frame.Kind.RELEASE).encode()));
+    closeLater(() -> true);
   }
 
   @Override
@@ -205,7 +205,10 @@
 
   private boolean send(Frame frame) {
     byte[] bytes = frame.encode();
-    if (!open || proof == null || bytes.length + FrameSeal.SEAL_BYTES > Frame.MAX_BYTES) {
+    if (!open
+        || released
+        || proof == null
+        || bytes.length + FrameSeal.SEAL_BYTES > Frame.MAX_BYTES) {
       return false;
     }
     if (queuedFrames.incrementAndGet() > options.queueFrames()
@@ -223,6 +226,9 @@
   }
 
   private void sendUncounted(Beat beat) {
+    if (released) {
+      return;
+    }
     byte[] bytes = new Frame(Frame.Kind.BEAT, 0, 0, 0, beat.encode()).encode();
     queuedFrames.incrementAndGet();
     queuedBytes.addAndGet(bytes.length);
@@ -272,12 +278,7 @@
   private void stand(Handshake.Proved proved) {
     VmEntry peer = proved.peer();
     SessionKeys keys = proved.keys();
-    KeyedSession session =
-        new KeyedSession(peer.id(), keys, () -> health.used(clockNanos.getAsLong()));
-    connection
-        .channel()
-        .pipeline()
-        .replace(FRAMES_HANDLER, FRAMES_HANDLER, frames(Frame.MAX_BYTES));
+    KeyedSession session = new KeyedSession(peer.id(), keys, () -> health.used(nowNanos()));
     proof =
         new Proof(
             peer,
@@ -286,6 +287,7 @@
             new FrameSeal(keys.receiveFrames()),
             listener.counterOf(peer.id()));
     listener.proved(this);
+    channel.pipeline().replace(FRAMES_HANDLER, FRAMES_HANDLER, frames(Frame.MAX_BYTES));
   }
 
   private void take(byte[] sealed) throws LinkException {
@@ -302,14 +304,12 @@
       case ASK -> takeAsk(frame);
       case REPLY -> takeReply(frame);
       case REFUSED -> asks.refuse(frame.correlation(), Frame.Refusal.find(frame.type()));
-      default -> released = true;
+      default -> takeRelease();
     }
   }
 
   private void takeBeat(Beat beat) {
-    health
-        .received(beat, clockNanos.getAsLong(), configVersion.getAsLong())
-        .ifPresent(this::sendUncounted);
+    health.received(beat, nowNanos(), configVersion.getAsLong()).ifPresent(this::sendUncounted);
     if (beat.configVersion() != peerConfigVersion) {
       peerConfigVersion = beat.configVersion();
       listener.told(proof.peer.id(), new LinkMessage.Heartbeat(peerConfigVersion));
@@ -332,7 +332,7 @@
       send(Frame.refused(Frame.Refusal.UNSUPPORTED, frame.correlation()));
       return;
     }
-    health.used(clockNanos.getAsLong());
+    health.used(nowNanos());
     if (asksTaken.incrementAndGet() > options.pendingAsks()) {
       asksTaken.decrementAndGet();
       send(Frame.refused(Frame.Refusal.BUSY, frame.correlation()));
@@ -361,6 +361,12 @@
     asks.refuse(frame.correlation(), Frame.Refusal.UNSUPPORTED);
   }
 
+  /** Closes from this end, so that nothing that the peer sent before is lost. */
+  private void takeRelease() {
+    released = true;
+    end(Optional.empty());
+  }
+
   private void unsupported(Frame frame) {
     proof.traffic.unsupported();
     UnknownType unknown = new UnknownType(frame.type(), frame.version());
@@ -380,6 +386,23 @@
     listener.closed(this, cause);
   }
 
+  private void closeLater(BooleanSupplier condition) {
+    Disposable timer =
+        scheduler.schedule(
+            () -> closeIf(condition), options.connectLimit().toNanos(), TimeUnit.NANOSECONDS);
+    connection.onDispose(timer);
+  }
+
+  private void closeIf(BooleanSupplier condition) {
+    if (condition.getAsBoolean()) {
+      close();
+    }
+  }
+
+  private long nowNanos() {
+    return scheduler.now(TimeUnit.NANOSECONDS);
+  }
+
   private static LengthFieldBasedFrameDecoder frames(int maxBytes) {
     return new LengthFieldBasedFrameDecoder(maxBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
   }
--- a/src/main/java/org/radishpost/link/LinkControl.java
+++ b/src/main/java/org/radishpost/link/LinkControl.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.radishpost.lib.VmId;
 import org.radishpost.platform.VmEntry;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
@@ -69,9 +71,20 @@
     worker.schedulePeriodically(this::tick, tickNanos, tickNanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Opens no more links. */
-  void stopDialing() {
+  /** Opens no more links, says farewell on those that stand and releases them; once only. */
+  Mono<Void> releaseAll() {
     stopping = true;
+    Sinks.Empty<Void> released = Sinks.empty();
+    run(
+        () -> {
+          List<Link> standing =
+              peers.values().stream().flatMap(peer -> peer.standing().stream()).toList();
+          standing.forEach(link -> link.tell(new LinkMessage.Farewell()));
+          standing.forEach(Link::release);
+          Mono.when(standing.stream().map(Link::onClosed).toList())
+              .subscribe(nothing -> {}, released::tryEmitError, released::tryEmitEmpty);
+        });
+    return released.asMono();
   }
 
   void dispose() {
@@ -160,10 +173,10 @@
             return;
           }
           peer.lostNanos = nowNanos();
-          if (link.released()) {
-            announceReleased(peer);
-          } else if (peer.farewell) {
+          if (peer.farewell) {
             announceDown(peer, "left");
+          } else if (link.released()) {
+            announceReleased(peer);
           }
           dialAll();
         });
--- a/src/main/java/org/radishpost/link/LinkHealth.java
+++ b/src/main/java/org/radishpost/link/LinkHealth.java
@@ -22,6 +22,7 @@
   private final Deque<Sent> unanswered = new ArrayDeque<>();
   private long sequence;
   private long heard;
+  private boolean echoOwed;
   private long awakeNanos;
   private long lastBeatNanos;
   private long lastTickNanos;
@@ -68,13 +69,14 @@
     if (oldest != null && awakeNanos - oldest.awakeAtNanos > silenceNanos()) {
       return Verdict.SILENT;
     }
-    long interval = busy(nowNanos) ? beatNanos : idleBeatNanos;
+    long interval = busy(nowNanos) || echoOwed ? beatNanos : idleBeatNanos;
     return nowNanos - lastBeatNanos >= interval - beatNanos / 2 ? Verdict.BEAT : Verdict.QUIET;
   }
 
   /** Returns the next beat to be sent, which the peer has to echo. */
   synchronized Beat next(long nowNanos, long configVersion) {
     sequence++;
+    echoOwed = false;
     unanswered.addLast(new Sent(sequence, nowNanos, awakeNanos));
     lastBeatNanos = nowNanos;
     return new Beat(sequence, heard, true, configVersion);
@@ -92,7 +94,8 @@
       long sample = nowNanos - answered.atNanos;
       roundTripNanos = roundTripNanos == 0 ? sample : (7 * roundTripNanos + sample) / 8;
     }
-    if (!beat.prompt() || busy(nowNanos)) {
+    echoOwed |= beat.prompt() && busy(nowNanos);
+    if (!beat.prompt() || echoOwed) {
       return Optional.empty();
     }
     return Optional.of(new Beat(sequence, heard, false, configVersion));
--- a/src/main/java/org/radishpost/link/LinkMapper.java
+++ b/src/main/java/org/radishpost/link/LinkMapper.java
@@ -13,8 +13,8 @@
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.util.Objects;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.radishpost.claims.ClaimAnswer;
@@ -56,11 +56,17 @@
     }
   }
 
+  /**
+   * Reads a record.
+   *
+   * @throws LinkException if the bytes are not the record; the parser also has unchecked exceptions
+   *     for that
+   */
   static <T> T read(byte[] bytes, Class<T> type) throws LinkException {
     try {
       checkStructure(bytes);
-      return MAPPER.readValue(bytes, type);
-    } catch (IOException | MessagePackException e) {
+      return Objects.requireNonNull(MAPPER.readValue(bytes, type), "a record");
+    } catch (IOException | RuntimeException e) {
       throw new LinkException(
           "A message is corrupt. Check that both VMs run a release of radishpost.", e);
     }
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -7,12 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.radishpost.errors.LinkException;
 import org.radishpost.errors.StartException;
 import org.radishpost.events.EventCode;
@@ -133,19 +131,13 @@
   public Mono<Void> stop() {
     return Mono.defer(
         () -> {
-          farewell();
           stopping = true;
-          control.stopDialing();
           server.ifPresent(Disposable::dispose);
-          List<Link> open =
-              Stream.concat(
-                      unproved.stream(),
-                      control.peers().stream().flatMap(peer -> peer.standing().stream()))
-                  .toList();
-          open.forEach(Link::close);
-          return Mono.when(open.stream().map(Link::onClosed).toList())
-              .then(loops.disposeLater(Duration.ZERO, LOOP_STOP_LIMIT))
-              .doFinally(signal -> control.dispose());
+          unproved.forEach(LinkConnection::close);
+          return control
+              .releaseAll()
+              .doFinally(signal -> control.dispose())
+              .then(loops.disposeLater(Duration.ZERO, LOOP_STOP_LIMIT));
         });
   }
 
@@ -240,21 +232,11 @@
       LinkConnection.Listener listener) {
     LinkConnection link =
         new LinkConnection(
-            connection, handshake, dialer, options, configVersion, control::nowNanos, listener);
+            connection, handshake, dialer, options, configVersion, scheduler, listener);
     unproved.add(link);
-    Disposable limit =
-        scheduler.schedule(
-            () -> closeUnproved(link), options.connectLimit().toNanos(), TimeUnit.NANOSECONDS);
-    connection.onDispose(limit);
     link.start();
   }
 
-  private void closeUnproved(LinkConnection link) {
-    if (!link.proved()) {
-      link.close();
-    }
-  }
-
   private byte[] nonce() {
     byte[] nonce = new byte[Handshake.NONCE_BYTES];
     random.nextBytes(nonce);
--- /dev/null
+++ b/src/test/java/org/radishpost/link/FakeNetwork.java
@@ -0,0 +1,228 @@
+package org.radishpost.link;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** VMs whose links are objects in virtual time, with directions that can be cut. */
+final class FakeNetwork {
+  static final LinkOptions OPTIONS = LinkOptions.DEFAULT;
+  private static final long ONE_WAY_MICROS = 500;
+
+  private final VirtualTimeScheduler time = VirtualTimeScheduler.create();
+  private final Map<VmEntry, LinkControl> vms = new HashMap<>();
+  private final Map<VmEntry, VmEntry> takenOver = new HashMap<>();
+  private final Set<Direction> cut = new HashSet<>();
+  private final List<FakeLink> links = new ArrayList<>();
+  private final Map<VmId, List<PeerEvent>> seen = new HashMap<>();
+
+  private record Direction(VmId from, VmId to) {}
+
+  LinkControl add(VmEntry vm) {
+    LinkControl control =
+        new LinkControl(
+            vm.id(), OPTIONS, time, (c, f) -> {}, new Random(1), target -> dial(vm, target));
+    vms.put(vm, control);
+    List<PeerEvent> events = new ArrayList<>();
+    seen.put(vm.id(), events);
+    control.events().subscribe(events::add);
+    control.start();
+    return control;
+  }
+
+  /** Lets another VM answer at the address of one. */
+  void takeOver(VmEntry old, VmEntry fresh) {
+    takenOver.put(old, fresh);
+  }
+
+  void cut(VmEntry from, VmEntry to) {
+    cut.add(new Direction(from.id(), to.id()));
+  }
+
+  void heal() {
+    cut.clear();
+  }
+
+  /** Makes all open links silent, while new ones work. */
+  void silenceOpenLinks() {
+    links.forEach(link -> link.silent = true);
+  }
+
+  /** Closes all links as the end of a process does; the other ends notice. */
+  void reset() {
+    List.copyOf(links).forEach(FakeLink::close);
+  }
+
+  void run(Duration duration) {
+    time.advanceTimeBy(duration);
+  }
+
+  /** Returns what the VM's control emitted, without heartbeats, and forgets it. */
+  List<PeerEvent> take(VmEntry vm) {
+    List<PeerEvent> events = seen.get(vm.id());
+    List<PeerEvent> taken =
+        events.stream().filter(event -> !(event instanceof PeerEvent.Told)).toList();
+    events.clear();
+    return taken;
+  }
+
+  private void dial(VmEntry from, VmEntry target) {
+    VmEntry to = takenOver.getOrDefault(target, target);
+    boolean reachable = vms.containsKey(to) && !isCut(from, to) && !isCut(to, from);
+    if (!reachable) {
+      Duration limit = vms.containsKey(to) ? OPTIONS.connectLimit() : Duration.ofMillis(1);
+      later(limit, () -> vms.get(from).dialFailed(target.id()));
+      return;
+    }
+    byte[] secret = {(byte) links.size()};
+    FakeLink dialed = new FakeLink(from, to, secret, true);
+    FakeLink accepted = new FakeLink(to, from, secret, false);
+    dialed.other = accepted;
+    accepted.other = dialed;
+    links.addAll(List.of(dialed, accepted));
+    later(
+        Duration.ofMillis(2),
+        () -> {
+          if (!to.id().equals(target.id())) {
+            vms.get(from).dialFailed(target.id());
+          }
+          vms.get(from).up(dialed);
+          vms.get(to).up(accepted);
+        });
+  }
+
+  private boolean isCut(VmEntry from, VmEntry to) {
+    return cut.contains(new Direction(from.id(), to.id()));
+  }
+
+  private void later(Duration delay, Runnable work) {
+    time.schedule(work, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private long nowNanos() {
+    return time.now(TimeUnit.NANOSECONDS);
+  }
+
+  /** One end of a link. */
+  private final class FakeLink implements Link {
+    private final VmEntry own;
+    private final VmEntry peer;
+    private final boolean dialer;
+    private final KeyedSession session;
+    private final long openedNanos = nowNanos();
+    private final LinkHealth health = new LinkHealth(OPTIONS, openedNanos);
+    private final TrafficCounter traffic = new TrafficCounter();
+    private final Sinks.Empty<Void> closed = Sinks.empty();
+    private FakeLink other;
+    private boolean silent;
+    private boolean released;
+    private boolean open = true;
+
+    FakeLink(VmEntry own, VmEntry peer, byte[] secret, boolean dialer) {
+      this.own = own;
+      this.peer = peer;
+      this.dialer = dialer;
+      this.session =
+          new KeyedSession(
+              peer.id(), SessionKeys.derive(secret, dialer), () -> health.used(nowNanos()));
+    }
+
+    @Override
+    public VmEntry peer() {
+      return peer;
+    }
+
+    @Override
+    public KeyedSession session() {
+      return session;
+    }
+
+    @Override
+    public boolean dialer() {
+      return dialer;
+    }
+
+    @Override
+    public long openedNanos() {
+      return openedNanos;
+    }
+
+    @Override
+    public LinkHealth health() {
+      return health;
+    }
+
+    @Override
+    public TrafficCounter traffic() {
+      return traffic;
+    }
+
+    @Override
+    public boolean released() {
+      return released;
+    }
+
+    @Override
+    public boolean busy() {
+      return false;
+    }
+
+    @Override
+    public boolean tell(LinkMessage message) {
+      return true;
+    }
+
+    @Override
+    public Mono<LinkMessage> ask(LinkMessage message) {
+      return Mono.empty();
+    }
+
+    @Override
+    public void beat() {
+      send(health.next(nowNanos(), 1));
+    }
+
+    @Override
+    public void release() {
+      released = true;
+      other.released = true;
+      close();
+    }
+
+    @Override
+    public void close() {
+      if (!open) {
+        return;
+      }
+      open = false;
+      later(Duration.ZERO, () -> vms.get(own).gone(this));
+      deliver(other::close);
+    }
+
+    @Override
+    public Mono<Void> onClosed() {
+      return closed.asMono();
+    }
+
+    private void send(Beat beat) {
+      deliver(() -> other.health.received(beat, nowNanos(), 1).ifPresent(other::send));
+    }
+
+    private void deliver(Runnable arrival) {
+      if (!silent && !isCut(own, peer)) {
+        time.schedule(arrival, ONE_WAY_MICROS, TimeUnit.MICROSECONDS);
+      }
+    }
+  }
+}
--- a/src/test/java/org/radishpost/link/LinkFixture.java
+++ b/src/test/java/org/radishpost/link/LinkFixture.java
@@ -37,6 +37,26 @@
     entry = links.start().block(LIMIT);
   }
 
+  /** Returns a VM that minds no silence. */
+  static LinkFixture patient(String id) {
+    LinkOptions usual = LinkOptions.DEFAULT;
+    LinkOptions patient =
+        new LinkOptions(
+            usual.beatInterval(),
+            usual.idleBeatInterval(),
+            1_000_000,
+            usual.busyTime(),
+            usual.connectLimit(),
+            usual.reconnectFirst(),
+            usual.reconnectMost(),
+            usual.demandTime(),
+            usual.queueFrames(),
+            usual.queueBytes(),
+            usual.pendingAsks(),
+            usual.unprovedConnections());
+    return new LinkFixture(id, KEY, patient);
+  }
+
   static VmEntry entry(String id, int port) {
     Endpoint address = new Endpoint("127.0.0.1", port);
     return new VmEntry(new VmId(id), Place.of("kozep", "kozep-1"), address, address, false);
--- /dev/null
+++ b/src/test/java/org/radishpost/link/RawPeer.java
@@ -0,0 +1,84 @@
+package org.radishpost.link;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import org.radishpost.errors.LinkException;
+import org.radishpost.platform.VmEntry;
+
+/** The other end of a link by hand, for frames that no VM sends. */
+final class RawPeer implements AutoCloseable {
+  private final Socket socket;
+  private final DataInputStream in;
+  private final DataOutputStream out;
+  private FrameSeal sendSeal;
+  private FrameSeal receiveSeal;
+
+  RawPeer(VmEntry vm) throws IOException {
+    socket = new Socket(vm.link().ip(), vm.link().port());
+    socket.setSoTimeout((int) LinkFixture.LIMIT.toMillis());
+    in = new DataInputStream(socket.getInputStream());
+    out = new DataOutputStream(socket.getOutputStream());
+  }
+
+  /** Proves itself with the key. */
+  void prove(byte[] key, VmEntry self) throws IOException, LinkException {
+    Handshake handshake = Handshake.dial(key, self, new byte[Handshake.NONCE_BYTES]);
+    write(handshake.hello());
+    Handshake.Step step = handshake.receive(read());
+    write(step.reply().orElseThrow());
+    step = handshake.receive(read());
+    write(step.reply().orElseThrow());
+    SessionKeys keys = step.proved().orElseThrow().keys();
+    sendSeal = new FrameSeal(keys.sendFrames());
+    receiveSeal = new FrameSeal(keys.receiveFrames());
+  }
+
+  void write(byte[] frame) throws IOException {
+    writeLength(frame.length);
+    out.write(frame);
+  }
+
+  void writeLength(int length) throws IOException {
+    out.writeInt(length);
+  }
+
+  void send(Frame frame) throws IOException {
+    byte[] bytes = frame.encode();
+    byte[] seal = sendSeal.seal(bytes);
+    out.writeInt(bytes.length + seal.length);
+    out.write(bytes);
+    out.write(seal);
+  }
+
+  byte[] read() throws IOException {
+    byte[] frame = new byte[in.readInt()];
+    in.readFully(frame);
+    return frame;
+  }
+
+  /** Returns the next frame that is no heartbeat. */
+  Frame receive() throws IOException, LinkException {
+    Frame frame;
+    do {
+      frame = Frame.decode(receiveSeal.open(read()).orElseThrow());
+    } while (frame.kind() == Frame.Kind.BEAT);
+    return frame;
+  }
+
+  /** Waits until the VM closes the connection; returns the bytes that came before. */
+  int bytesUntilClosed() throws IOException {
+    try {
+      return in.readAllBytes().length;
+    } catch (SocketException reset) {
+      return 0;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
