--- a/src/main/java/org/radishpost/config/ConfigAction.java
+++ b/src/main/java/org/radishpost/config/ConfigAction.java
@@ -13,9 +13,10 @@
    * Read the configuration stream; one read is under way at a time.
    *
    * @param fromOffset the first offset wanted
+   * @param longPoll how long the log may wait for a record
    * @param pause the pause before the read
    */
-  record ReadLog(long fromOffset, Duration pause) implements ConfigAction {}
+  record ReadLog(long fromOffset, Duration longPoll, Duration pause) implements ConfigAction {}
 
   /**
    * Read the snapshot stream without waiting for records; one read is under way at a time.
--- a/src/main/java/org/radishpost/config/ConfigReplica.java
+++ b/src/main/java/org/radishpost/config/ConfigReplica.java
@@ -35,6 +35,8 @@
   private ConfigState state = ConfigState.EMPTY;
   private long writtenVersion;
   private boolean reading;
+  private boolean logSought = true;
+  private Duration readWait = Duration.ZERO;
   private long readNanos;
   private boolean caughtUp;
   private boolean behind;
@@ -98,7 +100,7 @@
     List<ConfigAction> actions = new ArrayList<>();
     switch (event) {
       case ConfigEvent.LogRead read -> logRead(read.page(), nowNanos, actions);
-      case ConfigEvent.LogReadFailed failed -> readLog(logBackoff.failed(), nowNanos, actions);
+      case ConfigEvent.LogReadFailed failed -> logReadFailed(nowNanos, actions);
       case ConfigEvent.SnapshotsRead read -> snapshotsRead(read.page(), nowNanos, actions);
       case ConfigEvent.SnapshotsReadFailed failed -> actions.add(keeper.failed());
       case ConfigEvent.Appended appended -> apply(List.of(appended.landed()));
@@ -174,10 +176,16 @@
       gap(page, actions);
     }
     boolean idle = state.version() == before;
-    boolean early = nowNanos - readNanos < options.readWait().toNanos() / 2;
+    boolean early = nowNanos - readNanos < readWait.toNanos() / 2;
+    logSought = false;
     readLog(idle && early ? logBackoff.failed() : Duration.ZERO, nowNanos, actions);
   }
 
+  private void logReadFailed(long nowNanos, List<ConfigAction> actions) {
+    logSought = true;
+    readLog(logBackoff.failed(), nowNanos, actions);
+  }
+
   private void gap(LogPage page, List<ConfigAction> actions) {
     Optional<ConfigAction> read = keeper.readAll();
     if (read.isPresent()) {
@@ -205,7 +213,8 @@
   private void readLog(Duration pause, long nowNanos, List<ConfigAction> actions) {
     reading = true;
     readNanos = nowNanos + pause.toNanos();
-    actions.add(new ConfigAction.ReadLog(state.version() + 1, pause));
+    readWait = logSought ? Duration.ZERO : options.readWait();
+    actions.add(new ConfigAction.ReadLog(state.version() + 1, readWait, pause));
   }
 
   private void snapshotsRead(LogPage page, long nowNanos, List<ConfigAction> actions) {
--- a/src/main/java/org/radishpost/node/ConfigReplicaService.java
+++ b/src/main/java/org/radishpost/node/ConfigReplicaService.java
@@ -181,10 +181,10 @@
   }
 
   private void readLog(ConfigAction.ReadLog read) {
-    Duration limit = options.readWait().plus(ANSWER_LIMIT);
+    Duration limit = read.longPoll().plus(ANSWER_LIMIT);
     later(
         read.pause(),
-        log.read(ConfigStreams.CONFIG, read.fromOffset(), options.readRecords(), options.readWait())
+        log.read(ConfigStreams.CONFIG, read.fromOffset(), options.readRecords(), read.longPoll())
             .timeout(limit, scheduler)
             .<ConfigEvent>map(ConfigEvent.LogRead::new),
         new ConfigEvent.LogReadFailed());
--- a/src/test/java/org/radishpost/config/ConfigScheduleTest.java
+++ b/src/test/java/org/radishpost/config/ConfigScheduleTest.java
@@ -47,7 +47,7 @@
   }
 
   /** Applies every newer record as it arrives. */
-  private static final class ArrivalOrder extends Delegating {
+  static final class ArrivalOrder extends Delegating {
     @Override
     public boolean comesNext(ConfigState state, LogRecord record) {
       return record.offset() > state.version();
--- a/src/test/java/org/radishpost/config/ConfigWorld.java
+++ b/src/test/java/org/radishpost/config/ConfigWorld.java
@@ -29,6 +29,7 @@
   static final Duration RETENTION = Duration.ofSeconds(60);
   private static final Duration BEAT = Duration.ofMillis(500);
   private static final ManifestCodec MANIFESTS = new ManifestCodec();
+  static final ConfigRecordCodec RECORDS = new ConfigRecordCodec(MANIFESTS);
   private static final Manifest VALID = valid();
 
   final VirtualTimeScheduler time = VirtualTimeScheduler.create();
@@ -108,7 +109,7 @@
           new ConfigReplica(
               id.value(),
               options,
-              new ConfigRecordCodec(MANIFESTS),
+              RECORDS,
               new SnapshotCodec(MANIFESTS),
               new ConfigVerdicts(new ManifestValidator()),
               random.split(),
@@ -151,6 +152,7 @@
     private <T> Mono<T> through(Mono<T> request) {
       Mono<T> failure = Mono.error(new LogUnavailableException("cut off"));
       return Mono.defer(() -> cut || down ? failure : request)
+          .delayElement(Duration.ofMillis(random.nextInt(1, 40)), time)
           .flatMap(answer -> cut || down ? failure : Mono.just(answer));
     }
   }
