--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -43,6 +43,19 @@
   /** A message of a type or version came that this release does not know; it was left out. */
   LINK_MESSAGE_UNSUPPORTED(3004, Level.WARN),
 
+  /** This VM has read a claim stream through and answers for its keys. */
+  CLAIM_STREAM_READY(6001, Level.INFO),
+  /** A record of a claim stream is not of a known version. */
+  CLAIM_RECORD_UNREADABLE(6002, Level.ERROR),
+  /** A claim stream has lost records that were read before. */
+  CLAIM_STREAM_CUT(6003, Level.ERROR),
+  /** The log does not answer for a claim stream. */
+  CLAIM_LOG_FAILING(6004, Level.WARN),
+  /** The log answers again for a claim stream. */
+  CLAIM_LOG_BACK(6005, Level.INFO),
+  /** The outcome or the withdrawal of a claim could not be recorded. */
+  CLAIM_END_LOST(6006, Level.WARN),
+
   /** The platform's log has been silent for long. */
   LOG_SILENT(8001, Level.WARN),
   /** The platform's log answers again. */
