Measure the configuration in force and read on at once after old records

A replica whose own append had landed got the same record again from its read, took this for no progress and paused 50 to 100 ms; a change that came then was late by that much. Only a page that brings nothing is now followed by a pause.

--- a/src/main/java/org/radishpost/config/ConfigReplica.java
+++ b/src/main/java/org/radishpost/config/ConfigReplica.java
@@ -170,15 +170,18 @@
     logBackoff.succeeded();
     contact.heard(page, nowNanos);
     noteLostRecords(page, actions);
-    long before = state.version();
     apply(page.records());
     if (page.earliestOffset() > state.version() + 1) {
       gap(page, actions);
     }
-    boolean idle = state.version() == before;
     boolean early = nowNanos - readNanos < readWait.toNanos() / 2;
     logSought = false;
-    readLog(idle && early ? logBackoff.failed() : Duration.ZERO, nowNanos, actions);
+    readLog(useless(page) && early ? logBackoff.failed() : Duration.ZERO, nowNanos, actions);
+  }
+
+  /** Tells whether reading again at once would give the same page. */
+  private boolean useless(LogPage page) {
+    return page.records().isEmpty() || page.records().getLast().offset() > state.version();
   }
 
   private void logReadFailed(long nowNanos, List<ConfigAction> actions) {
