--- /dev/null
+++ b/src/test/java/org/radishpost/node/ClaimMutations.java
@@ -0,0 +1,137 @@
+package org.radishpost.node;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.radishpost.claims.ClaimAnswer;
+import org.radishpost.claims.ClaimOutcome;
+import org.radishpost.claims.ClaimRequest;
+import org.radishpost.claims.Claims;
+import org.radishpost.platform.LogPage;
+import org.radishpost.platform.LogRecord;
+import org.radishpost.platform.PlatformLog;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Faulty builds of the claim protocol, made behind its interfaces. */
+final class ClaimMutations {
+  private ClaimMutations() {}
+
+  /** Takes an append as the next record that was read, without reading what came before it. */
+  static PlatformLog withoutReadBack(PlatformLog log) {
+    return new ReadingLog(log) {
+      private final Map<String, Long> next = new ConcurrentHashMap<>();
+
+      @Override
+      public Mono<LogRecord> append(String stream, byte[] payload) {
+        return log.append(stream, payload)
+            .map(landed -> new LogRecord(advance(stream), landed.timeMillis(), payload));
+      }
+
+      @Override
+      LogPage seen(String stream, long fromOffset, LogPage page) {
+        long last = page.records().isEmpty() ? fromOffset : page.records().getLast().offset() + 1;
+        next.merge(stream, Math.max(last, page.earliestOffset()), Math::max);
+        return page;
+      }
+
+      private long advance(String stream) {
+        return next.merge(stream, 1L, Long::sum) - 1;
+      }
+    };
+  }
+
+  /** Answers from its first read as if the stream began there. */
+  static PlatformLog withoutRetainedStream(PlatformLog log) {
+    return new ReadingLog(log) {
+      @Override
+      LogPage seen(String stream, long fromOffset, LogPage page) {
+        return fromOffset > 1
+            ? page
+            : new LogPage(java.util.List.of(), page.nextOffset(), page.nextOffset(), 0, 0);
+      }
+    };
+  }
+
+  /** Takes no notice of what has expired. */
+  static PlatformLog withoutHorizon(PlatformLog log) {
+    return new ReadingLog(log) {
+      @Override
+      LogPage seen(String stream, long fromOffset, LogPage page) {
+        return new LogPage(
+            page.records(), page.earliestOffset(), page.nextOffset(), page.timeMillis(), 0);
+      }
+    };
+  }
+
+  /** Withdraws what it has sent when it does not know how that ended. */
+  static Claims withdrawingAfterSend(Claims claims) {
+    return new Claims() {
+      @Override
+      public Mono<ClaimAnswer> claim(ClaimRequest request, Duration limit) {
+        return claims.claim(request, limit);
+      }
+
+      @Override
+      public void settle(ClaimRequest request, ClaimOutcome outcome) {
+        claims.withdraw(request);
+      }
+
+      @Override
+      public void withdraw(ClaimRequest request) {
+        claims.withdraw(request);
+      }
+    };
+  }
+
+  /** Gives up at the limit, but uses the grant all the same when it comes. */
+  static Claims usingLateGrants(Claims claims, VirtualTimeScheduler time) {
+    return new Claims() {
+      @Override
+      public Mono<ClaimAnswer> claim(ClaimRequest request, Duration limit) {
+        Sinks.One<ClaimAnswer> answer = Sinks.one();
+        claims.claim(request, limit.multipliedBy(10)).subscribe(answer::tryEmitValue);
+        Mono<ClaimAnswer> late =
+            Mono.defer(
+                () -> {
+                  claims.withdraw(request);
+                  return answer.asMono();
+                });
+        return answer.asMono().timeout(limit, late, time);
+      }
+
+      @Override
+      public void settle(ClaimRequest request, ClaimOutcome outcome) {
+        claims.settle(request, outcome);
+      }
+
+      @Override
+      public void withdraw(ClaimRequest request) {
+        claims.withdraw(request);
+      }
+    };
+  }
+
+  /** A log that shows other pages than it should. */
+  private abstract static class ReadingLog implements PlatformLog {
+    private final PlatformLog log;
+
+    ReadingLog(PlatformLog log) {
+      this.log = log;
+    }
+
+    abstract LogPage seen(String stream, long fromOffset, LogPage page);
+
+    @Override
+    public Mono<LogRecord> append(String stream, byte[] payload) {
+      return log.append(stream, payload);
+    }
+
+    @Override
+    public Mono<LogPage> read(String stream, long fromOffset, int maxRecords, Duration wait) {
+      return log.read(stream, fromOffset, maxRecords, wait)
+          .map(page -> seen(stream, fromOffset, page));
+    }
+  }
+}
