--- a/src/test/java/org/radishpost/settings/SettingsCodecTest.java
+++ b/src/test/java/org/radishpost/settings/SettingsCodecTest.java
@@ -25,7 +25,7 @@
     NodeSettings settings = decode(VALID);
     assertEquals(settings.limits().headerBytes(), 8_192);
     assertEquals(settings.limits().replayBytes(), 65_536);
-    assertEquals(settings.shutdown().drainLimit(), Duration.ofMinutes(1));
+    assertEquals(settings.shutdown().drainLimit(), Duration.ofMinutes(5));
     assertEquals(settings.balancing(), NodeSettings.Balancing.OWNER);
     assertEquals(settings.logFormat(), NodeSettings.LogFormat.JSON);
   }
