--- /dev/null
+++ b/src/test/java/org/radishpost/lib/JsonDocument.java
@@ -0,0 +1,164 @@
+package org.radishpost.lib;
+
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.math.BigInteger;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+
+/** A valid JSON document that tests spoil in one place. */
+public record JsonDocument(String text) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+  private static final int RIGHT_TO_LEFT = 0x202e;
+  private static final int LONE_SURROGATE = 0xd800;
+  private static final List<JsonNode> ODD_VALUES =
+      List.of(
+          NODES.nullNode(),
+          NODES.booleanNode(true),
+          NODES.numberNode(-1),
+          NODES.numberNode(0.5),
+          NODES.numberNode(Long.MAX_VALUE),
+          NODES.numberNode(BigInteger.TWO.pow(70)),
+          NODES.textNode(""),
+          NODES.textNode(new String(new int[] {0, RIGHT_TO_LEFT, LONE_SURROGATE}, 0, 3)),
+          NODES.textNode("x".repeat(10_000)),
+          NODES.textNode("0.0.0.0:0"),
+          NODES.arrayNode(),
+          NODES.objectNode());
+
+  /** Reads a document that lies beside a class. */
+  public static JsonDocument beside(Class<?> test, String name) {
+    try (InputStream in = test.getResourceAsStream(name)) {
+      return new JsonDocument(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      throw new AssertionError(name, e);
+    }
+  }
+
+  /** Returns the bytes of the document. */
+  public byte[] bytes() {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Puts another text in the place of the first one like it. */
+  public JsonDocument edit(String part, String instead) {
+    int at = text.indexOf(part);
+    assertTrue(at >= 0, part);
+    return new JsonDocument(text.substring(0, at) + instead + text.substring(at + part.length()));
+  }
+
+  /** Adds a member that nobody knows to a random object. */
+  public Spoiled withUnknownMember(RandomGenerator random) {
+    JsonNode root = tree();
+    List<Place> objects = new ArrayList<>();
+    collect(root, "", objects);
+    objects.removeIf(place -> !(place.node() instanceof ObjectNode));
+    Place place = objects.get(random.nextInt(objects.size()));
+    ((ObjectNode) place.node()).put("unheard", 1);
+    return new Spoiled(write(root), join(place.path(), "unheard"));
+  }
+
+  /** Puts an object in the place of a random value that is none. */
+  public Spoiled withObjectInsteadOfValue(RandomGenerator random) {
+    JsonNode root = tree();
+    List<Place> objects = new ArrayList<>();
+    collect(root, "", objects);
+    objects.removeIf(place -> !(place.node() instanceof ObjectNode));
+    Place place = objects.get(random.nextInt(objects.size()));
+    ObjectNode object = (ObjectNode) place.node();
+    List<String> names = new ArrayList<>();
+    object.fieldNames().forEachRemaining(names::add);
+    names.removeIf(name -> object.get(name).isObject());
+    String name = names.get(random.nextInt(names.size()));
+    object.set(name, NODES.objectNode());
+    return new Spoiled(write(root), join(place.path(), name));
+  }
+
+  /** Changes a random value, member or list to something odd that may still be valid. */
+  public byte[] withOddPlace(RandomGenerator random) {
+    JsonNode root = tree();
+    List<Place> places = new ArrayList<>();
+    collect(root, "", places);
+    JsonNode node = places.get(random.nextInt(places.size())).node();
+    JsonNode odd = ODD_VALUES.get(random.nextInt(ODD_VALUES.size()));
+    if (node instanceof ArrayNode array) {
+      oddList(array, odd, random);
+    } else if (node instanceof ObjectNode object) {
+      oddObject(object, odd, random);
+    }
+    return write(root);
+  }
+
+  /** Cuts the text, or changes some of its bytes. */
+  public byte[] withOddBytes(RandomGenerator random) {
+    byte[] bytes = bytes();
+    for (int i = random.nextInt(4); i >= 0; i--) {
+      bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+    }
+    return random.nextInt(4) == 0 ? Arrays.copyOf(bytes, random.nextInt(bytes.length)) : bytes;
+  }
+
+  private static void oddList(ArrayNode array, JsonNode odd, RandomGenerator random) {
+    switch (random.nextInt(3)) {
+      case 0 -> array.removeAll();
+      case 1 -> array.add(odd);
+      default -> array.addAll(array.deepCopy());
+    }
+  }
+
+  private static void oddObject(ObjectNode object, JsonNode odd, RandomGenerator random) {
+    List<String> names = new ArrayList<>();
+    object.fieldNames().forEachRemaining(names::add);
+    String name = names.get(random.nextInt(names.size()));
+    switch (random.nextInt(3)) {
+      case 0 -> object.remove(name);
+      case 1 -> object.set(name.toUpperCase(Locale.ROOT), object.remove(name));
+      default -> object.set(name, odd);
+    }
+  }
+
+  private static void collect(JsonNode node, String path, List<Place> places) {
+    if (node.isContainerNode() && !node.isEmpty()) {
+      places.add(new Place(path, node));
+    }
+    node.properties()
+        .forEach(member -> collect(member.getValue(), join(path, member.getKey()), places));
+    for (int i = 0; node.isArray() && i < node.size(); i++) {
+      collect(node.get(i), path + "[" + i + "]", places);
+    }
+  }
+
+  private static String join(String path, String name) {
+    return path.isEmpty() ? name : path + "." + name;
+  }
+
+  private JsonNode tree() {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static byte[] write(JsonNode root) {
+    return root.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private record Place(String path, JsonNode node) {}
+
+  /** A document with one fault and the path where it lies. */
+  public record Spoiled(byte[] bytes, String path) {}
+}
--- a/src/test/java/org/radishpost/manifest/ManifestTest.java
+++ b/src/test/java/org/radishpost/manifest/ManifestTest.java
@@ -5,20 +5,18 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.radishpost.errors.ManifestException;
 import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.JsonDocument;
 import org.radishpost.lib.Place;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Every fault of a manifest is refused with its path; a valid one survives its JSON form. */
 public class ManifestTest {
-  private static final String VALID = resource("valid.json");
+  private static final JsonDocument VALID = JsonDocument.beside(ManifestTest.class, "valid.json");
   private final ManifestCodec codec = new ManifestCodec();
   private final ManifestValidator validator = new ManifestValidator();
 
@@ -73,7 +71,8 @@
 
   @Test(dataProvider = "unreadable")
   public void unreadableManifestIsRefused(String text, String instead, String told) {
-    ManifestException e = expectThrows(ManifestException.class, () -> decode(edit(text, instead)));
+    ManifestException e =
+        expectThrows(ManifestException.class, () -> decode(VALID.edit(text, instead)));
     assertTrue(e.getMessage().contains(told), e.getMessage());
   }
 
@@ -121,7 +120,7 @@
   @Test(dataProvider = "faulty")
   public void faultIsToldWithItsPath(String text, String instead, String path)
       throws ManifestException {
-    List<ManifestFault> faults = validator.faults(decode(edit(text, instead)));
+    List<ManifestFault> faults = validator.faults(decode(VALID.edit(text, instead)));
     assertEquals(faults.stream().map(ManifestFault::path).toList(), List.of(path));
   }
 
@@ -131,21 +130,7 @@
     assertThrows(ManifestException.class, () -> codec.decode(large));
   }
 
-  private Manifest decode(String json) throws ManifestException {
-    return codec.decode(json.getBytes(StandardCharsets.UTF_8));
-  }
-
-  private static String edit(String text, String instead) {
-    int at = VALID.indexOf(text);
-    assertTrue(at >= 0, text);
-    return VALID.substring(0, at) + instead + VALID.substring(at + text.length());
-  }
-
-  private static String resource(String name) {
-    try (InputStream in = ManifestTest.class.getResourceAsStream(name)) {
-      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
-    } catch (IOException e) {
-      throw new AssertionError(name, e);
-    }
+  private Manifest decode(JsonDocument json) throws ManifestException {
+    return codec.decode(json.bytes());
   }
 }
--- a/src/test/java/org/radishpost/settings/SettingsCodecTest.java
+++ b/src/test/java/org/radishpost/settings/SettingsCodecTest.java
@@ -5,19 +5,18 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import org.radishpost.errors.SettingsException;
 import org.radishpost.errors.SettingsFault;
+import org.radishpost.lib.JsonDocument;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Every fault of settings is refused with its path; defaults come from the schema. */
 public class SettingsCodecTest {
-  private static final String VALID = resource("valid.json");
+  private static final JsonDocument VALID =
+      JsonDocument.beside(SettingsCodecTest.class, "valid.json");
   private final SettingsCodec codec = new SettingsCodec();
 
   @Test
@@ -54,14 +53,14 @@
       {"{\"headerBytes\": 8192}", "{\"slowSenderSeconds\": 10}", "limits.slowSenderSeconds"},
       {"{\"headerBytes\": 8192}", "{\"connections\": 9}", "limits.callerConnections"},
       {"\"limits\":", "\"balancing\": \"RANDOM\", \"limits\":", "balancing"},
-      {VALID, "[]", ""},
-      {VALID, "", ""},
+      {VALID.text(), "[]", ""},
+      {VALID.text(), "", ""},
     };
   }
 
   @Test(dataProvider = "faulty")
   public void faultIsToldWithItsPath(String text, String instead, String paths) {
-    List<SettingsFault> faults = refused(edit(text, instead)).faults();
+    List<SettingsFault> faults = refused(VALID.edit(text, instead)).faults();
     assertEquals(
         String.join(",", faults.stream().map(SettingsFault::path).sorted().toList()), paths);
     assertTrue(faults.stream().allMatch(f -> f.remedy().length() > 20), faults.toString());
@@ -69,13 +68,14 @@
 
   @Test
   public void allFaultsAreToldTogether() {
-    String json = edit("\"zone\": \"kozep-1\",", "").replace("127.0.1.1:8080", "edge:1");
+    JsonDocument json = VALID.edit("\"zone\": \"kozep-1\",", "").edit("127.0.1.1:8080", "edge:1");
     assertEquals(refused(json).faults().size(), 2);
   }
 
   @Test
   public void freePortsMayBeTheSame() throws SettingsException {
-    NodeSettings settings = decode(VALID.replaceAll("127.0.1.1:808.", "127.0.0.1:0"));
+    NodeSettings settings =
+        decode(new JsonDocument(VALID.text().replaceAll("127.0.1.1:808.", "127.0.0.1:0")));
     assertEquals(settings.edge(), settings.admin());
   }
 
@@ -92,28 +92,14 @@
 
   @Test(dataProvider = "secrets")
   public void secretPutThereByMistakeIsNotPrinted(String text, String instead) {
-    assertFalse(refused(edit(text, instead)).getMessage().contains("hunter2"));
+    assertFalse(refused(VALID.edit(text, instead)).getMessage().contains("hunter2"));
   }
 
-  private NodeSettings decode(String json) throws SettingsException {
-    return codec.decode(json.getBytes(StandardCharsets.UTF_8));
+  private NodeSettings decode(JsonDocument json) throws SettingsException {
+    return codec.decode(json.bytes());
   }
 
-  private SettingsException refused(String json) {
+  private SettingsException refused(JsonDocument json) {
     return expectThrows(SettingsException.class, () -> decode(json));
   }
-
-  private static String edit(String text, String instead) {
-    int at = VALID.indexOf(text);
-    assertTrue(at >= 0, text);
-    return VALID.substring(0, at) + instead + VALID.substring(at + text.length());
-  }
-
-  private static String resource(String name) {
-    try (InputStream in = SettingsCodecTest.class.getResourceAsStream(name)) {
-      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
-    } catch (IOException e) {
-      throw new AssertionError(name, e);
-    }
-  }
 }
