Retry, hedge and share crash counts on the real path

Cause: the entry sent a lost idempotent call again without a budget and never hedged; crash counts stayed on one VM; pools told their views to every VM ten times a second, which alone is about 22 KB/s for 16 VMs (150 bytes, 15 peers), against 3 KB/s for all control. Change: the entry follows RetryPolicy and HedgePolicy, shed calls cost a retry, SuspectSeen travels over the links, views travel with answers only. Conclusion: amplification is bounded by the allowance and the budget.

--- a/src/main/java/org/radishpost/http/Call.java
+++ b/src/main/java/org/radishpost/http/Call.java
@@ -20,4 +20,9 @@
     RequestHead head,
     CallBody body,
     Optional<String> idempotencyKey,
-    int retriesLeft) {}
+    int retriesLeft) {
+  /** Returns the same call with other retries left. */
+  public Call withRetries(int left) {
+    return new Call(facts, match, head, body, idempotencyKey, left);
+  }
+}
--- a/src/main/java/org/radishpost/http/CallResult.java
+++ b/src/main/java/org/radishpost/http/CallResult.java
@@ -26,6 +26,13 @@
    */
   record HandedBack(HandBackReason reason, Optional<PoolView> view) implements CallResult {}
 
+  /**
+   * A target had the call and said that it did not run it.
+   *
+   * @param view the pool
+   */
+  record Shed(Optional<PoolView> view) implements CallResult {}
+
   /**
    * The call may have run, and there is no answer.
    *
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.radishpost.admission.RetryAllowance;
 import org.radishpost.errors.StartException;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
@@ -35,8 +36,6 @@
  */
 public final class EdgeServer {
   private static final int MAX_DEPTH = 64;
-  private static final int DEFAULT_RETRIES = 2;
-  private static final int MAX_RETRIES = 3;
 
   private final Endpoint address;
   private final RegionName region;
@@ -204,7 +203,10 @@
         head,
         body,
         Optional.ofNullable(headers.get(HeaderNames.IDEMPOTENCY_KEY)),
-        (int) Math.min(MAX_RETRIES, number(headers, HeaderNames.RETRIES_LEFT, DEFAULT_RETRIES)));
+        (int)
+            Math.min(
+                RetryAllowance.START,
+                number(headers, HeaderNames.RETRIES_LEFT, RetryAllowance.START)));
   }
 
   private static Optional<Digest> fingerprint(RequestHead head, CallBody body) {
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -119,6 +119,7 @@
     return switch (ended) {
       case HopResult.Answered answered -> new CallResult.Answered(reply, view);
       case HopResult.HandedBack back -> new CallResult.HandedBack(back.reason(), view);
+      case HopResult.Shed shed -> new CallResult.Shed(view);
       case HopResult.Lost lost -> new CallResult.Lost(lost.cause(), view);
       case HopResult.NotProved notProved ->
           new CallResult.Unreachable(
--- a/src/main/java/org/radishpost/http/HopResult.java
+++ b/src/main/java/org/radishpost/http/HopResult.java
@@ -13,6 +13,9 @@
   /** Stands before the reason why a call was handed back. */
   String HANDED_BACK = "handed-back ";
 
+  /** Says that a target shed the call. */
+  String SHED = "shed";
+
   /** Says that the time was over. */
   String TIMED_OUT = "lost timeout";
 
@@ -29,6 +32,9 @@
    */
   record HandedBack(HandBackReason reason) implements HopResult {}
 
+  /** A target said that it did not run the call. */
+  record Shed() implements HopResult {}
+
   /**
    * The call may have run.
    *
@@ -44,6 +50,7 @@
     return switch (result) {
       case CallResult.Answered answered -> ANSWERED;
       case CallResult.HandedBack back -> HANDED_BACK + back.reason().name();
+      case CallResult.Shed shed -> SHED;
       case CallResult.Unreachable unreachable -> HANDED_BACK + HandBackReason.NOT_OWNER.name();
       case CallResult.Lost lost ->
           lost.cause() instanceof AnswerTimeoutException ? TIMED_OUT : DIED;
@@ -58,6 +65,9 @@
     if (text.equals(ANSWERED)) {
       return new Answered();
     }
+    if (text.equals(SHED)) {
+      return new Shed();
+    }
     if (text.startsWith(HANDED_BACK)) {
       return new HandedBack(HandBackReason.valueOf(text.substring(HANDED_BACK.length())));
     }
--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -1,9 +1,17 @@
 package org.radishpost.node;
 
-import java.util.HashSet;
+import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.radishpost.admission.HedgePolicy;
+import org.radishpost.admission.RetryBudget;
+import org.radishpost.admission.RetryDecision;
+import org.radishpost.admission.RetryPolicy;
 import org.radishpost.errors.AnswerTimeoutException;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
@@ -13,29 +21,34 @@
 import org.radishpost.http.Problems;
 import org.radishpost.http.Reply;
 import org.radishpost.lib.PoolId;
+import org.radishpost.lib.Verdict;
 import org.radishpost.membership.Members;
 import org.radishpost.platform.VmEntry;
 import org.radishpost.pool.HandBackReason;
+import org.radishpost.pool.TargetOutcome;
 import org.radishpost.routing.PoolChooser;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Takes a call from the edge to a pool, and to another one when it is handed back.
+ * Takes a call from the edge to a pool, and to another one when it is handed back or may be sent
+ * again.
  *
  * <p>Thread-safe.
  */
 final class CallRouter implements CallHandler {
-  /** Pools that are tried at the most for one call. */
-  private static final int MAX_POOLS = 4;
+  private static final int SERVER_ERROR = 500;
 
   private final PoolDirectory directory;
   private final PoolChooser chooser;
   private final Members members;
   private final OwnedPools owned;
   private final HopClient hops;
-  private final Retries retries;
+  private final RetryBudget budget;
+  private final RetryPolicy retries;
   private final Scheduler clock;
+  private final Map<PoolId, HedgePolicy> hedges = new ConcurrentHashMap<>();
 
   CallRouter(
       PoolDirectory directory,
@@ -43,14 +56,15 @@
       Members members,
       OwnedPools owned,
       HopClient hops,
-      Retries retries,
+      RetryBudget budget,
       Scheduler clock) {
     this.directory = directory;
     this.chooser = chooser;
     this.members = members;
     this.owned = owned;
     this.hops = hops;
-    this.retries = retries;
+    this.budget = budget;
+    this.retries = new RetryPolicy(budget);
     this.clock = clock;
   }
 
@@ -60,15 +74,22 @@
     if (refusal.isPresent()) {
       return Mono.just(Reply.of(refusal.get()));
     }
-    return attempt(call, new HashSet<>(), HandBackReason.NO_TARGET);
+    return attempt(Attempt.first(call), HandBackReason.NO_TARGET);
   }
 
-  private Mono<Reply> attempt(Call call, Set<PoolId> tried, HandBackReason last) {
-    Optional<PoolId> pool = tried.size() < MAX_POOLS ? choose(call, tried) : Optional.empty();
+  private Mono<Reply> attempt(Attempt attempt, HandBackReason last) {
+    Optional<PoolId> pool = choose(attempt.call(), attempt.tried());
     if (pool.isEmpty()) {
-      return Mono.just(Reply.of(Problems.handedBack(last)));
+      return Mono.just(Reply.of(refused(attempt, last)));
     }
-    return run(call, pool.get()).flatMap(result -> next(call, pool.get(), tried, result));
+    Attempt begun = attempt.at(pool.get());
+    return hedged(begun, pool.get()).flatMap(result -> next(begun, result));
+  }
+
+  private static Problem refused(Attempt attempt, HandBackReason last) {
+    return attempt.mayHaveRun()
+        ? Problems.lostAnswer(503, "No other target could take the retry.")
+        : Problems.handedBack(last);
   }
 
   private Optional<PoolId> choose(Call call, Set<PoolId> tried) {
@@ -77,44 +98,128 @@
     }
   }
 
+  private Mono<CallResult> hedged(Attempt attempt, PoolId pool) {
+    HedgePolicy policy = hedges.computeIfAbsent(pool, unused -> new HedgePolicy(budget));
+    OptionalLong delay = hedgeDelay(policy, attempt);
+    if (delay.isEmpty()) {
+      return timed(attempt.call(), pool, policy);
+    }
+    AtomicBoolean ended = new AtomicBoolean();
+    Mono<CallResult> second =
+        Mono.delay(Duration.ofNanos(delay.getAsLong()), clock)
+            .filter(tick -> !ended.get())
+            .flatMap(tick -> hedge(attempt, policy));
+    Mono<CallResult> first =
+        timed(attempt.call(), pool, policy).doOnNext(result -> ended.set(true));
+    return Flux.merge(first, second).takeUntil(CallRouter::wins).reduce(CallRouter::better);
+  }
+
+  private OptionalLong hedgeDelay(HedgePolicy policy, Attempt attempt) {
+    boolean mayHedge = attempt.call().body().isWhole() && !attempt.mayHaveRun();
+    if (!mayHedge) {
+      return OptionalLong.empty();
+    }
+    synchronized (policy) {
+      return policy.delayNanos(attempt.call().facts(), attempt.allowance());
+    }
+  }
+
+  private Mono<CallResult> hedge(Attempt attempt, HedgePolicy policy) {
+    Optional<PoolId> other = choose(attempt.call(), attempt.tried());
+    if (other.isEmpty()) {
+      return Mono.empty();
+    }
+    synchronized (policy) {
+      if (!policy.begin(attempt.call().facts(), now())) {
+        return Mono.empty();
+      }
+    }
+    return run(attempt.call(), other.get());
+  }
+
+  private Mono<CallResult> timed(Call call, PoolId pool, HedgePolicy policy) {
+    long start = now();
+    return run(call, pool)
+        .doOnNext(
+            result -> {
+              if (wins(result)) {
+                synchronized (policy) {
+                  policy.answered(now() - start);
+                }
+              }
+            });
+  }
+
+  private static boolean wins(CallResult result) {
+    return result instanceof CallResult.Answered answered
+        && answered.reply().status() < SERVER_ERROR;
+  }
+
+  private static CallResult better(CallResult first, CallResult second) {
+    if (wins(second) || first instanceof CallResult.HandedBack) {
+      return second;
+    }
+    return first;
+  }
+
   private Mono<CallResult> run(Call call, PoolId pool) {
     Optional<VmEntry> owner = members.ownerOf(pool);
+    if (owned.owns(pool)) {
+      return owned.handle(call, pool, () -> {}).doOnNext(result -> note(pool, result));
+    }
     if (owner.isEmpty()) {
       return Mono.just(new CallResult.HandedBack(HandBackReason.NO_TARGET, Optional.empty()));
     }
-    if (owner.get().id().equals(members.self().id())) {
-      return owned.handle(call, pool, () -> {});
-    }
-    return hops.send(call, pool, owner.get());
+    return hops.send(call, pool, owner.get()).doOnNext(result -> note(pool, result));
   }
 
-  private Mono<Reply> next(Call call, PoolId pool, Set<PoolId> tried, CallResult result) {
-    note(pool, result);
+  private Mono<Reply> next(Attempt attempt, CallResult result) {
     return switch (result) {
       case CallResult.Answered answered -> {
-        retries.succeeded();
+        budget.succeeded();
         yield Mono.just(answered.reply());
       }
-      case CallResult.HandedBack back -> again(call, pool, tried, back.reason());
-      case CallResult.Unreachable unreachable -> again(call, pool, tried, HandBackReason.NOT_OWNER);
-      case CallResult.Lost lost -> lost(call, pool, tried, lost);
+      case CallResult.HandedBack back ->
+          follow(
+              attempt,
+              retries.afterHandBack(attempt.forPolicy(), back.reason(), now()),
+              Problems.handedBack(back.reason()),
+              back.reason());
+      case CallResult.Unreachable unreachable ->
+          follow(
+              attempt,
+              retries.afterHandBack(attempt.forPolicy(), HandBackReason.NOT_OWNER, now()),
+              Problems.handedBack(HandBackReason.NOT_OWNER),
+              HandBackReason.NOT_OWNER);
+      case CallResult.Shed shed ->
+          follow(
+              attempt,
+              retries.afterSend(
+                  attempt.forPolicy(), new TargetOutcome.Shed(Optional.empty()), now()),
+              Problems.handedBack(HandBackReason.NO_TARGET),
+              HandBackReason.NO_TARGET);
+      case CallResult.Lost lost -> lost(attempt.lost(), lost);
     };
   }
 
-  private Mono<Reply> again(Call call, PoolId pool, Set<PoolId> tried, HandBackReason reason) {
-    if (reason == HandBackReason.SUSPECT || now() >= call.facts().deadlineNanos()) {
-      return Mono.just(Reply.of(Problems.handedBack(reason)));
-    }
-    tried.add(pool);
-    return attempt(call, tried, reason);
+  private Mono<Reply> lost(Attempt attempt, CallResult.Lost lost) {
+    boolean late = lost.cause() instanceof AnswerTimeoutException;
+    TargetOutcome outcome =
+        late ? new TargetOutcome.TimedOut() : new TargetOutcome.ConnectionDied(false);
+    return follow(
+        attempt,
+        retries.afterSend(attempt.forPolicy(), outcome, now()),
+        Problems.lostAnswer(late ? 504 : 502, lost.cause().getMessage()),
+        HandBackReason.NO_TARGET);
   }
 
-  private Mono<Reply> lost(Call call, PoolId pool, Set<PoolId> tried, CallResult.Lost lost) {
-    if (call.body().isWhole() && retries.allow(call, lost.cause(), now())) {
-      return attempt(retries.spend(call), tried, HandBackReason.NO_TARGET);
+  private Mono<Reply> follow(
+      Attempt attempt, RetryDecision decision, Problem otherwise, HandBackReason reason) {
+    if (decision instanceof RetryDecision.Retry retry) {
+      return attempt(attempt.again(retry.allowance()), reason);
     }
-    int status = lost.cause() instanceof AnswerTimeoutException ? 504 : 502;
-    return Mono.just(Reply.of(Problems.lostAnswer(status, lost.cause().getMessage())));
+    boolean unknown = attempt.mayHaveRun() && otherwise.verdict() == Verdict.NOT_RUN;
+    return Mono.just(Reply.of(unknown ? refused(attempt, reason) : otherwise));
   }
 
   private void note(PoolId pool, CallResult result) {
@@ -124,6 +229,7 @@
         case CallResult.HandedBack back -> chooser.handedBack(pool, back.reason(), now());
         case CallResult.Unreachable unreachable -> chooser.unreachable(pool, now());
         case CallResult.Answered answered -> {}
+        case CallResult.Shed shed -> {}
         case CallResult.Lost lost -> {}
       }
     }
--- a/src/main/java/org/radishpost/node/ClaimGate.java
+++ b/src/main/java/org/radishpost/node/ClaimGate.java
@@ -122,6 +122,10 @@
         claims.withdraw(request);
         yield back;
       }
+      case CallResult.Shed shed -> {
+        claims.withdraw(request);
+        yield shed;
+      }
       case CallResult.Unreachable unreachable -> {
         claims.withdraw(request);
         yield unreachable;
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -1,10 +1,10 @@
 package org.radishpost.node;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
+import org.radishpost.admission.RetryBudget;
 import org.radishpost.config.ConfigRecordCodec;
 import org.radishpost.config.ConfigReplica;
 import org.radishpost.config.ConfigReplicaOptions;
@@ -21,6 +21,7 @@
 import org.radishpost.http.HopClient;
 import org.radishpost.http.HopServer;
 import org.radishpost.http.HttpSender;
+import org.radishpost.lib.Digest;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.VmId;
@@ -38,7 +39,6 @@
 import org.radishpost.platform.http.HttpVmList;
 import org.radishpost.pool.Pool;
 import org.radishpost.pool.PoolLimits;
-import org.radishpost.pool.PoolView;
 import org.radishpost.pool.Pools;
 import org.radishpost.pool.TargetPolicy;
 import org.radishpost.routing.LinkCosts;
@@ -64,7 +64,6 @@
 public final class Node {
   private static final Duration TICK = Duration.ofMillis(2);
   private static final Duration RECONCILE = Duration.ofMillis(20);
-  private static final Duration VIEWS_INTERVAL = Duration.ofMillis(100);
   private static final Duration TARGET_IDLE = Duration.ofSeconds(2);
   private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
   private static final Duration PLATFORM_LIMIT = Duration.ofSeconds(2);
@@ -118,7 +117,7 @@
     this.events =
         new EventLog(
             settings.vm(), new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS)), timeLine);
-    this.suspects = new SuspectRegistry(settings.vm());
+    this.suspects = new SuspectRegistry(settings.vm(), this::tellSuspect);
     this.targetSender =
         new HttpSender("target", clock, loops, TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
     this.hopSender =
@@ -219,7 +218,6 @@
     claims.start();
     running.add(every(TICK, owned::tick));
     running.add(every(RECONCILE, this::reconcile));
-    running.add(every(VIEWS_INTERVAL, this::tellViews));
   }
 
   private CallRouter router() {
@@ -227,7 +225,14 @@
         settings.balancing() == Balancing.OWNER
             ? new LocalityPoolChooser(settings.place(), LinkCosts.DEFAULT, directory, random)
             : new ProportionalPoolChooser(settings.place(), directory, random);
-    return new CallRouter(directory, chooser, table, owned, hops, new Retries(), clock);
+    return new CallRouter(
+        directory,
+        chooser,
+        table,
+        owned,
+        hops,
+        new RetryBudget(RetryBudget.DEFAULT_PERCENT),
+        clock);
   }
 
   private PoolRunner runner(PoolId id) {
@@ -239,7 +244,7 @@
             random,
             suspects,
             () -> config.current().version());
-    return new PoolRunner(pool, targetSender, clock);
+    return new PoolRunner(pool, targetSender, clock, events);
   }
 
   private static TargetPolicy policy(Balancing balancing) {
@@ -275,6 +280,12 @@
     switch (told.message()) {
       case LinkMessage.CallTaken taken -> hops.taken(told.peer(), taken.hopSequence());
       case LinkMessage.PoolViews views -> seen(views);
+      case LinkMessage.SuspectSeen suspect ->
+          suspects.merge(
+              told.peer(),
+              suspect.fingerprint(),
+              suspect.crashes(),
+              clock.now(TimeUnit.NANOSECONDS));
       default -> {}
     }
   }
@@ -294,12 +305,12 @@
     };
   }
 
-  private void tellViews() {
-    List<PoolView> views = owned.views();
-    if (views.isEmpty()) {
-      return;
-    }
-    LinkMessage message = new LinkMessage.PoolViews(views);
+  private void tellSuspect(Digest fingerprint, int points) {
+    events.emit(EventCode.SUSPECT_COUNTED, EventField.of("points", points));
+    tellAll(new LinkMessage.SuspectSeen(fingerprint, points));
+  }
+
+  private void tellAll(LinkMessage message) {
     table.all().stream()
         .map(member -> member.entry().id())
         .filter(vm -> !vm.equals(table.self().id()))
--- a/src/main/java/org/radishpost/node/PoolRunner.java
+++ b/src/main/java/org/radishpost/node/PoolRunner.java
@@ -1,7 +1,9 @@
 package org.radishpost.node;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,10 +13,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.radishpost.admission.RetryAllowance;
 import org.radishpost.errors.AnswerTimeoutException;
 import org.radishpost.errors.ConnectionDiedException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventSink;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallResult;
@@ -32,6 +38,7 @@
 import org.radishpost.pool.PoolAction;
 import org.radishpost.pool.PoolView;
 import org.radishpost.pool.TargetOutcome;
+import org.radishpost.pool.TargetState;
 import org.radishpost.pool.TargetStatus;
 import org.radishpost.routing.PoolSpec;
 import reactor.core.Disposable;
@@ -56,13 +63,15 @@
   private final Pool pool;
   private final HttpSender sender;
   private final Scheduler clock;
+  private final EventSink events;
   private final Map<CallId, Pending> pending = new ConcurrentHashMap<>();
   private volatile PoolSpec spec;
 
-  PoolRunner(Pool pool, HttpSender sender, Scheduler clock) {
+  PoolRunner(Pool pool, HttpSender sender, Scheduler clock, EventSink events) {
     this.pool = pool;
     this.sender = sender;
     this.clock = clock;
+    this.events = events;
   }
 
   /** Sets the targets; the same ones again change nothing. */
@@ -140,10 +149,22 @@
       case PoolAction.Probe probe -> probe(probe.target());
       case PoolAction.CloseIdle close -> sender.closeIdle(close.target());
       case PoolAction.OpenAhead open -> {}
-      case PoolAction.StateChanged change -> {}
+      case PoolAction.StateChanged change -> changed(change);
     }
   }
 
+  private void changed(PoolAction.StateChanged change) {
+    EventCode code =
+        change.to() == TargetState.EJECTED
+            ? EventCode.TARGET_EJECTED
+            : EventCode.TARGET_STATE_CHANGED;
+    events.emit(
+        code,
+        EventField.of("target", change.target()),
+        EventField.of("from", change.from()),
+        EventField.of("to", change.to()));
+  }
+
   private void handBack(CallId id, HandBackReason reason) {
     Pending entry = pending.remove(id);
     if (entry != null) {
@@ -175,6 +196,7 @@
       entry.sink.success(new CallResult.HandedBack(HandBackReason.TOO_LATE, Optional.of(view())));
       return;
     }
+    entry.target = Optional.of(action.target());
     entry.watch.taken();
     entry.call.body().take();
     RequestHead head = onward(entry.call, left);
@@ -196,7 +218,9 @@
             HeaderNames.DEADLINE_MILLIS,
             String.valueOf(Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNanos))))
         .with(HeaderNames.DEPTH, String.valueOf(call.facts().depth() + 1))
-        .with(HeaderNames.RETRIES_LEFT, String.valueOf(call.retriesLeft()));
+        .with(
+            HeaderNames.RETRIES_LEFT,
+            String.valueOf(new RetryAllowance(call.retriesLeft()).passed().left()));
   }
 
   private Mono<Received> whole(Reply reply, long leftNanos) {
@@ -205,9 +229,15 @@
     }
     return reply
         .body()
-        .collect(() -> Unpooled.compositeBuffer(64), (all, part) -> all.addComponent(true, part))
+        .collect(ByteArrayOutputStream::new, PoolRunner::append)
         .timeout(Duration.ofNanos(leftNanos), clock)
-        .map(all -> new Received(reply.withBody(Flux.just((ByteBuf) all)), true));
+        .map(ByteArrayOutputStream::toByteArray)
+        .map(bytes -> new Received(reply.withBody(Flux.just(Unpooled.wrappedBuffer(bytes))), true));
+  }
+
+  private static void append(ByteArrayOutputStream all, ByteBuf part) {
+    all.writeBytes(ByteBufUtil.getBytes(part));
+    part.release();
   }
 
   private static Optional<LoadReport> report(Reply reply) {
@@ -300,12 +330,16 @@
         entry.sink.success(new CallResult.Lost(timeout, Optional.of(view())));
       }
       default -> {
-        ended(id, new TargetOutcome.ConnectionDied(false));
+        ended(id, new TargetOutcome.ConnectionDied(alone(entry)));
         entry.sink.success(new CallResult.Lost(cause, Optional.of(view())));
       }
     }
   }
 
+  private boolean alone(Pending entry) {
+    return pending.values().stream().noneMatch(other -> entry.target.equals(other.target));
+  }
+
   private void ended(CallId id, TargetOutcome outcome) {
     decide(out -> pool.ended(id, outcome, now(), out));
   }
@@ -328,6 +362,7 @@
     private final SendWatch watch;
     private final MonoSink<CallResult> sink;
     private final AtomicBoolean decided = new AtomicBoolean();
+    private volatile Optional<Endpoint> target = Optional.empty();
     private final Disposable.Composite sending = Disposables.composite();
 
     private Pending(Call call, SendWatch watch, MonoSink<CallResult> sink) {
