--- /dev/null
+++ b/src/main/java/org/radishpost/http/CallSender.java
@@ -0,0 +1,25 @@
+package org.radishpost.http;
+
+import java.time.Duration;
+import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Mono;
+
+/** Sends calls to addresses, each once; thread-safe. */
+public interface CallSender {
+  /**
+   * Sends a call.
+   *
+   * @param address where to
+   * @param head the head; its fields are sent as they are
+   * @param body the body
+   * @param limit the longest wait for the head of the answer
+   * @return the answer; or {@link org.radishpost.errors.NotConnectedException} if no byte was sent;
+   *     or {@link org.radishpost.errors.ConnectionDiedException}, {@link
+   *     org.radishpost.errors.AnswerTimeoutException} or {@link
+   *     org.radishpost.errors.AnswerCutException}. Cancelling closes the connection.
+   */
+  Mono<Reply> send(Endpoint address, RequestHead head, CallBody body, Duration limit);
+
+  /** Closes all idle connections to the address; running calls go on. */
+  void closeIdle(Endpoint address);
+}
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -25,7 +25,7 @@
  * <p>Thread-safe. A call is sent only while an authenticated link to the owner stands; its head is
  * proved with the session's key.
  */
-public final class HopClient {
+public final class HopClient implements Hops {
   private final VmId self;
   private final HttpSender sender;
   private final Links links;
@@ -47,11 +47,7 @@
     this.clock = clock;
   }
 
-  /**
-   * Sends a call to the owner of the pool.
-   *
-   * @return how it ended, never an error; cancelling cancels the call at the owner
-   */
+  @Override
   public Mono<CallResult> send(Call call, PoolId pool, VmEntry owner) {
     Optional<LinkSession> session = links.session(owner.id());
     if (session.isEmpty()) {
@@ -77,7 +73,7 @@
         .doFinally(signal -> waiting.remove(key));
   }
 
-  /** Takes the owner's word that a target has the call, so that the rest of its body may follow. */
+  @Override
   public void taken(VmId owner, long sequence) {
     CallBody body = waiting.get(new HopCall(owner, sequence));
     if (body != null) {
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -32,7 +32,7 @@
  * <p>Thread-safe. A connection that has been idle for longer than the given time is not used for a
  * call; one whose call did not end with a whole answer is closed.
  */
-public final class HttpSender {
+public final class HttpSender implements CallSender {
   private final Scheduler clock;
   private final ConnectionProvider connections;
   private final HttpClient client;
@@ -75,16 +75,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectLimit.toMillis());
   }
 
-  /**
-   * Sends a call.
-   *
-   * @param address where to
-   * @param head the head; its fields are sent as they are
-   * @param body the body
-   * @param limit the longest wait for the head of the answer
-   * @return the answer; or {@link NotConnectedException}, {@link ConnectionDiedException}, {@link
-   *     AnswerTimeoutException} or {@link AnswerCutException}. Cancelling closes the connection.
-   */
+  @Override
   public Mono<Reply> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
     AtomicBoolean sent = new AtomicBoolean();
     return client
@@ -100,7 +91,7 @@
         .onErrorMap(error -> failure(error, address, sent.get()));
   }
 
-  /** Closes all idle connections to the address; running calls go on. */
+  @Override
   public void closeIdle(Endpoint address) {
     connections.disposeWhen(new InetSocketAddress(address.ip(), address.port()));
   }
--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -16,7 +16,7 @@
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallResult;
-import org.radishpost.http.HopClient;
+import org.radishpost.http.Hops;
 import org.radishpost.http.Problem;
 import org.radishpost.http.Problems;
 import org.radishpost.http.Reply;
@@ -44,7 +44,7 @@
   private final PoolChooser chooser;
   private final Members members;
   private final OwnedPools owned;
-  private final HopClient hops;
+  private final Hops hops;
   private final RetryBudget budget;
   private final RetryPolicy retries;
   private final Scheduler clock;
@@ -55,7 +55,7 @@
       PoolChooser chooser,
       Members members,
       OwnedPools owned,
-      HopClient hops,
+      Hops hops,
       RetryBudget budget,
       Scheduler clock) {
     this.directory = directory;
--- a/src/main/java/org/radishpost/node/Membership.java
+++ b/src/main/java/org/radishpost/node/Membership.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.radishpost.config.Configuration;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.link.LinkMessage;
 import org.radishpost.link.PeerEvent;
-import org.radishpost.link.TcpLinks;
 import org.radishpost.membership.Member;
 import org.radishpost.membership.MemberTable;
 import org.radishpost.platform.VmEntry;
@@ -28,14 +28,19 @@
 
   private final MemberTable table;
   private final VmList list;
-  private final TcpLinks links;
+  private final Consumer<Set<VmEntry>> keepLinks;
   private final Scheduler clock;
   private final Runnable listener;
 
-  Membership(MemberTable table, VmList list, TcpLinks links, Scheduler clock, Runnable listener) {
+  Membership(
+      MemberTable table,
+      VmList list,
+      Consumer<Set<VmEntry>> keepLinks,
+      Scheduler clock,
+      Runnable listener) {
     this.table = table;
     this.list = list;
-    this.links = links;
+    this.keepLinks = keepLinks;
     this.clock = clock;
     this.listener = listener;
   }
@@ -98,7 +103,7 @@
             .map(Member::entry)
             .filter(entry -> !entry.id().equals(table.self().id()))
             .collect(Collectors.toSet());
-    links.keep(wanted);
+    keepLinks.accept(wanted);
     listener.run();
   }
 }
--- a/src/main/java/org/radishpost/node/PoolRunner.java
+++ b/src/main/java/org/radishpost/node/PoolRunner.java
@@ -24,8 +24,8 @@
 import org.radishpost.http.Call;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallResult;
+import org.radishpost.http.CallSender;
 import org.radishpost.http.HeaderNames;
-import org.radishpost.http.HttpSender;
 import org.radishpost.http.LoadReportHeader;
 import org.radishpost.http.Reply;
 import org.radishpost.http.RequestHead;
@@ -61,13 +61,13 @@
   private static final Duration PROBE_LIMIT = Duration.ofMillis(500);
 
   private final Pool pool;
-  private final HttpSender sender;
+  private final CallSender sender;
   private final Scheduler clock;
   private final EventSink events;
   private final Map<CallId, Pending> pending = new ConcurrentHashMap<>();
   private volatile PoolSpec spec;
 
-  PoolRunner(Pool pool, HttpSender sender, Scheduler clock, EventSink events) {
+  PoolRunner(Pool pool, CallSender sender, Scheduler clock, EventSink events) {
     this.pool = pool;
     this.sender = sender;
     this.clock = clock;
