--- a/src/test/java/org/radishpost/pool/TargetFaultTest.java
+++ b/src/test/java/org/radishpost/pool/TargetFaultTest.java
@@ -151,6 +151,21 @@
     assertEquals((int) world.handBacks.get(HandBackReason.SUSPECT), before + 1);
   }
 
+  @Test
+  public void callsThatDieTogetherShareTheBlame() {
+    PoolWorld world = new PoolWorld(1, PoolFixture.service(1, 2, 0), 1, ColdLimits.OWNERS);
+    Digest first = Digest.of("request 900000");
+    for (int crash = 1; crash <= 6; crash++) {
+      world.load(8 * PoolFixture.SECOND, 10 * GAP);
+      world.run(world.now + PoolFixture.SECOND);
+      world.offer(0, PoolFixture.call(900_000, "a", 1, world.now + PoolFixture.SECOND));
+      world.offer(0, PoolFixture.call(900_001, "a", 1, world.now + PoolFixture.SECOND));
+      assertEquals(world.target(0).running.size(), 2);
+      world.restartTarget(world.target(0));
+      assertEquals(world.suspects.condemned(first, world.now), crash == 6);
+    }
+  }
+
   private static void crashBeside(PoolWorld world, int round) {
     long deadline = world.now + PoolFixture.SECOND;
     world.offer(0, PoolFixture.call(900_000, "a", 1, deadline));
