--- a/src/main/java/org/radishpost/link/LinkControl.java
+++ b/src/main/java/org/radishpost/link/LinkControl.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.radishpost.events.EventCode;
@@ -37,6 +38,7 @@
   private final Scheduler.Worker worker;
   private final EventSink events;
   private final RandomGenerator random;
+  private final LongSupplier configVersion;
   private final Consumer<VmEntry> dialer;
   private final Map<VmId, PeerLinks> peers = new ConcurrentHashMap<>();
   private final Sinks.Many<PeerEvent> emitted = Sinks.many().multicast().directBestEffort();
@@ -56,6 +58,7 @@
       Scheduler scheduler,
       EventSink events,
       RandomGenerator random,
+      LongSupplier configVersion,
       Consumer<VmEntry> dialer) {
     this.self = self;
     this.options = options;
@@ -63,6 +66,7 @@
     this.worker = scheduler.createWorker();
     this.events = events;
     this.random = random;
+    this.configVersion = configVersion;
     this.dialer = dialer;
   }
 
@@ -240,7 +244,7 @@
 
   private void beat(PeerLinks peer, long now) {
     for (Link link : peer.standing()) {
-      switch (link.health().tick(now)) {
+      switch (link.health().tick(now, configVersion.getAsLong())) {
         case BEAT -> link.beat();
         case SILENT -> silent(peer, link);
         default -> {}
--- a/src/main/java/org/radishpost/link/LinkHealth.java
+++ b/src/main/java/org/radishpost/link/LinkHealth.java
@@ -23,6 +23,7 @@
   private long sequence;
   private long heard;
   private boolean echoOwed;
+  private long toldVersion;
   private long awakeNanos;
   private long lastBeatNanos;
   private long lastTickNanos;
@@ -61,15 +62,18 @@
     return lastUseNanos;
   }
 
-  /** Decides what is due, once for each tick. */
-  synchronized Verdict tick(long nowNanos) {
+  /**
+   * Decides what is due, once for each tick; a new version of the configuration goes out at once.
+   */
+  synchronized Verdict tick(long nowNanos, long configVersion) {
     awakeNanos += Math.min(nowNanos - lastTickNanos, MAX_TICK_GAP_BEATS * beatNanos);
     lastTickNanos = nowNanos;
     Sent oldest = unanswered.peekFirst();
     if (oldest != null && awakeNanos - oldest.awakeAtNanos > silenceNanos()) {
       return Verdict.SILENT;
     }
-    long interval = busy(nowNanos) || echoOwed ? beatNanos : idleBeatNanos;
+    boolean soon = busy(nowNanos) || echoOwed || configVersion != toldVersion;
+    long interval = soon ? beatNanos : idleBeatNanos;
     return nowNanos - lastBeatNanos >= interval - beatNanos / 2 ? Verdict.BEAT : Verdict.QUIET;
   }
 
@@ -77,6 +81,7 @@
   synchronized Beat next(long nowNanos, long configVersion) {
     sequence++;
     echoOwed = false;
+    toldVersion = configVersion;
     unanswered.addLast(new Sent(sequence, nowNanos, awakeNanos));
     lastBeatNanos = nowNanos;
     return new Beat(sequence, heard, true, configVersion);
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -81,7 +81,8 @@
     this.events = events;
     this.random = random;
     this.configVersion = configVersion;
-    this.control = new LinkControl(self.id(), options, scheduler, events, random, this::dial);
+    this.control =
+        new LinkControl(self.id(), options, scheduler, events, random, configVersion, this::dial);
   }
 
   /**
