--- /dev/null
+++ b/src/test/java/org/radishpost/claims/ClaimHistoryTest.java
@@ -0,0 +1,167 @@
+package org.radishpost.claims;
+
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.jetbrains.lincheck.datastructures.ThreadIdGen;
+import org.radishpost.lib.Digest;
+import org.radishpost.platform.PlatformLog;
+import org.radishpost.standin.LogFaults;
+import org.radishpost.standin.MemoryLog;
+import org.testng.annotations.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Concurrent claims through two owners of one shard read as if made one after the other. */
+public class ClaimHistoryTest {
+  private static final long NOW_MILLIS = 3_600_000;
+
+  /** Claims over a log that loses some answers. */
+  @Param(name = "key", gen = IntGen.class, conf = "1:2")
+  @Param(name = "vm", gen = IntGen.class, conf = "0:1")
+  public static class Shared {
+    private final DirectClaims[] vms;
+    private final Map<String, ClaimRequest> held = new ConcurrentHashMap<>();
+
+    /** Starts both owners on an empty log. */
+    public Shared() {
+      PlatformLog log = faultyLog();
+      vms = new DirectClaims[] {new DirectClaims(log), new DirectClaims(log)};
+    }
+
+    Shared(PlatformLog first, PlatformLog second) {
+      vms = new DirectClaims[] {new DirectClaims(first), new DirectClaims(second)};
+    }
+
+    /** Claims the key as a new attempt of the thread. */
+    @Operation
+    public String claim(
+        @Param(gen = ThreadIdGen.class) int thread,
+        @Param(name = "vm") int vm,
+        @Param(name = "key") int key) {
+      ClaimRequest request = request(key);
+      ClaimAnswer answer = vms[vm].claim(request);
+      if (answer instanceof ClaimAnswer.Granted) {
+        held.put(slot(thread, key), request);
+      }
+      return answer.getClass().getSimpleName();
+    }
+
+    /** Records that the thread's attempt ran, if it holds the key. */
+    @Operation
+    public boolean settle(
+        @Param(gen = ThreadIdGen.class) int thread,
+        @Param(name = "vm") int vm,
+        @Param(name = "key") int key) {
+      return end(thread, vm, key, Optional.of(new ClaimOutcome(200, "", new byte[0])));
+    }
+
+    /** Withdraws the thread's attempt, if it holds the key. */
+    @Operation
+    public boolean withdraw(
+        @Param(gen = ThreadIdGen.class) int thread,
+        @Param(name = "vm") int vm,
+        @Param(name = "key") int key) {
+      return end(thread, vm, key, Optional.empty());
+    }
+
+    private boolean end(int thread, int vm, int key, Optional<ClaimOutcome> outcome) {
+      ClaimRequest request = held.remove(slot(thread, key));
+      if (request == null) {
+        return false;
+      }
+      vms[vm].end(request, outcome);
+      return true;
+    }
+
+    private static String slot(int thread, int key) {
+      return thread + "/" + key;
+    }
+
+    private static ClaimRequest request(int key) {
+      Digest attempt = Digest.of("attempt" + DirectClaims.nextAttempt());
+      return new ClaimRequest(
+          Digest.of("key" + key), attempt, NOW_MILLIS, Set.of(), Optional.empty());
+    }
+
+    static PlatformLog faultyLog() {
+      VirtualTimeScheduler time = VirtualTimeScheduler.create();
+      time.advanceTimeBy(Duration.ofMillis(NOW_MILLIS));
+      MemoryLog log = new MemoryLog(time, Duration.ofHours(1));
+      log.faults(new LogFaults(false, Duration.ZERO, 2, 1));
+      return log;
+    }
+  }
+
+  /** As {@link Shared}, but each owner decides by a log of its own. */
+  public static class Split extends Shared {
+    /** Starts both owners. */
+    public Split() {
+      super(faultyLog(), faultyLog());
+    }
+  }
+
+  /** What claims mean when they are made one after the other. */
+  public static class Model {
+    private final Map<Integer, Integer> holders = new HashMap<>();
+    private final Map<Integer, Boolean> settled = new HashMap<>();
+
+    /** Claims. */
+    public String claim(int thread, int vm, int key) {
+      if (settled.containsKey(key)) {
+        return "Settled";
+      }
+      return holders.putIfAbsent(key, thread) == null ? "Granted" : "Held";
+    }
+
+    /** Settles. */
+    public boolean settle(int thread, int vm, int key) {
+      boolean holds = holders.getOrDefault(key, -1) == thread && !settled.containsKey(key);
+      if (holds) {
+        settled.put(key, true);
+      }
+      return holds;
+    }
+
+    /** Withdraws. */
+    public boolean withdraw(int thread, int vm, int key) {
+      boolean holds = holders.getOrDefault(key, -1) == thread && !settled.containsKey(key);
+      if (holds) {
+        holders.remove(key);
+      }
+      return holds;
+    }
+  }
+
+  @Test
+  public void claimsAreLinearizable() {
+    options(100).check(Shared.class);
+  }
+
+  @Test
+  public void ownersWithoutOneLogAreFound() {
+    AssertionError found =
+        expectThrows(AssertionError.class, () -> options(100).check(Split.class));
+    assertTrue(found.getMessage().contains("Granted"), found.getMessage());
+  }
+
+  private static StressOptions options(int iterations) {
+    return new StressOptions()
+        .sequentialSpecification(Model.class)
+        .iterations(iterations)
+        .invocationsPerIteration(100)
+        .threads(3)
+        .actorsPerThread(3)
+        .actorsBefore(1)
+        .actorsAfter(1);
+  }
+}
