--- a/src/main/java/org/radishpost/claims/ClaimIndex.java
+++ b/src/main/java/org/radishpost/claims/ClaimIndex.java
@@ -18,10 +18,10 @@
  */
 final class ClaimIndex {
   /** The memory that one key takes, by estimate. */
-  static final int KEY_BYTES = 208;
+  static final int KEY_BYTES = 144;
 
   private static final int DEAD_BYTES = 40;
-  private static final int OUTCOME_BYTES = 120;
+  private static final int OUTCOME_BYTES = 96;
   private static final long BUCKET_MILLIS = 1_000;
 
   private final long maxBytes;
