--- a/src/main/java/org/radishpost/settings/SettingsCodec.java
+++ b/src/main/java/org/radishpost/settings/SettingsCodec.java
@@ -24,7 +24,7 @@
    * Reads settings.
    *
    * @throws SettingsException if they are not acceptable; it holds each fault with path and remedy,
-   *     and no value of a member
+   *     and never what stands in the place of a key or token
    */
   public NodeSettings decode(byte[] bytes) throws SettingsException {
     JsonNode tree = tree(bytes);
--- a/src/test/java/org/radishpost/manifest/ManifestTest.java
+++ b/src/test/java/org/radishpost/manifest/ManifestTest.java
@@ -5,7 +5,12 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import org.radishpost.errors.ManifestException;
 import org.radishpost.lib.Endpoint;
@@ -124,6 +129,16 @@
     assertEquals(faults.stream().map(ManifestFault::path).toList(), List.of(path));
   }
 
+  @Test
+  public void pageTellsEachMember() throws IOException {
+    String page = Files.readString(Path.of("docs/MANIFEST.md"));
+    Matcher member = Pattern.compile("\"(\\w+)\":").matcher(VALID.text());
+    while (member.find()) {
+      String row = "\\| `([a-zA-Z]+\\.)?" + member.group(1) + "` \\|";
+      assertTrue(Pattern.compile(row).matcher(page).find(), member.group(1));
+    }
+  }
+
   @Test
   public void oversizedManifestIsRefusedUnread() {
     byte[] large = new byte[ManifestBounds.MAX_DOCUMENT_BYTES + 1];
