Drive the whole decisions by scenarios in virtual time

Cause: no check drove routing, pools, claims, configuration and membership together under faults. Change: scenarios in Cucumber over VmCore with fakes for links, hops, targets and the log; an idempotent call that a target answers with a server error is sent again within the budget.

--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -175,10 +175,7 @@
 
   private Mono<Reply> next(Attempt attempt, CallResult result) {
     return switch (result) {
-      case CallResult.Answered answered -> {
-        budget.succeeded();
-        yield Mono.just(answered.reply());
-      }
+      case CallResult.Answered answered -> answered(attempt, answered.reply());
       case CallResult.HandedBack back ->
           follow(
               attempt,
@@ -202,6 +199,21 @@
     };
   }
 
+  private Mono<Reply> answered(Attempt attempt, Reply reply) {
+    if (reply.status() < SERVER_ERROR || reply.refusal().isPresent()) {
+      budget.succeeded();
+      return Mono.just(reply);
+    }
+    RetryDecision decision =
+        retries.afterSend(
+            attempt.lost().forPolicy(), new TargetOutcome.ConnectionDied(false), now());
+    if (decision instanceof RetryDecision.Retry retry && attempt.call().facts().idempotent()) {
+      reply.body().subscribe(part -> part.release(), error -> {});
+      return attempt(attempt.lost().again(retry.allowance()), HandBackReason.NO_TARGET);
+    }
+    return Mono.just(reply);
+  }
+
   private Mono<Reply> lost(Attempt attempt, CallResult.Lost lost) {
     boolean late = lost.cause() instanceof AnswerTimeoutException;
     TargetOutcome outcome =
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -104,7 +104,7 @@
             new LateLinks(() -> links),
             (call, pool, onTaken) -> core.pools().handle(call, pool, onTaken),
             calls);
-    VmEntry self = startCore(hopServer.start());
+    final VmEntry self = startCore(hopServer.start());
     edgeServer =
         new EdgeServer(
             settings.edge(),
--- a/src/test/java/org/radishpost/node/PausableScheduler.java
+++ b/src/test/java/org/radishpost/node/PausableScheduler.java
@@ -81,6 +81,18 @@
         return PausableScheduler.this.schedule(() -> runUnlessDisposed(task));
       }
 
+      @Override
+      public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
+        return PausableScheduler.this.schedule(() -> runUnlessDisposed(task), delay, unit);
+      }
+
+      @Override
+      public Disposable schedulePeriodically(
+          Runnable task, long first, long period, TimeUnit unit) {
+        return PausableScheduler.this.schedulePeriodically(
+            () -> runUnlessDisposed(task), first, period, unit);
+      }
+
       private void runUnlessDisposed(Runnable task) {
         if (!tasks.isDisposed()) {
           task.run();
--- /dev/null
+++ b/src/test/java/org/radishpost/node/ScenarioCall.java
@@ -0,0 +1,63 @@
+package org.radishpost.node;
+
+import java.util.Optional;
+import org.radishpost.http.HeaderNames;
+import org.radishpost.http.Reply;
+import org.radishpost.lib.Verdict;
+import org.radishpost.routing.RouteMatch;
+
+/** One request of a scenario and its answer. */
+final class ScenarioCall {
+  final String request;
+  final String path;
+  final ScenarioVm vm;
+  final long sentMillis;
+  Optional<RouteMatch> match = Optional.empty();
+  Optional<Reply> reply = Optional.empty();
+  long endedMillis = -1;
+
+  ScenarioCall(String request, String path, ScenarioVm vm, long sentMillis) {
+    this.request = request;
+    this.path = path;
+    this.vm = vm;
+    this.sentMillis = sentMillis;
+  }
+
+  void ended(Reply answer, long nowMillis) {
+    reply = Optional.of(answer);
+    endedMillis = nowMillis;
+    answer.body().subscribe(part -> part.release(), error -> {});
+  }
+
+  int status() {
+    return reply.map(Reply::status).orElse(0);
+  }
+
+  boolean answered() {
+    return status() == 200;
+  }
+
+  boolean saysNotRun() {
+    return reply.filter(r -> r.refusal().equals(Optional.of(Verdict.NOT_RUN))).isPresent();
+  }
+
+  boolean replayed() {
+    return reply.filter(r -> r.headers().contains(HeaderNames.REPLAYED)).isPresent();
+  }
+
+  @Override
+  public String toString() {
+    return request
+        + " "
+        + path
+        + " "
+        + vm.entry.id()
+        + " "
+        + sentMillis
+        + " -> "
+        + status()
+        + " at "
+        + endedMillis
+        + (saysNotRun() ? " not-run" : "");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/node/ScenarioTargets.java
@@ -0,0 +1,205 @@
+package org.radishpost.node;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.radishpost.errors.AnswerTimeoutException;
+import org.radishpost.errors.ConnectionDiedException;
+import org.radishpost.errors.NotConnectedException;
+import org.radishpost.http.CallBody;
+import org.radishpost.http.CallSender;
+import org.radishpost.http.HeaderNames;
+import org.radishpost.http.LoadReportHeader;
+import org.radishpost.http.Replies;
+import org.radishpost.http.Reply;
+import org.radishpost.http.RequestHead;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.pool.LoadReport;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+import reactor.core.scheduler.Scheduler;
+
+/** The targets of a scenario, as all VMs reach them. */
+final class ScenarioTargets {
+  static final String REQUEST = "x-request";
+  static final String CRASH = "x-crash";
+  private static final double MEAN_MILLIS = 8;
+
+  private final Scheduler time;
+  private final RandomGenerator random;
+  private final Map<Endpoint, ScenarioTarget> targets = new LinkedHashMap<>();
+  final List<String> probes = new ArrayList<>();
+  private final Map<String, Integer> runsByRequest = new LinkedHashMap<>();
+  private final Map<String, Set<Place>> placesByRequest = new LinkedHashMap<>();
+
+  ScenarioTargets(Scheduler time, RandomGenerator random) {
+    this.time = time;
+    this.random = random;
+  }
+
+  ScenarioTarget add(Endpoint address, Place place) {
+    ScenarioTarget target = new ScenarioTarget(address, place);
+    targets.put(address, target);
+    return target;
+  }
+
+  Collection<ScenarioTarget> all() {
+    return targets.values();
+  }
+
+  List<ScenarioTarget> in(String zone) {
+    return all().stream().filter(t -> t.place.zone().value().equals(zone)).toList();
+  }
+
+  int runsOf(String request) {
+    return runsByRequest.getOrDefault(request, 0);
+  }
+
+  Set<Place> placesOf(String request) {
+    return placesByRequest.getOrDefault(request, Set.of());
+  }
+
+  int runsOfKey(String key) {
+    return all().stream().mapToInt(target -> target.runs.getOrDefault(key, 0)).sum();
+  }
+
+  long nowMillis() {
+    return time.now(TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the way of one VM to the targets. */
+  CallSender from(Place vm) {
+    return new CallSender() {
+      @Override
+      public Mono<Reply> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
+        return Mono.<Reply>create(sink -> arrive(vm, address, head, sink))
+            .timeout(
+                limit,
+                Mono.error(() -> new AnswerTimeoutException("No answer in the scenario.")),
+                time);
+      }
+
+      @Override
+      public void closeIdle(Endpoint address) {}
+    };
+  }
+
+  private void arrive(Place vm, Endpoint address, RequestHead head, MonoSink<Reply> sink) {
+    ScenarioTarget target = targets.get(address);
+    if (target == null || target.down) {
+      sink.error(new NotConnectedException("The target is down in the scenario."));
+      return;
+    }
+    if (target.silent) {
+      return;
+    }
+    long wayMicros = ScenarioWorld.wayMicros(vm, target.place);
+    if (head.path().equals("/load")) {
+      target.probes++;
+      probes.add(nowMillis() + " " + vm.zone() + " " + address);
+      later(2 * wayMicros, () -> sink.success(answer(target, 200)));
+      return;
+    }
+    if (target.resets(nowMillis(), Math.ceilDiv(wayMicros, 1_000L))) {
+      sink.error(new ConnectionDiedException("The connection was reset."));
+      return;
+    }
+    if (target.sheds(nowMillis())) {
+      Reply shed = answer(target, 503);
+      shed.headers().set(HeaderNames.OUTCOME, "not-run");
+      later(2 * wayMicros, () -> sink.success(shed));
+      return;
+    }
+    begin(target, head);
+    run(target, head, wayMicros, sink);
+  }
+
+  private void begin(ScenarioTarget target, RequestHead head) {
+    String request = head.headers().get(REQUEST);
+    runsByRequest.merge(request, 1, Integer::sum);
+    placesByRequest.computeIfAbsent(request, unused -> new HashSet<>()).add(target.place);
+    Optional.ofNullable(head.headers().get(HeaderNames.IDEMPOTENCY_KEY))
+        .ifPresent(key -> target.runs.merge(key, 1, Integer::sum));
+  }
+
+  private void run(ScenarioTarget target, RequestHead head, long wayMicros, MonoSink<Reply> sink) {
+    String marker = head.headers().get(CRASH, "");
+    if (!marker.isEmpty() && marker.equals(target.crashMarker)) {
+      target.crashes++;
+      later(wayMicros, () -> sink.error(new ConnectionDiedException("The target crashed.")));
+      target.restart(nowMillis());
+      return;
+    }
+    if (target.failFast) {
+      target.running--;
+      later(2 * wayMicros, () -> sink.success(answer(target, 500)));
+      return;
+    }
+    Disposable end =
+        later(
+            2 * wayMicros + serviceMicros(target),
+            () -> {
+              target.running--;
+              sink.success(answer(target, 200));
+            });
+    Runnable reset =
+        () -> {
+          end.dispose();
+          later(
+              wayMicros,
+              () -> sink.error(new ConnectionDiedException("The connection was reset.")));
+        };
+    target.onReset.add(reset);
+    sink.onDispose(() -> target.onReset.remove(reset));
+    sink.onCancel(
+        () -> {
+          if (!end.isDisposed()) {
+            end.dispose();
+            target.running--;
+          }
+        });
+  }
+
+  private long serviceMicros(ScenarioTarget target) {
+    double cold = target.cold(nowMillis()) ? 3 : 1;
+    double queueing = Math.max(1, (double) target.running / ScenarioTarget.SLOTS);
+    double spread = Math.exp(0.5 * random.nextGaussian());
+    return (long) (1_000 * MEAN_MILLIS * spread * target.slowFactor * cold * queueing);
+  }
+
+  private Reply answer(ScenarioTarget target, int status) {
+    Reply reply = Replies.text(status, "ok");
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(reply.headers());
+    headers.set(
+        LoadReportHeader.NAME,
+        LoadReportHeader.format(
+            new LoadReport(
+                target.running,
+                ScenarioTarget.SLOTS,
+                target.cold(nowMillis()) ? 10 : 100,
+                "i" + target.incarnation,
+                target.draining)));
+    return new Reply(status, headers, reply.body(), Mono.empty(), Optional.empty());
+  }
+
+  private Disposable later(long micros, Runnable task) {
+    return time.schedule(task, micros, TimeUnit.MICROSECONDS);
+  }
+
+  List<ScenarioTarget> list() {
+    return new ArrayList<>(targets.values());
+  }
+}
