--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -118,7 +118,7 @@
     this.events =
         new EventLog(
             settings.vm(), new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS)), timeLine);
-    this.suspects = new SuspectRegistry(settings.vm());
+    this.suspects = new SuspectRegistry(settings.vm(), (fingerprint, points) -> {});
     this.targetSender =
         new HttpSender("target", clock, loops, TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
     this.hopSender =
--- a/src/main/java/org/radishpost/pool/OwnerPool.java
+++ b/src/main/java/org/radishpost/pool/OwnerPool.java
@@ -27,6 +27,7 @@
 public final class OwnerPool implements Pool {
   private static final int SERVER_ERROR = 500;
   private static final int POOL_ANSWERS = 256;
+  private static final int SILENT_RATIO = 4;
   private static final int MAX_DOUBLINGS = 5;
   private static final int PERCENT = 100;
   private static final long MIN_PAUSE_NANOS = 1_000_000L;
@@ -157,11 +158,8 @@
         failed(tracker, nowNanos);
         tracker.lost();
       }
-      case TargetOutcome.TimedOut t -> {
-        tracker.ejection().error();
-        failed(tracker, nowNanos);
-      }
-      case TargetOutcome.Cancelled c -> tracker.cancelled(nowNanos - ended.sentNanos());
+      case TargetOutcome.TimedOut t -> unanswered(ended, true, nowNanos);
+      case TargetOutcome.Cancelled c -> unanswered(ended, false, nowNanos);
     }
     ejectIfDue(tracker, nowNanos);
     noteChange(tracker, before, out);
@@ -247,8 +245,7 @@
     if (released) {
       return Optional.of(HandBackReason.NOT_OWNER);
     }
-    Optional<Digest> fingerprint = call.fingerprint();
-    if (fingerprint.isPresent() && suspects.condemned(fingerprint.get(), nowNanos)) {
+    if (condemned(call, nowNanos)) {
       return Optional.of(HandBackReason.SUSPECT);
     }
     if (targets.slots(nowNanos) == 0) {
@@ -263,6 +260,11 @@
     return Optional.empty();
   }
 
+  private boolean condemned(CallFacts call, long nowNanos) {
+    Optional<Digest> fingerprint = call.fingerprint();
+    return fingerprint.isPresent() && suspects.condemned(fingerprint.get(), nowNanos);
+  }
+
   private void answered(SentCall ended, TargetOutcome.Answered answer, long nowNanos) {
     TargetTracker tracker = ended.target();
     if (answer.status() >= SERVER_ERROR) {
@@ -278,6 +280,18 @@
     ended.call().fingerprint().ifPresent(suspects::answered);
   }
 
+  /** A call whose own time was short says nothing against the target. */
+  private void unanswered(SentCall ended, boolean timedOut, long nowNanos) {
+    long elapsedNanos = nowNanos - ended.sentNanos() - ended.waitedNanos();
+    long scaledNanos = times.scaled(ended.call(), Math.max(1, elapsedNanos));
+    if (timedOut && scaledNanos > SILENT_RATIO * times.typicalNanos()) {
+      ended.target().ejection().error();
+      failed(ended.target(), nowNanos);
+      return;
+    }
+    ended.target().cancelled(scaledNanos);
+  }
+
   private void failed(TargetTracker tracker, long nowNanos) {
     errorPercent.add(PERCENT);
     boolean alone = errorPercent.value() < PERCENT / 2;
@@ -319,6 +333,10 @@
       handBack(call, HandBackReason.TOO_LATE, out);
       return;
     }
+    if (condemned(call, nowNanos)) {
+      handBack(call, HandBackReason.SUSPECT, out);
+      return;
+    }
     SentCall sending = new SentCall(call, target, nowNanos);
     target.sent(sending, nowNanos);
     sent.put(call.id(), sending);
--- a/src/main/java/org/radishpost/pool/ServiceTimes.java
+++ b/src/main/java/org/radishpost/pool/ServiceTimes.java
@@ -31,23 +31,30 @@
     return typical.nanos();
   }
 
-  /** Takes a time in, and returns it as it would be on a route that is typical for the pool. */
+  /** Takes a time in, and returns it scaled. */
   long add(CallFacts call, long nanos) {
+    final long scaled = scaled(call, nanos);
     mean.add(nanos);
     if (call.kind() == RequestKind.UPLOAD) {
-      return Math.max(1, typical.nanos());
+      return scaled;
     }
-    TypicalTime route = routes.get(call.route());
-    if (route == null && routes.size() < MAX_ROUTES) {
-      route = new TypicalTime(ROUTE_ANSWERS);
-      routes.put(call.route(), route);
-    }
-    double usual = route == null ? typical.nanos() : route.nanos();
-    double scaled = usual == 0 || typical.nanos() == 0 ? nanos : nanos * (typical.nanos() / usual);
     typical.add(nanos);
-    if (route != null) {
-      route.add(nanos);
+    if (routes.containsKey(call.route()) || routes.size() < MAX_ROUTES) {
+      routes.computeIfAbsent(call.route(), r -> new TypicalTime(ROUTE_ANSWERS)).add(nanos);
+    }
+    return scaled;
+  }
+
+  /** Returns a time as it would be on a route that is typical for the pool. */
+  long scaled(CallFacts call, long nanos) {
+    long expected = typical.nanos();
+    if (call.kind() == RequestKind.UPLOAD) {
+      return Math.max(1, expected);
+    }
+    TypicalTime route = routes.get(call.route());
+    if (route == null || expected == 0) {
+      return nanos;
     }
-    return Math.max(1, (long) scaled);
+    return Math.max(1, (long) (nanos * ((double) expected / route.nanos())));
   }
 }
--- a/src/test/java/org/radishpost/pool/OwnerPoolTest.java
+++ b/src/test/java/org/radishpost/pool/OwnerPoolTest.java
@@ -82,6 +82,21 @@
     assertTrue(pool.targets(now).isEmpty());
   }
 
+  @Test
+  public void callersWithShortDeadlinesDoNotEjectTargets() {
+    configure(2);
+    for (int i = 0; i < 40; i++) {
+      offer(1);
+      now += PoolFixture.MILLI;
+      CallId call = new CallId(nextId - 1);
+      TargetOutcome good = PoolFixture.answer(PoolFixture.MILLI, "i", 100);
+      pool.ended(call, i < 20 ? good : new TargetOutcome.TimedOut(), now, out::add);
+    }
+    assertTrue(
+        pool.targets(now).stream().noneMatch(t -> t.state() == TargetState.EJECTED),
+        pool.targets(now).toString());
+  }
+
   private void configure(int targets) {
     var service = PoolFixture.service(targets, 2, 50);
     pool.configure(service, service.targets(), now, out::add);
