Judge silence by the spread of echoes

Change: the limit follows the deviation of echoes, is lenient until the first echo, and links that keep going silent are dialed with growing waits; beats every 20 ms, 1 s when idle.

--- a/src/main/java/org/radishpost/bench/LinkModel.java
+++ b/src/main/java/org/radishpost/bench/LinkModel.java
@@ -57,6 +57,7 @@
     Set<VmEntry> all = entries.stream().collect(Collectors.toSet());
     links.forEach(link -> link.keep(all));
     pause(Duration.ofSeconds(5));
+    report("idle links after 5 s", seconds, false);
     report("idle links", seconds, false);
     report("busy links", seconds, true);
     ask();
@@ -128,7 +129,7 @@
       double wall = clock.now(TimeUnit.NANOSECONDS) - start;
       System.out.printf(
           Locale.ROOT,
-          "asks, %d at once, pass %d: %.0f a second, %.1f us of processor time each (%d answered)%n",
+          "asks, %d at once, pass %d: %.0f a second, %.1f us processor time each (%d answered)%n",
           ASKS_AT_ONCE,
           pass,
           ASKS / (wall / Duration.ofSeconds(1).toNanos()),
--- a/src/main/java/org/radishpost/link/LinkControl.java
+++ b/src/main/java/org/radishpost/link/LinkControl.java
@@ -145,7 +145,6 @@
           peer.dialing = peer.dialing && !link.dialer();
           peer.traffic = link.traffic();
           peer.add(link);
-          peer.backoff.succeeded();
           if (peer.announced != PeerLinks.Announced.UP) {
             events.emit(EventCode.LINK_UP, EventField.of("peer", peer.id));
           }
@@ -233,6 +232,7 @@
     long now = nowNanos();
     for (PeerLinks peer : peers.values()) {
       beat(peer, now);
+      peer.forgiveFailures(now, options.reconnectMost().toNanos());
       releaseUseless(peer, now);
       if (overdue(peer, now)) {
         announceDown(peer, "closed");
@@ -255,6 +255,7 @@
   private void silent(PeerLinks peer, Link link) {
     link.close();
     peer.remove(link);
+    peer.backoff.failed(nowNanos());
     if (peer.standing().isEmpty()) {
       announceDown(peer, "silent");
     }
--- a/src/main/java/org/radishpost/link/LinkHealth.java
+++ b/src/main/java/org/radishpost/link/LinkHealth.java
@@ -13,12 +13,14 @@
  * them.
  */
 final class LinkHealth {
+  private static final int DEVIATIONS = 4;
   private static final int MAX_TICK_GAP_BEATS = 2;
 
   private final long beatNanos;
   private final long idleBeatNanos;
   private final long busyNanos;
   private final int missedBeats;
+  private final long mostAllowanceNanos;
   private final Deque<Sent> unanswered = new ArrayDeque<>();
   private long sequence;
   private long heard;
@@ -29,6 +31,7 @@
   private long lastTickNanos;
   private long lastUseNanos;
   private long roundTripNanos;
+  private long deviationNanos;
 
   private record Sent(long sequence, long atNanos, long awakeAtNanos) {}
 
@@ -46,6 +49,7 @@
     beatNanos = options.beatInterval().toNanos();
     idleBeatNanos = options.idleBeatInterval().toNanos();
     busyNanos = options.busyTime().toNanos();
+    mostAllowanceNanos = options.connectLimit().toNanos();
     missedBeats = options.missedBeats();
     lastTickNanos = nowNanos;
     lastUseNanos = nowNanos;
@@ -97,7 +101,7 @@
     while (!unanswered.isEmpty() && unanswered.peekFirst().sequence <= beat.echo()) {
       Sent answered = unanswered.removeFirst();
       long sample = nowNanos - answered.atNanos;
-      roundTripNanos = roundTripNanos == 0 ? sample : (7 * roundTripNanos + sample) / 8;
+      smooth(sample);
     }
     echoOwed |= beat.prompt() && busy(nowNanos);
     if (!beat.prompt() || echoOwed) {
@@ -111,9 +115,22 @@
     return roundTripNanos;
   }
 
-  /** Returns how long a beat may stay without an echo. */
+  /** Returns how long a beat may stay without an echo: longer where echoes are slow or uneven. */
   synchronized long silenceNanos() {
-    return missedBeats * beatNanos + 2 * roundTripNanos;
+    long allowance =
+        roundTripNanos == 0 ? mostAllowanceNanos : 2 * roundTripNanos + DEVIATIONS * deviationNanos;
+    return missedBeats * beatNanos + Math.min(allowance, mostAllowanceNanos);
+  }
+
+  /** Smooths the round trip and its deviation as TCP does for its retransmission timeout. */
+  private void smooth(long sampleNanos) {
+    if (roundTripNanos == 0) {
+      roundTripNanos = sampleNanos;
+      deviationNanos = sampleNanos / 2;
+      return;
+    }
+    deviationNanos = (3 * deviationNanos + Math.abs(roundTripNanos - sampleNanos)) / 4;
+    roundTripNanos = (7 * roundTripNanos + sampleNanos) / 8;
   }
 
   private boolean busy(long nowNanos) {
--- a/src/main/java/org/radishpost/link/LinkOptions.java
+++ b/src/main/java/org/radishpost/link/LinkOptions.java
@@ -6,10 +6,11 @@
  * Bounds and intervals of the links of one VM.
  *
  * @param beatInterval the time between heartbeats on a link that calls depend on
- * @param idleBeatInterval the time between heartbeats on any other link, a multiple of the former
+ * @param idleBeatInterval the time between heartbeats on any other link
  * @param missedBeats the heartbeats without an echo after which a link counts as silent
  * @param busyTime how long a link counts as one that calls depend on after the last use
- * @param connectLimit the longest wait for a connection and its proof
+ * @param connectLimit the longest wait for a connection and its proof, and the most that slow
+ *     echoes add to the time after which a link counts as silent
  * @param reconnectFirst the wait before the second try to reach a peer
  * @param reconnectMost the longest wait between two tries
  * @param demandTime how long a link that was opened on demand stays without use
@@ -34,9 +35,9 @@
   /** What a VM uses unless told otherwise. */
   public static final LinkOptions DEFAULT =
       new LinkOptions(
-          Duration.ofMillis(15),
-          Duration.ofMillis(600),
-          4,
+          Duration.ofMillis(20),
+          Duration.ofSeconds(1),
+          3,
           Duration.ofSeconds(2),
           Duration.ofMillis(250),
           Duration.ofMillis(20),
--- a/src/main/java/org/radishpost/link/PeerLinks.java
+++ b/src/main/java/org/radishpost/link/PeerLinks.java
@@ -104,6 +104,13 @@
     return wanted(nowNanos) && standing.isEmpty() && !dialing && backoff.mayTry(nowNanos);
   }
 
+  /** Lets the next try start without a wait once a link has stood for a time. */
+  void forgiveFailures(long nowNanos, long standingNanos) {
+    if (preferred().filter(link -> nowNanos - link.openedNanos() > standingNanos).isPresent()) {
+      backoff.succeeded();
+    }
+  }
+
   /** Returns the links that this VM has dialed and that are of no use. */
   List<Link> useless(long nowNanos, long graceNanos) {
     return standing.stream()
