--- a/src/main/java/org/radishpost/config/ConfigReplica.java
+++ b/src/main/java/org/radishpost/config/ConfigReplica.java
@@ -34,7 +34,11 @@
   private final LogContact contact;
   private ConfigState state = ConfigState.EMPTY;
   private long writtenVersion;
+  private byte[] sent = new byte[0];
+  private long sentVersion = -1;
   private boolean reading;
+  private boolean logSought = true;
+  private Duration readWait = Duration.ZERO;
   private long readNanos;
   private boolean caughtUp;
   private boolean behind;
@@ -98,7 +102,7 @@
     List<ConfigAction> actions = new ArrayList<>();
     switch (event) {
       case ConfigEvent.LogRead read -> logRead(read.page(), nowNanos, actions);
-      case ConfigEvent.LogReadFailed failed -> readLog(logBackoff.failed(), nowNanos, actions);
+      case ConfigEvent.LogReadFailed failed -> logReadFailed(nowNanos, actions);
       case ConfigEvent.SnapshotsRead read -> snapshotsRead(read.page(), nowNanos, actions);
       case ConfigEvent.SnapshotsReadFailed failed -> actions.add(keeper.failed());
       case ConfigEvent.Appended appended -> apply(List.of(appended.landed()));
@@ -168,14 +172,23 @@
     logBackoff.succeeded();
     contact.heard(page, nowNanos);
     noteLostRecords(page, actions);
-    long before = state.version();
     apply(page.records());
     if (page.earliestOffset() > state.version() + 1) {
       gap(page, actions);
     }
-    boolean idle = state.version() == before;
-    boolean early = nowNanos - readNanos < options.readWait().toNanos() / 2;
-    readLog(idle && early ? logBackoff.failed() : Duration.ZERO, nowNanos, actions);
+    boolean early = nowNanos - readNanos < readWait.toNanos() / 2;
+    logSought = false;
+    readLog(useless(page) && early ? logBackoff.failed() : Duration.ZERO, nowNanos, actions);
+  }
+
+  /** Tells whether reading again at once would give the same page. */
+  private boolean useless(LogPage page) {
+    return page.records().isEmpty() || page.records().getLast().offset() > state.version();
+  }
+
+  private void logReadFailed(long nowNanos, List<ConfigAction> actions) {
+    logSought = true;
+    readLog(logBackoff.failed(), nowNanos, actions);
   }
 
   private void gap(LogPage page, List<ConfigAction> actions) {
@@ -205,7 +218,8 @@
   private void readLog(Duration pause, long nowNanos, List<ConfigAction> actions) {
     reading = true;
     readNanos = nowNanos + pause.toNanos();
-    actions.add(new ConfigAction.ReadLog(state.version() + 1, pause));
+    readWait = logSought ? Duration.ZERO : options.readWait();
+    actions.add(new ConfigAction.ReadLog(state.version() + 1, readWait, pause));
   }
 
   private void snapshotsRead(LogPage page, long nowNanos, List<ConfigAction> actions) {
@@ -266,10 +280,18 @@
   private ConfigAction offer(ConfigEvent.PeerWants wanted) {
     List<LogRecord> found = recent.from(wanted.fromOffset());
     return found.isEmpty()
-        ? new ConfigAction.SendSnapshot(wanted.peer(), snapshots.encode(state))
+        ? new ConfigAction.SendSnapshot(wanted.peer(), sentSnapshot())
         : new ConfigAction.SendRecords(wanted.peer(), found);
   }
 
+  private byte[] sentSnapshot() {
+    if (sentVersion != state.version()) {
+      sent = snapshots.encode(state);
+      sentVersion = state.version();
+    }
+    return sent;
+  }
+
   private void peerRecords(ConfigEvent.PeerRecords sent) {
     peers.answered();
     apply(sent.records());
