Serve the administration API: publish, service changes and status

Operators had no way to publish or to take zones out but code.

./test -Dtest=AdminApiTest: 3 run, 0 failed, over three VMs on loopback.

--- /dev/null
+++ b/src/main/java/org/radishpost/admin/AdminAnswer.java
@@ -0,0 +1,50 @@
+package org.radishpost.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * One answer of the administration API.
+ *
+ * @param status the HTTP status
+ * @param mediaType the media type of the body
+ * @param body the body
+ */
+record AdminAnswer(int status, String mediaType, byte[] body) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String JSON = "application/json";
+
+  static AdminAnswer json(int status, JsonNode node) {
+    try {
+      return new AdminAnswer(status, JSON, MAPPER.writeValueAsBytes(node));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree of texts and numbers is always JSON", e);
+    }
+  }
+
+  static AdminAnswer json(int status, byte[] document) {
+    return new AdminAnswer(status, JSON, document);
+  }
+
+  static AdminAnswer text(String mediaType, String text) {
+    return new AdminAnswer(200, mediaType, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns an answer that lists what is wrong, each with its remedy. */
+  static AdminAnswer refused(int status, List<String> faults) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("result", "refused");
+    ArrayNode list = node.putArray("faults");
+    faults.forEach(list::add);
+    return json(status, node);
+  }
+
+  static AdminAnswer refused(int status, String fault) {
+    return refused(status, List.of(fault));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/AdminRequest.java
@@ -0,0 +1,42 @@
+package org.radishpost.admin;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * One request to the administration API.
+ *
+ * @param method the method
+ * @param target the path with its query
+ * @param accept the value of the Accept field, or an empty text
+ * @param operationHeader the value of the operation field, or an empty text
+ * @param body the body, within its bound
+ */
+record AdminRequest(
+    String method, String target, String accept, String operationHeader, byte[] body) {
+  /** The field that names an operation. */
+  static final String OPERATION_HEADER = "radishpost-operation";
+
+  private static final String OPERATION_PARAMETER = "operation";
+  private static final Pattern OPERATION = Pattern.compile("[A-Za-z0-9._:-]{1,64}");
+
+  /** Returns the path without its query, decoded. */
+  String path() {
+    return new QueryStringDecoder(target).path();
+  }
+
+  /** Returns the first value of a parameter of the query. */
+  Optional<String> parameter(String name) {
+    List<String> values = new QueryStringDecoder(target).parameters().get(name);
+    return values == null ? Optional.empty() : Optional.of(values.getFirst());
+  }
+
+  /** Returns the operation that the request names, if it has the right form. */
+  Optional<String> operation() {
+    String operation =
+        operationHeader.isEmpty() ? parameter(OPERATION_PARAMETER).orElse("") : operationHeader;
+    return Optional.of(operation).filter(text -> OPERATION.matcher(text).matches());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/ChangeAnswers.java
@@ -0,0 +1,34 @@
+package org.radishpost.admin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.radishpost.config.PublishResult;
+
+/** Turns results of changes into answers. */
+final class ChangeAnswers {
+  private ChangeAnswers() {}
+
+  static AdminAnswer of(PublishResult result, String operation) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("operation", operation);
+    return switch (result) {
+      case PublishResult.Accepted accepted ->
+          AdminAnswer.json(200, node.put("result", "accepted").put("version", accepted.version()));
+      case PublishResult.Refused refused -> AdminAnswer.refused(409, refused.reasons());
+      case PublishResult.Unknown unknown ->
+          AdminAnswer.json(
+              202,
+              node.put("result", "unknown")
+                  .put("remedy", "Send the same request again with the same operation id."));
+    };
+  }
+
+  /** Returns the result in one word, for events. */
+  static String word(PublishResult result) {
+    return switch (result) {
+      case PublishResult.Accepted accepted -> "accepted at " + accepted.version();
+      case PublishResult.Refused refused -> "refused";
+      case PublishResult.Unknown unknown -> "unknown";
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/NodeStatus.java
@@ -0,0 +1,39 @@
+package org.radishpost.admin;
+
+import java.util.List;
+import org.radishpost.config.ConfigFreshness;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.VmId;
+
+/**
+ * The state of one VM, as that VM sees itself and others.
+ *
+ * @param vm the VM
+ * @param place where it runs
+ * @param whyNotReady why it takes no callers' requests; empty when it does
+ * @param freshness how well it knows the configuration
+ * @param members all VMs that it knows
+ * @param pools the pools that it owns
+ * @param suspects the requests that are suspected of crashing targets
+ * @param claimKeys the keys of guarded calls that it keeps in memory
+ */
+public record NodeStatus(
+    VmId vm,
+    Place place,
+    String whyNotReady,
+    ConfigFreshness freshness,
+    List<MemberStatus> members,
+    List<PoolStatus> pools,
+    int suspects,
+    int claimKeys) {
+  /** Copies the lists. */
+  public NodeStatus {
+    members = List.copyOf(members);
+    pools = List.copyOf(pools);
+  }
+
+  /** Tells whether the VM takes callers' requests. */
+  public boolean ready() {
+    return whyNotReady.isEmpty();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/PrometheusText.java
@@ -0,0 +1,91 @@
+package org.radishpost.admin;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.Metric;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Sampling;
+import com.codahale.metrics.Snapshot;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Writes metrics in the Prometheus text form.
+ *
+ * <p>A metric's name may end in labels: {@code calls;outcome=answered}. Counters and meters become
+ * counters, gauges of numbers become gauges, histograms and timers become summaries in the unit
+ * that their name says.
+ */
+final class PrometheusText {
+  private static final String PREFIX = "radishpost_";
+  private static final double[] QUANTILES = {0.5, 0.99, 0.999};
+
+  private PrometheusText() {}
+
+  static String of(MetricRegistry registry) {
+    Map<String, StringBuilder> families = new TreeMap<>();
+    registry
+        .getMetrics()
+        .forEach((name, metric) -> write(MetricName.parse(name), metric, families));
+    StringBuilder text = new StringBuilder();
+    families.values().forEach(text::append);
+    return text.toString();
+  }
+
+  private static void write(MetricName name, Metric metric, Map<String, StringBuilder> families) {
+    switch (metric) {
+      case Gauge<?> gauge when gauge.getValue() instanceof Number number ->
+          sample(family(name, "", "gauge", families), name, "", "", number.doubleValue());
+      case Counter counter -> counter(name, counter, families);
+      case Meter meter -> counter(name, meter, families);
+      case Sampling sampling -> summary(name, sampling, families);
+      default -> {}
+    }
+  }
+
+  private static void counter(
+      MetricName name, Counting counter, Map<String, StringBuilder> families) {
+    StringBuilder family = family(name, "_total", "counter", families);
+    sample(family, name, "_total", "", counter.getCount());
+  }
+
+  private static void summary(
+      MetricName name, Sampling sampling, Map<String, StringBuilder> families) {
+    StringBuilder family = family(name, "", "summary", families);
+    Snapshot snapshot = sampling.getSnapshot();
+    for (double quantile : QUANTILES) {
+      sample(family, name, "", "quantile=\"" + quantile + "\"", snapshot.getValue(quantile));
+    }
+    if (sampling instanceof Counting counting) {
+      sample(family, name, "_count", "", counting.getCount());
+    }
+  }
+
+  private static StringBuilder family(
+      MetricName name, String suffix, String type, Map<String, StringBuilder> families) {
+    String full = PREFIX + name.prometheus() + suffix;
+    return families.computeIfAbsent(
+        full, unused -> new StringBuilder("# TYPE " + full + " " + type + "\n"));
+  }
+
+  private static void sample(
+      StringBuilder family, MetricName name, String suffix, String extra, double value) {
+    String labels = name.labels();
+    String both = labels.isEmpty() || extra.isEmpty() ? labels + extra : labels + "," + extra;
+    family.append(PREFIX).append(name.prometheus()).append(suffix);
+    if (!both.isEmpty()) {
+      family.append('{').append(both).append('}');
+    }
+    family.append(' ').append(number(value)).append('\n');
+  }
+
+  private static String number(double value) {
+    if (Double.isInfinite(value)) {
+      return value > 0 ? "+Inf" : "-Inf";
+    }
+    boolean whole = value == Math.rint(value) && Math.abs(value) < 1e15;
+    return whole ? String.valueOf((long) value) : String.valueOf(value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/ServiceChangeCodec.java
@@ -0,0 +1,84 @@
+package org.radishpost.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import org.radishpost.config.ConfigChange;
+import org.radishpost.config.ConfigVerdicts;
+import org.radishpost.config.Scope;
+import org.radishpost.errors.MalformedJsonException;
+import org.radishpost.errors.ManifestException;
+import org.radishpost.lib.StrictJson;
+
+/** Reads the wish to take a zone, a region or a VM out of service or back in; thread-safe. */
+final class ServiceChangeCodec {
+  static final int MAX_BYTES = 4_096;
+
+  private static final StrictJson.Bounds BOUNDS = new StrictJson.Bounds(MAX_BYTES, 2, 512, 20);
+  private static final Set<String> MEMBERS = Set.of("scope", "name", "out", "baseVersion");
+
+  private final StrictJson json = new StrictJson(BOUNDS);
+
+  /**
+   * Reads a change; without a base version it overrules whatever stands.
+   *
+   * @throws ManifestException if it has another form; the message names each fault with its path
+   */
+  ConfigChange.SetService decode(byte[] body) throws ManifestException {
+    JsonNode node = tree(body);
+    List<String> faults = faults(node);
+    if (!faults.isEmpty()) {
+      throw new ManifestException(String.join("; ", faults));
+    }
+    Scope scope =
+        new Scope(
+            Scope.Kind.valueOf(node.get("scope").textValue().toUpperCase(java.util.Locale.ROOT)),
+            node.get("name").textValue());
+    JsonNode base = node.path("baseVersion");
+    return new ConfigChange.SetService(
+        scope,
+        node.get("out").booleanValue(),
+        base.isMissingNode() ? ConfigVerdicts.ANY_VERSION : base.longValue());
+  }
+
+  private JsonNode tree(byte[] body) throws ManifestException {
+    try {
+      return json.read(body);
+    } catch (MalformedJsonException e) {
+      throw new ManifestException(e.getMessage(), e);
+    }
+  }
+
+  private static List<String> faults(JsonNode node) {
+    if (!node.isObject()) {
+      return List.of("Give one JSON object with scope, name and out.");
+    }
+    List<String> faults = new ArrayList<>();
+    for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+      String name = names.next();
+      if (!MEMBERS.contains(name)) {
+        faults.add(name + ": is not known: leave it out");
+      }
+    }
+    if (!Set.of("zone", "region", "vm").contains(node.path("scope").asText())) {
+      faults.add("scope: give zone, region or vm");
+    }
+    String name = node.path("name").asText();
+    if (!node.path("name").isTextual()
+        || name.isBlank()
+        || name.length() > ConfigVerdicts.MAX_SCOPE_CHARS) {
+      faults.add("name: give a text of 1 to " + ConfigVerdicts.MAX_SCOPE_CHARS + " characters");
+    }
+    if (!node.path("out").isBoolean()) {
+      faults.add("out: give true or false");
+    }
+    JsonNode base = node.path("baseVersion");
+    boolean version = base.canConvertToLong() && base.isIntegralNumber();
+    if (!base.isMissingNode() && (!version || base.longValue() < ConfigVerdicts.ANY_VERSION)) {
+      faults.add("baseVersion: give a version, 0 for none or -1 for any");
+    }
+    return faults;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/admin/TimeLineJson.java
@@ -0,0 +1,70 @@
+package org.radishpost.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.radishpost.errors.AdminRequestException;
+import org.radishpost.events.Event;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventStamp;
+import org.radishpost.lib.VmId;
+
+/** Writes events as JSON and reads them again. */
+public final class TimeLineJson {
+  private TimeLineJson() {}
+
+  /** Returns the events as the administration API gives them. */
+  static ObjectNode of(List<Event> events) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    ArrayNode list = node.putArray("events");
+    events.forEach(event -> list.add(of(event)));
+    return node;
+  }
+
+  /** Returns one event. */
+  public static ObjectNode of(Event event) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("stamp", event.stamp().text());
+    node.put("vm", event.vm().value());
+    node.put("sequence", event.sequence());
+    node.put("event", event.code().number());
+    node.put("name", event.code().name());
+    node.put("level", event.code().level().name());
+    ObjectNode fields = node.putObject("fields");
+    event.fields().forEach(field -> fields.put(field.name(), field.value()));
+    return node;
+  }
+
+  /**
+   * Reads the events that a VM gave.
+   *
+   * @throws AdminRequestException if they are not of this release's form
+   */
+  public static List<Event> read(JsonNode answer) throws AdminRequestException {
+    List<Event> events = new ArrayList<>();
+    try {
+      for (JsonNode node : answer.path("events")) {
+        List<EventField> fields = new ArrayList<>();
+        node.path("fields")
+            .properties()
+            .forEach(
+                field -> fields.add(new EventField(field.getKey(), field.getValue().asText())));
+        events.add(
+            new Event(
+                EventStamp.parse(node.path("stamp").asText()),
+                new VmId(node.path("vm").asText()),
+                node.path("sequence").asLong(),
+                EventCode.valueOf(node.path("name").asText()),
+                fields));
+      }
+    } catch (IllegalArgumentException e) {
+      throw new AdminRequestException(
+          "The VM's events are not of this release: use the radishpost of the VM's release.", e);
+    }
+    return events;
+  }
+}
--- a/src/main/java/org/radishpost/admin/package-info.java
+++ b/src/main/java/org/radishpost/admin/package-info.java
@@ -1,2 +1,2 @@
-/** The administration API. */
+/** The administration API: HTTP and JSON, on an address of its own. */
 package org.radishpost.admin;
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -78,6 +78,11 @@
   /** The outcome or the withdrawal of a claim could not be recorded. */
   CLAIM_END_LOST(6006, Level.WARN),
 
+  /** A change was wanted through the administration API. */
+  ADMIN_CHANGE(7001, Level.INFO),
+  /** A request to the administration API had no known token. */
+  ADMIN_TOKEN_REFUSED(7002, Level.WARN),
+
   /** The platform's log has been silent for long. */
   LOG_SILENT(8001, Level.WARN),
   /** The platform's log answers again. */
--- a/src/main/java/org/radishpost/http/BodyTooLarge.java
+++ b/src/main/java/org/radishpost/http/BodyTooLarge.java
@@ -5,7 +5,7 @@
 import reactor.core.publisher.Flux;
 
 /** Ends a body that is larger than its route allows. */
-final class BodyTooLarge extends Exception {
+public final class BodyTooLarge extends Exception {
   private static final long serialVersionUID = 1L;
 
   private BodyTooLarge() {
@@ -13,7 +13,7 @@
   }
 
   /** Returns the same body, which fails once it has more than so many bytes. */
-  static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
+  public static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
     AtomicLong seen = new AtomicLong();
     return body.handle(
         (part, sink) -> {
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -1,9 +1,11 @@
 package org.radishpost.node;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
+import org.radishpost.admin.AdminServer;
 import org.radishpost.admission.RetryBudget;
 import org.radishpost.config.ConfigRecordCodec;
 import org.radishpost.config.ConfigReplica;
@@ -78,6 +80,7 @@
   private final EventLog events;
   private final TimeLine timeLine = new TimeLine(TIME_LINE_EVENTS);
   private final LoopResources loops = LoopResources.create("radishpost");
+  private final MetricRegistry metrics = new MetricRegistry();
   private final AtomicLong calls = new AtomicLong();
   private final Disposable.Composite running = Disposables.composite();
   private final PoolDirectory directory = new PoolDirectory();
@@ -98,7 +101,9 @@
   private HopClient hops;
   private HopServer hopServer;
   private EdgeServer edgeServer;
+  private AdminServer adminServer;
   private Endpoint edge;
+  private Endpoint admin;
   private NodeState state;
 
   /**
@@ -159,11 +164,19 @@
             router(),
             calls);
     edge = edgeServer.start();
+    startAdmin();
     events.emit(
         EventCode.STARTED, EventField.of("edge", edge), EventField.of("place", settings.place()));
     return self;
   }
 
+  private void startAdmin() throws StartException {
+    NodeAdmin view =
+        new NodeAdmin(state, config, table, links, owned, suspects, claims, metrics, timeLine);
+    adminServer = new AdminServer(settings.admin(), settings.tokens(), view, events, clock, loops);
+    admin = adminServer.start();
+  }
+
   private VmEntry startLinks(Endpoint hop) throws StartException {
     VmEntry self = new VmEntry(settings.vm(), settings.place(), settings.link(), hop, false);
     links =
@@ -322,6 +335,11 @@
     return edge;
   }
 
+  /** Returns the address of the administration API. */
+  public Endpoint admin() {
+    return admin;
+  }
+
   /** Returns the configuration in force, and the way to change it. */
   public ConfigService config() {
     return config;
@@ -355,6 +373,7 @@
     return links
         .stop()
         .then(edgeServer.stop())
+        .then(adminServer.stop())
         .then(hopServer.stop())
         .then(targetSender.close())
         .then(hopSender.close())
--- /dev/null
+++ b/src/main/java/org/radishpost/node/NodeAdmin.java
@@ -0,0 +1,107 @@
+package org.radishpost.node;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import org.radishpost.admin.AdminView;
+import org.radishpost.admin.MemberStatus;
+import org.radishpost.admin.NodeStatus;
+import org.radishpost.admin.PoolStatus;
+import org.radishpost.config.ConfigChange;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.PublishResult;
+import org.radishpost.events.Event;
+import org.radishpost.events.TimeLine;
+import org.radishpost.lib.PoolId;
+import org.radishpost.link.Links;
+import org.radishpost.membership.Member;
+import org.radishpost.membership.MemberTable;
+import org.radishpost.pool.PoolView;
+import org.radishpost.pool.TargetStatus;
+import org.radishpost.suspects.SuspectRegistry;
+import reactor.core.publisher.Mono;
+
+/** Shows this VM to the administration API; thread-safe. */
+final class NodeAdmin implements AdminView {
+  private static final Duration CHANGE_LIMIT = Duration.ofSeconds(8);
+
+  private final NodeState state;
+  private final ConfigReplicaService config;
+  private final MemberTable members;
+  private final Links links;
+  private final OwnedPools owned;
+  private final SuspectRegistry suspects;
+  private final ClaimService claims;
+  private final MetricRegistry metrics;
+  private final TimeLine timeLine;
+
+  NodeAdmin(
+      NodeState state,
+      ConfigReplicaService config,
+      MemberTable members,
+      Links links,
+      OwnedPools owned,
+      SuspectRegistry suspects,
+      ClaimService claims,
+      MetricRegistry metrics,
+      TimeLine timeLine) {
+    this.state = state;
+    this.config = config;
+    this.members = members;
+    this.links = links;
+    this.owned = owned;
+    this.suspects = suspects;
+    this.claims = claims;
+    this.metrics = metrics;
+    this.timeLine = timeLine;
+  }
+
+  @Override
+  public NodeStatus status() {
+    return new NodeStatus(
+        members.self().id(),
+        members.self().place(),
+        state.why(),
+        config.freshness(),
+        members.all().stream().map(this::member).toList(),
+        pools(),
+        suspects.size(),
+        claims.keys());
+  }
+
+  private MemberStatus member(Member member) {
+    boolean self = member.entry().id().equals(members.self().id());
+    boolean linked = self || links.session(member.entry().id()).isPresent();
+    return new MemberStatus(member, linked, members.configVersionOf(member.entry().id()));
+  }
+
+  private List<PoolStatus> pools() {
+    Map<PoolId, List<TargetStatus>> targets = owned.targets();
+    return owned.views().stream()
+        .sorted(Comparator.comparing((PoolView view) -> view.pool().toString()))
+        .map(view -> new PoolStatus(view, targets.getOrDefault(view.pool(), List.of())))
+        .toList();
+  }
+
+  @Override
+  public Configuration configuration() {
+    return config.current();
+  }
+
+  @Override
+  public Mono<PublishResult> change(String operationId, ConfigChange change) {
+    return config.publish(operationId, change, CHANGE_LIMIT);
+  }
+
+  @Override
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  @Override
+  public List<Event> timeLine(long afterSequence) {
+    return timeLine.after(afterSequence);
+  }
+}
--- a/src/main/java/org/radishpost/pgm/DemoManifest.java
+++ b/src/main/java/org/radishpost/pgm/DemoManifest.java
@@ -19,6 +19,9 @@
 
 /** The manifest of the demo: one service with a route for each kind of request. */
 final class DemoManifest {
+  /** The owner of the gateway. */
+  static final TenantName TENANT = new TenantName("demo-tenant");
+
   /** The slots of each target. */
   static final int SLOTS = 2;
 
@@ -46,7 +49,7 @@
             30);
     return new Manifest(
         new GatewayName("demo"),
-        new TenantName("demo-tenant"),
+        TENANT,
         0,
         List.of(service),
         List.of(
--- a/src/main/java/org/radishpost/pgm/DemoSystem.java
+++ b/src/main/java/org/radishpost/pgm/DemoSystem.java
@@ -10,6 +10,7 @@
 import org.radishpost.config.PublishResult;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.errors.StartException;
+import org.radishpost.lib.Digest;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
@@ -38,6 +39,14 @@
       List.of(Place.of("kozep", "kozep-1"), Place.of("kozep", "kozep-2"));
   private static final List<Place> VM_PLACES = List.of(PLACES.get(0), PLACES.get(1), PLACES.get(0));
 
+  /** A token that may do everything in the demo, which listens on loopback only. */
+  static final String DEMO_TOKEN = "demo";
+
+  private static final List<NodeSettings.TokenSettings> TOKENS =
+      List.of(
+          new NodeSettings.TokenSettings(
+              Digest.of(DEMO_TOKEN), List.of("read", "operate", "publish:" + DemoManifest.TENANT)));
+
   private final Scheduler clock;
   private final RandomGenerator random;
   private final MemoryVmList vms;
@@ -79,6 +88,12 @@
             + "-abcdefghijklmnop' http://"
             + first
             + "/dispatch");
+    lines.add(
+        "curl -H 'Authorization: Bearer "
+            + DEMO_TOKEN
+            + "' http://"
+            + nodes.getFirst().admin()
+            + "/v1/status");
     return lines;
   }
 
@@ -87,6 +102,11 @@
     return nodes.stream().map(Node::edge).toList();
   }
 
+  /** Returns the addresses of the administration API. */
+  List<Endpoint> admins() {
+    return nodes.stream().map(Node::admin).toList();
+  }
+
   /** Returns how often targets ran a call with the idempotency key. */
   long runs(String key) {
     return targets.runs(key);
@@ -146,7 +166,7 @@
         new NodeSettings.PlatformSettings(platform, platform),
         "RADISHPOST_LINK_KEY",
         Optional.empty(),
-        List.of(),
+        TOKENS,
         new NodeSettings.LimitSettings(16_384, 65_536, 256, 4_096, Duration.ofSeconds(30)),
         new NodeSettings.ShutdownSettings(Duration.ZERO, Duration.ofSeconds(10)),
         NodeSettings.Balancing.OWNER,
--- /dev/null
+++ b/src/test/java/org/radishpost/pgm/AdminApiTest.java
@@ -0,0 +1,76 @@
+package org.radishpost.pgm;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpResponse;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.node.RuntimeClock;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** The administration API of real VMs on loopback. */
+public class AdminApiTest {
+  private static final long SEED = 12;
+
+  private DemoSystem demo;
+  private AdminCalls admin;
+
+  /** Starts the system. */
+  @BeforeClass
+  public void start() throws RadishpostException {
+    demo = new DemoSystem(new RuntimeClock(), new java.util.Random(SEED));
+    demo.start(0);
+    admin = new AdminCalls(demo.admins().getFirst(), DemoSystem.DEMO_TOKEN);
+  }
+
+  /** Stops the system. */
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    demo.stop().block();
+  }
+
+  @Test
+  public void statusTellsOfTheVm() throws Exception {
+    HttpResponse<String> answer = admin.get("/v1/status");
+    assertEquals(answer.statusCode(), 200, answer.body());
+    JsonNode status = admin.json(answer);
+    assertEquals(status.path("vm").asText(), "vm-1");
+    assertTrue(status.path("ready").asBoolean(), answer.body());
+    assertTrue(status.path("config").path("version").asLong() > 0, answer.body());
+  }
+
+  @Test
+  public void publishedManifestIsInForceAndTheSameOperationHasTheSameAnswer() throws Exception {
+    JsonNode before = admin.json(admin.get("/v1/gateways/demo"));
+    ObjectNode manifest = (ObjectNode) before.path("manifest");
+    manifest.put("baseVersion", before.path("version").asLong());
+    HttpResponse<String> first =
+        admin.send("PUT", "/v1/gateways/demo?operation=p1", manifest.toString());
+    assertEquals(first.statusCode(), 200, first.body());
+    HttpResponse<String> again =
+        admin.send("PUT", "/v1/gateways/demo?operation=p1", manifest.toString());
+    assertEquals(again.body(), first.body());
+    long version = admin.json(first).path("version").asLong();
+    assertEquals(admin.json(admin.get("/v1/gateways/demo")).path("version").asLong(), version);
+    HttpResponse<String> stale =
+        admin.send("PUT", "/v1/gateways/demo?operation=p2", manifest.toString());
+    assertEquals(stale.statusCode(), 409, stale.body());
+    assertTrue(stale.body().contains("baseVersion"), stale.body());
+  }
+
+  @Test
+  public void zoneGoesOutAndIn() throws Exception {
+    String out = "{\"scope\":\"zone\",\"name\":\"kozep-2\",\"out\":true}";
+    HttpResponse<String> answer = admin.send("POST", "/v1/service?operation=z1", out);
+    assertEquals(answer.statusCode(), 200, answer.body());
+    assertTrue(admin.get("/v1/status").body().contains("\"name\":\"kozep-2\""));
+    String in = "{\"scope\":\"zone\",\"name\":\"kozep-2\",\"out\":false}";
+    assertEquals(admin.send("POST", "/v1/service?operation=z2", in).statusCode(), 200);
+    assertFalse(admin.get("/v1/status").body().contains("\"name\":\"kozep-2\""));
+  }
+}
