--- a/src/main/java/org/radishpost/admin/MetricsJson.java
+++ b/src/main/java/org/radishpost/admin/MetricsJson.java
@@ -1,8 +1,9 @@
 package org.radishpost.admin;
 
+import com.codahale.metrics.Counting;
 import com.codahale.metrics.Histogram;
-import com.codahale.metrics.Metered;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Sampling;
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -17,11 +18,16 @@
     ObjectNode gauges = node.putObject("gauges");
     registry.getGauges().forEach((name, gauge) -> gauges.putPOJO(name, gauge.getValue()));
     ObjectNode counters = node.putObject("counters");
-    registry.getCounters().forEach((name, counter) -> counters.put(name, counter.getCount()));
+    registry
+        .getMetrics()
+        .forEach(
+            (name, metric) -> {
+              if (metric instanceof Counting counting && !(metric instanceof Sampling)) {
+                counters.put(name, counting.getCount());
+              }
+            });
     ObjectNode histograms = node.putObject("histograms");
     registry.getHistograms().forEach((name, one) -> write(one, histograms.putObject(name)));
-    ObjectNode meters = node.putObject("meters");
-    registry.getMeters().forEach((name, meter) -> write(meter, meters.putObject(name)));
     ObjectNode timers = node.putObject("timers");
     registry.getTimers().forEach((name, timer) -> write(timer, timers.putObject(name)));
     return node;
@@ -32,11 +38,6 @@
     write(histogram.getSnapshot(), node);
   }
 
-  private static void write(Metered meter, ObjectNode node) {
-    node.put("count", meter.getCount());
-    node.put("meanRate", meter.getMeanRate());
-  }
-
   private static void write(Timer timer, ObjectNode node) {
     node.put("count", timer.getCount());
     write(timer.getSnapshot(), node);
--- a/src/main/java/org/radishpost/admin/PrometheusText.java
+++ b/src/main/java/org/radishpost/admin/PrometheusText.java
@@ -1,9 +1,7 @@
 package org.radishpost.admin;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.Counting;
 import com.codahale.metrics.Gauge;
-import com.codahale.metrics.Meter;
 import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Sampling;
@@ -38,9 +36,8 @@
     switch (metric) {
       case Gauge<?> gauge when gauge.getValue() instanceof Number number ->
           sample(family(name, "", "gauge", families), name, "", "", number.doubleValue());
-      case Counter counter -> counter(name, counter, families);
-      case Meter meter -> counter(name, meter, families);
       case Sampling sampling -> summary(name, sampling, families);
+      case Counting counting -> counter(name, counting, families);
       default -> {}
     }
   }
--- /dev/null
+++ b/src/main/java/org/radishpost/node/MeteredHops.java
@@ -0,0 +1,32 @@
+package org.radishpost.node;
+
+import java.util.concurrent.TimeUnit;
+import org.radishpost.http.Call;
+import org.radishpost.http.CallResult;
+import org.radishpost.http.Hops;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Counts and times the calls that go to other VMs; thread-safe.
+ *
+ * @param hops sends the calls
+ * @param metrics where they are counted
+ * @param clock the clock
+ */
+record MeteredHops(Hops hops, NodeMetrics metrics, Scheduler clock) implements Hops {
+  @Override
+  public Mono<CallResult> send(Call call, PoolId pool, VmEntry owner) {
+    long start = clock.now(TimeUnit.NANOSECONDS);
+    return hops.send(call, pool, owner)
+        .doOnNext(result -> metrics.hopped(result, clock.now(TimeUnit.NANOSECONDS) - start));
+  }
+
+  @Override
+  public void taken(VmId owner, long sequence) {
+    hops.taken(owner, sequence);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/node/MeteredSender.java
@@ -0,0 +1,40 @@
+package org.radishpost.node;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.http.CallBody;
+import org.radishpost.http.CallSender;
+import org.radishpost.http.HeaderNames;
+import org.radishpost.http.Reply;
+import org.radishpost.http.RequestHead;
+import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Counts what is sent to targets and times the calls among it; thread-safe.
+ *
+ * @param sender sends the calls
+ * @param metrics where they are counted
+ * @param clock the clock
+ */
+record MeteredSender(CallSender sender, NodeMetrics metrics, Scheduler clock)
+    implements CallSender {
+  @Override
+  public Mono<Reply> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
+    boolean probe = !head.headers().contains(HeaderNames.DEADLINE_MILLIS);
+    metrics.sent(probe);
+    Mono<Reply> reply = sender.send(address, head, body, limit);
+    if (probe) {
+      return reply;
+    }
+    long start = clock.now(TimeUnit.NANOSECONDS);
+    return reply.doOnNext(
+        answer -> metrics.targetAnswered(clock.now(TimeUnit.NANOSECONDS) - start));
+  }
+
+  @Override
+  public void closeIdle(Endpoint address) {
+    sender.closeIdle(address);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/AdminReply.java
@@ -0,0 +1,11 @@
+package org.radishpost.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * An answer of the administration API.
+ *
+ * @param status the HTTP status
+ * @param json the body
+ */
+record AdminReply(int status, JsonNode json) {}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/Environment.java
@@ -0,0 +1,19 @@
+package org.radishpost.pgm;
+
+import java.util.Map;
+
+/** The variables of the process's environment, which tests replace. */
+final class Environment {
+  private static volatile Map<String, String> variables = System.getenv();
+
+  private Environment() {}
+
+  static Map<String, String> variables() {
+    return variables;
+  }
+
+  /** Replaces the variables. */
+  static void use(Map<String, String> other) {
+    variables = Map.copyOf(other);
+  }
+}
