--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -1,9 +1,11 @@
 package org.radishpost.node;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
+import org.radishpost.admin.AdminServer;
 import org.radishpost.config.ConfigService;
 import org.radishpost.errors.StartException;
 import org.radishpost.events.EventCode;
@@ -23,6 +25,7 @@
 import org.radishpost.platform.http.HttpPlatformLog;
 import org.radishpost.platform.http.HttpVmList;
 import org.radishpost.settings.NodeSettings;
+import reactor.core.Disposable;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -47,8 +50,10 @@
   private final NodeSettings settings;
   private final Scheduler clock;
   private final EventLog events;
+  private final HybridClock stamps;
   private final TimeLine timeLine = new TimeLine(TIME_LINE_EVENTS);
   private final LoopResources loops = LoopResources.create("radishpost");
+  private final NodeMetrics metrics = new NodeMetrics(new MetricRegistry());
   private final AtomicLong calls = new AtomicLong();
   private final RandomGenerator random;
   private final NodeSecrets secrets;
@@ -60,7 +65,10 @@
   private TcpLinks links;
   private HopServer hopServer;
   private EdgeServer edgeServer;
+  private AdminServer adminServer;
+  private Disposable readiness;
   private Endpoint edge;
+  private Endpoint admin;
 
   /**
    * Creates a process that does not listen yet.
@@ -75,9 +83,8 @@
     this.secrets = secrets;
     this.clock = clock;
     this.random = random;
-    this.events =
-        new EventLog(
-            settings.vm(), new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS)), timeLine);
+    this.stamps = new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS));
+    this.events = new EventLog(settings.vm(), stamps, timeLine, metrics);
     this.targetSender =
         new HttpSender("target", clock, loops, TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
     this.hopSender =
@@ -103,7 +110,8 @@
             () -> core.directory().routes(),
             new LateLinks(() -> links),
             (call, pool, onTaken) -> core.pools().handle(call, pool, onTaken),
-            calls);
+            calls,
+            stamps);
     final VmEntry self = startCore(hopServer.start());
     edgeServer =
         new EdgeServer(
@@ -114,14 +122,21 @@
             loops,
             core.directory()::routes,
             core.state(),
-            core.calls(),
+            new MeteredCalls(core.calls(), metrics, clock),
             calls);
     edge = edgeServer.start();
+    startAdmin();
     events.emit(
         EventCode.STARTED, EventField.of("edge", edge), EventField.of("place", settings.place()));
     return self;
   }
 
+  private void startAdmin() throws StartException {
+    NodeAdmin view = new NodeAdmin(core, links, metrics.registry(), timeLine);
+    adminServer = new AdminServer(settings.admin(), settings.tokens(), view, events, clock, loops);
+    admin = adminServer.start();
+  }
+
   private VmEntry startCore(Endpoint hop) throws StartException {
     VmEntry self = new VmEntry(settings.vm(), settings.place(), settings.link(), hop, false);
     links =
@@ -143,12 +158,15 @@
             vmList,
             links,
             links::keep,
-            targetSender,
-            new HopClient(self.id(), hopSender, links, clock),
+            new MeteredSender(targetSender, metrics, clock),
+            new MeteredHops(
+                new HopClient(self.id(), hopSender, links, clock, stamps), metrics, clock),
             clock,
             random,
             events);
+    metrics.watch(core, links);
     core.start();
+    readiness = new ReadinessWatch(core.state(), events, clock).start();
     try {
       return links.start().block();
     } catch (RuntimeException e) {
@@ -164,6 +182,11 @@
     return edge;
   }
 
+  /** Returns the address of the administration API. */
+  public Endpoint admin() {
+    return admin;
+  }
+
   /** Returns the configuration in force, and the way to change it. */
   public ConfigService config() {
     return core.config();
@@ -190,11 +213,13 @@
   }
 
   private Mono<Void> close() {
+    readiness.dispose();
     core.close();
     events.emit(EventCode.STOPPED);
     return links
         .stop()
         .then(edgeServer.stop())
+        .then(adminServer.stop())
         .then(hopServer.stop())
         .then(targetSender.close())
         .then(hopSender.close())
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/AdminCommand.java
@@ -0,0 +1,61 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Option;
+import java.util.Map;
+import org.radishpost.errors.AdminRequestException;
+import org.radishpost.lib.Endpoint;
+
+/** A command that asks the administration API of one VM. */
+public abstract class AdminCommand extends PgmCommand {
+  @Option(
+      name = {"--admin"},
+      title = "IP:PORT",
+      description = "The administration address of a VM.")
+  private String admin = "127.0.0.1:8090";
+
+  @Option(
+      name = {"--token-env"},
+      title = "NAME",
+      description = "The environment variable that holds the token.")
+  private String tokenEnv = "RADISHPOST_TOKEN";
+
+  /** Creates a command; the parser sets its options. */
+  protected AdminCommand() {}
+
+  /**
+   * Returns the way to the VM.
+   *
+   * @throws AdminRequestException if the options are not acceptable
+   */
+  final AdminClient client() throws AdminRequestException {
+    return new AdminClient(address(admin), token());
+  }
+
+  /**
+   * Returns the token.
+   *
+   * @throws AdminRequestException if there is none
+   */
+  final String token() throws AdminRequestException {
+    Map<String, String> environment = Environment.variables();
+    String token = environment.getOrDefault(tokenEnv, "");
+    if (token.isBlank()) {
+      throw new AdminRequestException(
+          "The environment variable " + tokenEnv + " is empty: put the token there.");
+    }
+    return token;
+  }
+
+  /**
+   * Reads an address.
+   *
+   * @throws AdminRequestException if it has another form
+   */
+  static Endpoint address(String text) throws AdminRequestException {
+    try {
+      return Endpoint.parse(text);
+    } catch (IllegalArgumentException e) {
+      throw new AdminRequestException(e.getMessage() + ": give --admin IP:PORT.", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/GatewayPath.java
@@ -0,0 +1,14 @@
+package org.radishpost.pgm;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** The paths of gateways in the administration API. */
+final class GatewayPath {
+  private GatewayPath() {}
+
+  static String of(String gateway) {
+    String encoded = URLEncoder.encode(gateway, StandardCharsets.UTF_8).replace("+", "%20");
+    return "/v1/gateways/" + encoded;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/pgm/CommandsTest.java
@@ -0,0 +1,156 @@
+package org.radishpost.pgm;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.RuntimeClock;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The commands against real VMs on loopback, with their exit codes. */
+public class CommandsTest {
+  private static final long SEED = 13;
+  private static final Map<String, String> VARIABLES =
+      Map.of("RADISHPOST_TOKEN", DemoSystem.DEMO_TOKEN, "OTHER", "wrong");
+
+  private DemoSystem demo;
+  private String admin;
+
+  /** Starts the system. */
+  @BeforeClass
+  public void start() throws RadishpostException {
+    Environment.use(VARIABLES);
+    demo = new DemoSystem(new RuntimeClock(), new java.util.Random(SEED));
+    demo.start(0);
+    admin = demo.admins().getFirst().toString();
+  }
+
+  /** Stops the system. */
+  @AfterClass(alwaysRun = true)
+  public void stop() {
+    demo.stop().block();
+    Environment.use(System.getenv());
+  }
+
+  @Test
+  public void manifestIsShownChangedAndPublishedAgain() throws Exception {
+    Run shown = run("show", "--admin", admin, "demo");
+    assertEquals(shown.code(), ExitCode.OK, shown.err());
+    ObjectMapper mapper = new ObjectMapper();
+    ObjectNode manifest = (ObjectNode) mapper.readTree(shown.out()).path("manifest");
+    manifest.put("baseVersion", mapper.readTree(shown.out()).path("version").asLong());
+    Path file = file(manifest.toString());
+    assertEquals(run("check", "--manifest", file.toString()).code(), ExitCode.OK);
+    Run published = run("publish", "--admin", admin, "--operation", "c1", file.toString());
+    assertEquals(published.code(), ExitCode.OK, published.err());
+    Run again = run("publish", "--admin", admin, "--operation", "c1", file.toString());
+    assertEquals(again.out(), published.out());
+    Run stale = run("publish", "--admin", admin, "--operation", "c2", file.toString());
+    assertEquals(stale.code(), ExitCode.REFUSED);
+    assertTrue(stale.err().contains("baseVersion"), stale.err());
+  }
+
+  @Test
+  public void vmGoesOutAndItsStatusSaysSo() throws Exception {
+    assertEquals(run("vm", "out", "vm-3", "--admin", admin).code(), ExitCode.OK);
+    Run status = run("status", "--admin", admin);
+    assertTrue(status.out().contains("\"name\" : \"vm-3\""), status.out());
+    assertEquals(run("vm", "in", "vm-3", "--admin", admin).code(), ExitCode.OK);
+    Run raced = run("vm", "out", "vm-3", "--admin", admin, "--base-version", "0");
+    assertEquals(raced.code(), ExitCode.REFUSED, raced.err());
+  }
+
+  @Test
+  public void timelineHoldsTheEventsOfAllVms() throws Exception {
+    List<String> words = new ArrayList<>(List.of("timeline", "--json"));
+    demo.admins().stream().map(Endpoint::toString).forEach(words::add);
+    Run run = run(words.toArray(new String[0]));
+    assertEquals(run.code(), ExitCode.OK, run.err());
+    for (String vm : List.of("vm-1", "vm-2", "vm-3")) {
+      assertTrue(run.out().contains("\"vm\":\"" + vm + "\",\"sequence\":1,"), run.out());
+    }
+  }
+
+  /** Command lines that fail, with the exit code and a part of what is said. */
+  @DataProvider
+  public Object[][] failures() throws IOException {
+    return new Object[][] {
+      {ExitCode.USAGE, "zone", new String[] {"zone", "sideways", "kozep-1"}},
+      {ExitCode.USAGE, "coldStart", new String[] {"check", "--manifest", bad()}},
+      {ExitCode.USAGE, "vm", new String[] {"check", "--settings", bad()}},
+      {ExitCode.USAGE, "help", new String[] {"nonsense"}},
+      {ExitCode.USAGE, "model", new String[] {"model", "nothing"}},
+      {ExitCode.FAILED, "--admin", new String[] {"status", "--admin", "127.0.0.1:1"}},
+      {ExitCode.FAILED, "NO_SUCH", new String[] {"status", "--token-env", "NO_SUCH"}},
+      {ExitCode.FAILED, "401", new String[] {"status", "--admin", admin, "--token-env", "OTHER"}},
+    };
+  }
+
+  @Test(dataProvider = "failures")
+  public void failureHasItsExitCodeAndRemedy(ExitCode code, String part, String[] words) {
+    Run run = run(words);
+    assertEquals(run.code(), code, run.err());
+    assertTrue(run.err().contains(part), run.err());
+  }
+
+  @Test
+  public void everyCommandHasHelp() {
+    for (String name :
+        List.of("serve", "check", "publish", "show", "zone", "status", "timeline", "model")) {
+      assertTrue(run("help", name).out().contains("radishpost " + name), name);
+    }
+    assertTrue(run("help", "standin", "targets").out().contains("--manifest"));
+  }
+
+  private static String bad() throws IOException {
+    return file("{\"services\":[{\"name\":\"a\"}],\"region\":7}").toString();
+  }
+
+  private static Path file(String text) throws IOException {
+    Path file = Files.createTempFile("radishpost", ".json");
+    file.toFile().deleteOnExit();
+    return Files.writeString(file, text);
+  }
+
+  private static synchronized Run run(String... words) {
+    PrintStream out = System.out;
+    PrintStream err = System.err;
+    ByteArrayOutputStream outBytes = new ByteArrayOutputStream();
+    ByteArrayOutputStream errBytes = new ByteArrayOutputStream();
+    try {
+      System.setOut(new PrintStream(outBytes, true, UTF_8));
+      System.setErr(new PrintStream(errBytes, true, UTF_8));
+      int number = Main.run(words);
+      return new Run(code(number), outBytes.toString(UTF_8), errBytes.toString(UTF_8));
+    } finally {
+      System.setOut(out);
+      System.setErr(err);
+    }
+  }
+
+  private static ExitCode code(int number) {
+    for (ExitCode code : ExitCode.values()) {
+      if (code.number() == number) {
+        return code;
+      }
+    }
+    throw new AssertionError("no exit code has the number " + number);
+  }
+
+  private record Run(ExitCode code, String out, String err) {}
+}
