--- a/src/main/java/org/radishpost/config/ConfigReplica.java
+++ b/src/main/java/org/radishpost/config/ConfigReplica.java
@@ -34,6 +34,8 @@
   private final LogContact contact;
   private ConfigState state = ConfigState.EMPTY;
   private long writtenVersion;
+  private byte[] sent = new byte[0];
+  private long sentVersion = -1;
   private boolean reading;
   private boolean logSought = true;
   private Duration readWait = Duration.ZERO;
@@ -278,10 +280,18 @@
   private ConfigAction offer(ConfigEvent.PeerWants wanted) {
     List<LogRecord> found = recent.from(wanted.fromOffset());
     return found.isEmpty()
-        ? new ConfigAction.SendSnapshot(wanted.peer(), snapshots.encode(state))
+        ? new ConfigAction.SendSnapshot(wanted.peer(), sentSnapshot())
         : new ConfigAction.SendRecords(wanted.peer(), found);
   }
 
+  private byte[] sentSnapshot() {
+    if (sentVersion != state.version()) {
+      sent = snapshots.encode(state);
+      sentVersion = state.version();
+    }
+    return sent;
+  }
+
   private void peerRecords(ConfigEvent.PeerRecords sent) {
     peers.answered();
     apply(sent.records());
--- a/src/main/java/org/radishpost/standin/LogServerFaults.java
+++ b/src/main/java/org/radishpost/standin/LogServerFaults.java
@@ -11,6 +11,7 @@
  * @param lostAppendAnswers how many of the next appends take effect without an answer
  * @param lostAppends how many of the next appends are lost without effect and without an answer
  * @param retentionMillis how long records are kept, absent to leave it
+ * @param appendsPerSecond how many appends of one second the log takes, 0 for no bound
  * @param vmListDown whether the list of VMs refuses every request
  * @param vmListLagMillis how old the list of VMs is
  */
@@ -21,6 +22,7 @@
     int lostAppendAnswers,
     int lostAppends,
     Long retentionMillis,
+    int appendsPerSecond,
     boolean vmListDown,
     long vmListLagMillis) {
 
--- a/src/main/java/org/radishpost/standin/MemoryLog.java
+++ b/src/main/java/org/radishpost/standin/MemoryLog.java
@@ -21,12 +21,17 @@
  * <p>Thread-safe. Time is the scheduler's: a virtual one makes the whole log virtual.
  */
 public final class MemoryLog implements PlatformLog {
+  private static final long MILLIS_A_SECOND = 1000;
+
   private final Scheduler clock;
   private final Map<String, Stream> streams = new HashMap<>();
   private Duration retention;
   private LogFaults faults = LogFaults.NONE;
   private long appends;
   private long appendBytes;
+  private int appendsPerSecond;
+  private long second;
+  private int appendsThisSecond;
 
   /**
    * Creates an empty log.
@@ -59,6 +64,11 @@
     return retention;
   }
 
+  /** Sets how many appends of one second are taken; 0 for no bound. */
+  public synchronized void appendsPerSecond(int most) {
+    appendsPerSecond = most;
+  }
+
   /** Returns the number of appends that took effect. */
   public synchronized long appends() {
     return appends;
@@ -94,6 +104,9 @@
       if (faults.down()) {
         return Mono.error(unavailable());
       }
+      if (!takeAppend()) {
+        return Mono.error(busy());
+      }
       if (faults.lostAppends() > 0) {
         faults = faults.withoutLostAppend();
         return Mono.error(unknown());
@@ -106,6 +119,16 @@
     return answer;
   }
 
+  private boolean takeAppend() {
+    long now = nowMillis() / MILLIS_A_SECOND;
+    if (now != second) {
+      second = now;
+      appendsThisSecond = 0;
+    }
+    appendsThisSecond++;
+    return appendsPerSecond == 0 || appendsThisSecond <= appendsPerSecond;
+  }
+
   private Mono<LogRecord> landed(LogRecord landed) {
     appends++;
     appendBytes += landed.payload().length;
@@ -144,6 +167,11 @@
     return new LogUnavailableException("The platform's log is down: try again later.");
   }
 
+  private static LogUnavailableException busy() {
+    return new LogUnavailableException(
+        "The platform's log has taken all appends of this second: try again later.");
+  }
+
   private static AppendUnknownException unknown() {
     return new AppendUnknownException(
         "The answer to the append was lost: read the stream to see whether the record landed.");
