--- a/src/main/java/org/radishpost/link/LinkControl.java
+++ b/src/main/java/org/radishpost/link/LinkControl.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.radishpost.events.EventCode;
@@ -17,6 +19,7 @@
 import org.radishpost.lib.VmId;
 import org.radishpost.platform.VmEntry;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
@@ -35,6 +38,7 @@
   private final Scheduler.Worker worker;
   private final EventSink events;
   private final RandomGenerator random;
+  private final LongSupplier configVersion;
   private final Consumer<VmEntry> dialer;
   private final Map<VmId, PeerLinks> peers = new ConcurrentHashMap<>();
   private final Sinks.Many<PeerEvent> emitted = Sinks.many().multicast().directBestEffort();
@@ -54,6 +58,7 @@
       Scheduler scheduler,
       EventSink events,
       RandomGenerator random,
+      LongSupplier configVersion,
       Consumer<VmEntry> dialer) {
     this.self = self;
     this.options = options;
@@ -61,6 +66,7 @@
     this.worker = scheduler.createWorker();
     this.events = events;
     this.random = random;
+    this.configVersion = configVersion;
     this.dialer = dialer;
   }
 
@@ -69,9 +75,20 @@
     worker.schedulePeriodically(this::tick, tickNanos, tickNanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Opens no more links. */
-  void stopDialing() {
+  /** Opens no more links, says farewell on those that stand and releases them; once only. */
+  Mono<Void> releaseAll() {
     stopping = true;
+    Sinks.Empty<Void> released = Sinks.empty();
+    run(
+        () -> {
+          List<Link> standing =
+              peers.values().stream().flatMap(peer -> peer.standing().stream()).toList();
+          standing.forEach(link -> link.tell(new LinkMessage.Farewell()));
+          standing.forEach(Link::release);
+          Mono.when(standing.stream().map(Link::onClosed).toList())
+              .subscribe(nothing -> {}, released::tryEmitError, released::tryEmitEmpty);
+        });
+    return released.asMono();
   }
 
   void dispose() {
@@ -160,10 +177,10 @@
             return;
           }
           peer.lostNanos = nowNanos();
-          if (link.released()) {
-            announceReleased(peer);
-          } else if (peer.farewell) {
+          if (peer.farewell) {
             announceDown(peer, "left");
+          } else if (link.released()) {
+            announceReleased(peer);
           }
           dialAll();
         });
@@ -227,7 +244,7 @@
 
   private void beat(PeerLinks peer, long now) {
     for (Link link : peer.standing()) {
-      switch (link.health().tick(now)) {
+      switch (link.health().tick(now, configVersion.getAsLong())) {
         case BEAT -> link.beat();
         case SILENT -> silent(peer, link);
         default -> {}
--- a/src/main/java/org/radishpost/link/LinkHealth.java
+++ b/src/main/java/org/radishpost/link/LinkHealth.java
@@ -22,6 +22,8 @@
   private final Deque<Sent> unanswered = new ArrayDeque<>();
   private long sequence;
   private long heard;
+  private boolean echoOwed;
+  private long toldVersion;
   private long awakeNanos;
   private long lastBeatNanos;
   private long lastTickNanos;
@@ -60,21 +62,26 @@
     return lastUseNanos;
   }
 
-  /** Decides what is due, once for each tick. */
-  synchronized Verdict tick(long nowNanos) {
+  /**
+   * Decides what is due, once for each tick; a new version of the configuration goes out at once.
+   */
+  synchronized Verdict tick(long nowNanos, long configVersion) {
     awakeNanos += Math.min(nowNanos - lastTickNanos, MAX_TICK_GAP_BEATS * beatNanos);
     lastTickNanos = nowNanos;
     Sent oldest = unanswered.peekFirst();
     if (oldest != null && awakeNanos - oldest.awakeAtNanos > silenceNanos()) {
       return Verdict.SILENT;
     }
-    long interval = busy(nowNanos) ? beatNanos : idleBeatNanos;
+    boolean soon = busy(nowNanos) || echoOwed || configVersion != toldVersion;
+    long interval = soon ? beatNanos : idleBeatNanos;
     return nowNanos - lastBeatNanos >= interval - beatNanos / 2 ? Verdict.BEAT : Verdict.QUIET;
   }
 
   /** Returns the next beat to be sent, which the peer has to echo. */
   synchronized Beat next(long nowNanos, long configVersion) {
     sequence++;
+    echoOwed = false;
+    toldVersion = configVersion;
     unanswered.addLast(new Sent(sequence, nowNanos, awakeNanos));
     lastBeatNanos = nowNanos;
     return new Beat(sequence, heard, true, configVersion);
@@ -92,7 +99,8 @@
       long sample = nowNanos - answered.atNanos;
       roundTripNanos = roundTripNanos == 0 ? sample : (7 * roundTripNanos + sample) / 8;
     }
-    if (!beat.prompt() || busy(nowNanos)) {
+    echoOwed |= beat.prompt() && busy(nowNanos);
+    if (!beat.prompt() || echoOwed) {
       return Optional.empty();
     }
     return Optional.of(new Beat(sequence, heard, false, configVersion));
--- /dev/null
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -0,0 +1,203 @@
+package org.radishpost.node;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+import org.radishpost.config.ConfigService;
+import org.radishpost.errors.StartException;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.HybridClock;
+import org.radishpost.events.TimeLine;
+import org.radishpost.http.EdgeServer;
+import org.radishpost.http.HopClient;
+import org.radishpost.http.HopServer;
+import org.radishpost.http.HttpSender;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.link.LinkOptions;
+import org.radishpost.link.TcpLinks;
+import org.radishpost.platform.PlatformLog;
+import org.radishpost.platform.VmEntry;
+import org.radishpost.platform.VmList;
+import org.radishpost.platform.http.HttpPlatformLog;
+import org.radishpost.platform.http.HttpVmList;
+import org.radishpost.settings.NodeSettings;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * One VM process: the core and its adapters.
+ *
+ * <p>Create it, {@link #start()} it once, and {@link #stop()} it once.
+ */
+public final class Node {
+  private static final Duration TARGET_IDLE = Duration.ofSeconds(2);
+  private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
+  private static final Duration PLATFORM_LIMIT = Duration.ofSeconds(2);
+  private static final Duration LOG_RETENTION = Duration.ofDays(1);
+  private static final int TARGET_CONNECTIONS = 120;
+  private static final int HOP_CONNECTIONS = 512;
+  private static final int PLATFORM_CONNECTIONS = 16;
+  private static final int TIME_LINE_EVENTS = 10_000;
+
+  private final NodeSettings settings;
+  private final Scheduler clock;
+  private final EventLog events;
+  private final TimeLine timeLine = new TimeLine(TIME_LINE_EVENTS);
+  private final LoopResources loops = LoopResources.create("radishpost");
+  private final AtomicLong calls = new AtomicLong();
+  private final RandomGenerator random;
+  private final NodeSecrets secrets;
+  private final HttpSender targetSender;
+  private final HttpSender hopSender;
+  private final PlatformLog log;
+  private final VmList vmList;
+  private volatile VmCore core;
+  private TcpLinks links;
+  private HopServer hopServer;
+  private EdgeServer edgeServer;
+  private Endpoint edge;
+
+  /**
+   * Creates a process that does not listen yet.
+   *
+   * @param settings the settings
+   * @param secrets the secrets
+   * @param clock the clock and timers
+   * @param random a source that nobody can foretell
+   */
+  public Node(NodeSettings settings, NodeSecrets secrets, Scheduler clock, RandomGenerator random) {
+    this.settings = settings;
+    this.secrets = secrets;
+    this.clock = clock;
+    this.random = random;
+    this.events =
+        new EventLog(
+            settings.vm(), new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS)), timeLine);
+    this.targetSender =
+        new HttpSender("target", clock, loops, TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
+    this.hopSender =
+        new HttpSender("hop", clock, loops, HOP_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
+    ConnectionProvider platform = ConnectionProvider.create("platform", PLATFORM_CONNECTIONS);
+    this.log = new HttpPlatformLog(platform, settings.platform().log(), PLATFORM_LIMIT);
+    this.vmList = new HttpVmList(platform, settings.platform().vmList(), PLATFORM_LIMIT);
+  }
+
+  /**
+   * Starts to listen and to serve.
+   *
+   * @return this VM as the platform's list should name it
+   * @throws StartException if an address is taken
+   */
+  public VmEntry start() throws StartException {
+    hopServer =
+        new HopServer(
+            settings.hop(),
+            settings.limits(),
+            clock,
+            loops,
+            () -> core.directory().routes(),
+            new LateLinks(() -> links),
+            (call, pool, onTaken) -> core.pools().handle(call, pool, onTaken),
+            calls);
+    final VmEntry self = startCore(hopServer.start());
+    edgeServer =
+        new EdgeServer(
+            settings.edge(),
+            settings.place().region(),
+            settings.limits(),
+            clock,
+            loops,
+            core.directory()::routes,
+            core.state(),
+            core.calls(),
+            calls);
+    edge = edgeServer.start();
+    events.emit(
+        EventCode.STARTED, EventField.of("edge", edge), EventField.of("place", settings.place()));
+    return self;
+  }
+
+  private VmEntry startCore(Endpoint hop) throws StartException {
+    VmEntry self = new VmEntry(settings.vm(), settings.place(), settings.link(), hop, false);
+    links =
+        new TcpLinks(
+            self,
+            secrets.linkKey(),
+            LinkOptions.DEFAULT,
+            clock,
+            events,
+            random,
+            () -> core.config().announcedVersion());
+    core =
+        new VmCore(
+            self,
+            settings.balancing(),
+            LOG_RETENTION,
+            secrets,
+            log,
+            vmList,
+            links,
+            links::keep,
+            targetSender,
+            new HopClient(self.id(), hopSender, links, clock),
+            clock,
+            random,
+            events);
+    core.start();
+    try {
+      return links.start().block();
+    } catch (RuntimeException e) {
+      if (Exceptions.unwrap(e) instanceof StartException failure) {
+        throw failure;
+      }
+      throw e;
+    }
+  }
+
+  /** Returns the address at which callers are served. */
+  public Endpoint edge() {
+    return edge;
+  }
+
+  /** Returns the configuration in force, and the way to change it. */
+  public ConfigService config() {
+    return core.config();
+  }
+
+  /**
+   * Stops gracefully: turns unready, waits for the platform's balancer, hands its pools over and
+   * lets running requests end.
+   */
+  public Mono<Void> stop() {
+    events.emit(EventCode.STOPPING);
+    core.state().stopping();
+    return Mono.delay(settings.shutdown().balancerWait(), clock)
+        .then(Mono.fromRunnable(this::handOver))
+        .then(edgeServer.inFlight().idle(clock, settings.shutdown().drainLimit()))
+        .then(hopServer.inFlight().idle(clock, settings.shutdown().drainLimit()))
+        .then(Mono.defer(this::close));
+  }
+
+  private void handOver() {
+    core.leave();
+    links.farewell();
+    edgeServer.refuseConnections();
+  }
+
+  private Mono<Void> close() {
+    core.close();
+    events.emit(EventCode.STOPPED);
+    return links
+        .stop()
+        .then(edgeServer.stop())
+        .then(hopServer.stop())
+        .then(targetSender.close())
+        .then(hopSender.close())
+        .then(loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)));
+  }
+}
