Judge gateways beside each other, move the locality calculation to bench

Two gateways with one target would each use all of its slots, and a tenant could take another's requests by a longer path prefix or a host name. ManifestConflicts finds both from the manifests alone; the configuration does not call it yet. The fuzz tests of settings and manifests share one class.

--- a/src/test/java/org/radishpost/routing/LocalityModel.java
+++ b/src/main/java/org/radishpost/bench/LocalityModel.java
@@ -1,8 +1,7 @@
-package org.radishpost.routing;
+package org.radishpost.bench;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,21 +15,29 @@
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
 import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.CallId;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.RequestKind;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.TenantName;
 import org.radishpost.pool.HandBackReason;
 import org.radishpost.pool.PoolView;
+import org.radishpost.routing.LinkCosts;
+import org.radishpost.routing.PoolChooser;
 
 /**
  * A queueing calculation: entry VMs with a chooser each, one pool in each zone, slow links between.
  *
  * <p>Service times are lognormal. A pool's targets become slow together for spells. Views travel on
- * answers, so that each VM knows only what its own calls brought back.
+ * answers, so that each VM knows only what its own calls brought back. The same seed gives the same
+ * figures. Create one for each run; one thread at a time.
  */
-final class LocalityModel {
-  private static final int SLOTS = 4;
+public final class LocalityModel {
+  /** The slots of each pool. */
+  public static final int SLOTS = 4;
+
   private static final int QUEUE_BOUND = 64;
   private static final int ENTRIES = 16;
   private static final double SERVICE_NANOS = 10e6;
@@ -38,8 +45,20 @@
   private static final double SLOW_FACTOR = 4;
   private static final double SLOW_SPELL_NANOS = 400e6;
   private static final double FAST_SPELL_NANOS = 4_600e6;
+  private static final double PERCENT = 100;
   private static final long BODY_BYTES = 4_096;
   private static final long DEADLINE_NANOS = 5_000_000_000L;
+  private static final GatewayName GATEWAY = new GatewayName("model");
+  private static final ServiceName SERVICE = new ServiceName("model");
+  private static final TenantName TENANT = new TenantName("model");
+  private static final List<Place> PLACES =
+      List.of(
+          Place.of("one", "one-a"),
+          Place.of("one", "one-b"),
+          Place.of("two", "two-a"),
+          Place.of("two", "two-b"),
+          Place.of("three", "three-a"),
+          Place.of("three", "three-b"));
   private static final LinkCosts LINKS = LinkCosts.DEFAULT;
 
   private final SplittableRandom random;
@@ -53,14 +72,20 @@
   private int refused;
   private int crossed;
 
-  LocalityModel(long seed, BiFunction<Place, RandomGenerator, PoolChooser> chooser) {
+  /**
+   * Creates a run.
+   *
+   * @param seed the seed of all random numbers
+   * @param chooser makes the chooser of a VM at a place
+   */
+  public LocalityModel(long seed, BiFunction<Place, RandomGenerator, PoolChooser> chooser) {
     random = new SplittableRandom(seed);
-    for (Place place : Fixtures.PLACES) {
-      PoolId id = new PoolId(new GatewayName("g"), Fixtures.ARCHIVE, place, 0);
+    for (Place place : PLACES) {
+      PoolId id = new PoolId(GATEWAY, SERVICE, place, 0);
       pools.put(id, new PoolModel(id));
     }
     for (int i = 0; i < ENTRIES; i++) {
-      Place place = Fixtures.PLACES.get(i % Fixtures.PLACES.size());
+      Place place = PLACES.get(i % PLACES.size());
       entries.add(new Entry(place, chooser.apply(place, random.split())));
     }
   }
@@ -72,7 +97,7 @@
    * @param skew how many times as many calls come to an entry VM of the first region
    * @param seconds how long
    */
-  Result run(double load, double skew, int seconds) {
+  public LocalityModelLine run(double load, double skew, int seconds) {
     double total = entries.stream().mapToDouble(entry -> entry.weight(skew)).sum();
     double meanFactor = slowShare() * SLOW_FACTOR + 1 - slowShare();
     double capacity = pools.size() * SLOTS / (SERVICE_NANOS * meanFactor);
@@ -87,11 +112,11 @@
     }
     long[] sorted = latencies.stream().mapToLong(Long::longValue).sorted().toArray();
     int calls = sorted.length + refused;
-    return new Result(
+    return new LocalityModelLine(
         sorted[sorted.length / 2] / 1e6,
         sorted[(int) (sorted.length * 0.99)] / 1e6,
-        (double) crossed / calls,
-        (double) refused / calls);
+        PERCENT * crossed / calls,
+        PERCENT * refused / calls);
   }
 
   private void arrivals(Entry entry, double callsPerNano, long endNanos) {
@@ -117,7 +142,7 @@
   }
 
   private void send(Entry entry, Set<PoolId> tried, long startNanos) {
-    CallFacts call = Fixtures.call(RequestKind.READ, BODY_BYTES, startNanos + DEADLINE_NANOS);
+    CallFacts call = call(startNanos);
     Set<PoolId> candidates = new LinkedHashSet<>(pools.keySet());
     Optional<PoolId> chosen = entry.chooser.choose(call, candidates, tried, nowNanos);
     if (chosen.isEmpty()) {
@@ -129,6 +154,23 @@
     at(way(entry, pool), () -> pool.take(new Call(entry, tried, startNanos)));
   }
 
+  private static CallFacts call(long startNanos) {
+    return new CallFacts(
+        new CallId(0),
+        GATEWAY,
+        "model",
+        SERVICE,
+        TENANT,
+        RequestKind.READ,
+        1,
+        true,
+        startNanos + DEADLINE_NANOS,
+        BODY_BYTES,
+        Set.of(),
+        Optional.empty(),
+        0);
+  }
+
   private long way(Entry entry, PoolModel pool) {
     return LINKS.roundTripNanos(entry.place.distanceTo(pool.id.place())) / 2;
   }
@@ -145,34 +187,13 @@
     return SLOW_SPELL_NANOS / (SLOW_SPELL_NANOS + FAST_SPELL_NANOS);
   }
 
-  record Result(double p50Millis, double p99Millis, double crossedShare, double refusedShare) {
-    static Result median(List<Result> results) {
-      return new Result(
-          median(results.stream().mapToDouble(Result::p50Millis).toArray()),
-          median(results.stream().mapToDouble(Result::p99Millis).toArray()),
-          median(results.stream().mapToDouble(Result::crossedShare).toArray()),
-          median(results.stream().mapToDouble(Result::refusedShare).toArray()));
-    }
-
-    private static double median(double[] values) {
-      Arrays.sort(values);
-      return values[values.length / 2];
-    }
-
-    @Override
-    public String toString() {
-      return "p50 %6.1f ms, p99 %6.1f ms, to other regions %4.1f %%, refused %4.2f %%"
-          .formatted(p50Millis, p99Millis, 100 * crossedShare, 100 * refusedShare);
-    }
-  }
-
   private record Event(long atNanos, long number, Runnable action) {}
 
   private record Call(Entry entry, Set<PoolId> tried, long startNanos) {}
 
   private record Entry(Place place, PoolChooser chooser) {
     double weight(double skew) {
-      return place.region().equals(Fixtures.PLACES.getFirst().region()) ? skew : 1;
+      return place.region().equals(PLACES.getFirst().region()) ? skew : 1;
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/radishpost/bench/LocalityModelLine.java
@@ -0,0 +1,44 @@
+package org.radishpost.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * What one run of {@link LocalityModel} gave.
+ *
+ * @param p50Millis the median time of the calls answered
+ * @param p99Millis their 99th percentile
+ * @param crossedPercent the sendings to other regions, in percent of the calls
+ * @param refusedPercent the calls refused, in percent of the calls
+ */
+public record LocalityModelLine(
+    double p50Millis, double p99Millis, double crossedPercent, double refusedPercent) {
+  /** Returns the median of each figure over several runs. */
+  public static LocalityModelLine median(List<LocalityModelLine> runs) {
+    return new LocalityModelLine(
+        median(runs, LocalityModelLine::p50Millis),
+        median(runs, LocalityModelLine::p99Millis),
+        median(runs, LocalityModelLine::crossedPercent),
+        median(runs, LocalityModelLine::refusedPercent));
+  }
+
+  private static double median(
+      List<LocalityModelLine> runs, ToDoubleFunction<LocalityModelLine> figure) {
+    double[] values = runs.stream().mapToDouble(figure).toArray();
+    Arrays.sort(values);
+    return values[values.length / 2];
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+        Locale.ROOT,
+        "p50 %6.1f ms, p99 %6.1f ms, to other regions %4.1f %%, refused %4.2f %%",
+        p50Millis,
+        p99Millis,
+        crossedPercent,
+        refusedPercent);
+  }
+}
--- a/src/main/java/org/radishpost/routing/LocalityPoolChooser.java
+++ b/src/main/java/org/radishpost/routing/LocalityPoolChooser.java
@@ -57,7 +57,16 @@
     this(own, costs, slots, random, SpillRule.DEFAULT);
   }
 
-  LocalityPoolChooser(
+  /**
+   * Creates one with its own rule, for comparisons.
+   *
+   * @param own where this VM runs
+   * @param costs what ways cost
+   * @param slots how large pools are
+   * @param random the source of random numbers
+   * @param spillRule when a call goes to a farther pool
+   */
+  public LocalityPoolChooser(
       Place own, LinkCosts costs, PoolSlots slots, RandomGenerator random, SpillRule spillRule) {
     this.own = own;
     this.costs = costs;
--- a/src/main/java/org/radishpost/routing/SpillRule.java
+++ b/src/main/java/org/radishpost/routing/SpillRule.java
@@ -11,8 +11,9 @@
  *
  * @param gain the probability for each unit of advantage, as a share of the nearer pool's cost
  */
-record SpillRule(double gain) {
-  static final SpillRule DEFAULT = new SpillRule(1);
+public record SpillRule(double gain) {
+  /** The rule in use; other gains are for comparisons. */
+  public static final SpillRule DEFAULT = new SpillRule(1);
 
   boolean spills(long nearNanos, long farNanos, RandomGenerator random) {
     if (farNanos >= nearNanos) {
--- /dev/null
+++ b/src/test/java/org/radishpost/DocumentFuzzTest.java
@@ -0,0 +1,93 @@
+package org.radishpost;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.radishpost.errors.ManifestException;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.JsonDocument;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ManifestCodec;
+import org.radishpost.manifest.ManifestFault;
+import org.radishpost.manifest.ManifestTest;
+import org.radishpost.manifest.ManifestValidator;
+import org.radishpost.settings.SettingsCodec;
+import org.radishpost.settings.SettingsCodecTest;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Spoiled settings and manifests are refused with the place of the fault; -Dseeds=N runs more. */
+public class DocumentFuzzTest {
+  private static final int SEEDS = Integer.getInteger("seeds", 40);
+  private static final int DOCUMENTS_PER_SEED = 25;
+
+  /** A valid document and what reads it. */
+  @DataProvider
+  public Object[][] documents() {
+    SettingsCodec settings = new SettingsCodec();
+    return new Object[][] {
+      {JsonDocument.beside(SettingsCodecTest.class, "valid.json"), (Reader) settings::decode},
+      {JsonDocument.beside(ManifestTest.class, "valid.json"), (Reader) DocumentFuzzTest::manifest},
+    };
+  }
+
+  @Test(dataProvider = "documents")
+  public void refusalNamesThePlace(JsonDocument valid, Reader reader) {
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      for (int i = 0; i < DOCUMENTS_PER_SEED; i++) {
+        assertRefusedAtPlace(valid.withUnknownMember(random), reader, seed);
+        assertRefusedAtPlace(valid.withObjectInsteadOfValue(random), reader, seed);
+      }
+    }
+  }
+
+  @Test(dataProvider = "documents")
+  public void oddDocumentIsRefusedOrWhole(JsonDocument valid, Reader reader) {
+    int refused = 0;
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      for (int i = 0; i < DOCUMENTS_PER_SEED; i++) {
+        refused += isRefused(valid.withOddPlace(random), reader, seed) ? 1 : 0;
+        refused += isRefused(valid.withOddBytes(random), reader, seed) ? 1 : 0;
+      }
+    }
+    assertTrue(refused > SEEDS * DOCUMENTS_PER_SEED, "only " + refused + " refused");
+  }
+
+  private static void assertRefusedAtPlace(JsonDocument.Spoiled spoiled, Reader reader, int seed) {
+    RadishpostException e =
+        expectThrows(RadishpostException.class, () -> reader.read(spoiled.bytes()));
+    String message = "; " + e.getMessage();
+    assertTrue(message.contains("; " + spoiled.path() + ": "), "seed " + seed + message);
+  }
+
+  private static boolean isRefused(byte[] json, Reader reader, int seed) {
+    try {
+      reader.read(json);
+      return false;
+    } catch (RadishpostException e) {
+      assertTrue(e.getMessage().length() > 20, "seed " + seed + ": " + e.getMessage());
+      return true;
+    }
+  }
+
+  /** Reads and judges a manifest; one that can be read must survive its JSON form. */
+  private static void manifest(byte[] json) throws ManifestException {
+    ManifestCodec codec = new ManifestCodec();
+    Manifest manifest = codec.decode(json);
+    assertEquals(codec.decode(codec.encode(manifest)), manifest);
+    List<ManifestFault> faults = new ManifestValidator().faults(manifest);
+    if (!faults.isEmpty()) {
+      throw new ManifestException(faults.toString());
+    }
+  }
+
+  /** Reads a document or refuses it. */
+  private interface Reader {
+    void read(byte[] json) throws RadishpostException;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/manifest/ManifestConflictsTest.java
@@ -0,0 +1,51 @@
+package org.radishpost.manifest;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.radishpost.errors.ManifestException;
+import org.radishpost.lib.JsonDocument;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A gateway takes neither requests nor targets of another. */
+public class ManifestConflictsTest {
+  private static final JsonDocument FIRST =
+      JsonDocument.beside(ManifestConflictsTest.class, "valid.json").edit("\"/\"", "\"/read\"");
+  private static final JsonDocument SECOND =
+      FIRST
+          .edit("Test Gateway", "Other Gateway")
+          .edit("127.0.0.1:9001", "127.0.0.2:9001")
+          .edit("127.0.0.1:9002", "127.0.0.2:9002")
+          .edit("press.example", "other.example")
+          .edit("\"/read\"", "\"/other\"");
+  private static final JsonDocument THIRD = SECOND.edit("test-tenant", "other-tenant");
+
+  /** The second manifest beside the first, and the paths of the faults. */
+  @DataProvider
+  public Object[][] pairs() {
+    return new Object[][] {
+      {THIRD, List.of()},
+      {THIRD.edit("127.0.0.2:9002", "127.0.0.1:9001"), List.of("services[0].targets[1].address")},
+      {SECOND.edit("127.0.0.2:9002", "127.0.0.1:9001"), List.of("services[0].targets[1].address")},
+      {THIRD.edit("other.example", "press.example"), List.of("routes[0]")},
+      {THIRD.edit("other.example", ""), List.of("routes[0]")},
+      {SECOND.edit("other.example", "press.example"), List.of()},
+      {THIRD.edit("\"/other\"", "\"/read/deeper\""), List.of("routes[1]")},
+      {THIRD.edit("\"/other\"", "\"/reader\""), List.of()},
+      {THIRD.edit("\"/other\"", "\"/\""), List.of("routes[1]")},
+      {FIRST, List.of()},
+    };
+  }
+
+  @Test(dataProvider = "pairs")
+  public void conflictIsToldWithItsPath(JsonDocument second, List<String> paths)
+      throws ManifestException {
+    ManifestCodec codec = new ManifestCodec();
+    Manifest manifest = codec.decode(second.bytes());
+    assertEquals(new ManifestValidator().faults(manifest), List.of());
+    List<ManifestFault> faults =
+        new ManifestConflicts().faults(manifest, List.of(codec.decode(FIRST.bytes())));
+    assertEquals(faults.stream().map(ManifestFault::path).toList(), paths);
+  }
+}
--- a/src/test/java/org/radishpost/routing/LocalityCalculationTest.java
+++ b/src/test/java/org/radishpost/routing/LocalityCalculationTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
+import org.radishpost.bench.LocalityModel;
+import org.radishpost.bench.LocalityModelLine;
 import org.radishpost.lib.Place;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,40 +26,41 @@
   @Test(dataProvider = "loads")
   public void spillHelpsTheTailAndSparesLinks(double load, double skew) {
     System.out.printf("load %.2f, first region x%.0f, %d seeds%n", load, skew, SEEDS);
-    final LocalityModel.Result stay = run("stay until handed back", 0, load, skew);
-    final LocalityModel.Result any = run("follow any advantage  ", 1e9, load, skew);
+    final LocalityModelLine stay = run("stay until handed back", 0, load, skew);
+    final LocalityModelLine any = run("follow any advantage  ", 1e9, load, skew);
     run("gain 4                ", 4, load, skew);
     run("gain 2                ", 2, load, skew);
-    final LocalityModel.Result chosen = run("gain 1, chosen        ", 1, load, skew);
+    final LocalityModelLine chosen = run("gain 1, chosen        ", 1, load, skew);
     run(
         "own region at random  ",
-        (place, random) -> new ProportionalPoolChooser(place, pool -> 4, random),
+        (place, random) -> new ProportionalPoolChooser(place, pool -> LocalityModel.SLOTS, random),
         load,
         skew);
-    assertTrue(chosen.crossedShare() < any.crossedShare(), chosen + " against " + any);
+    assertTrue(chosen.crossedPercent() < any.crossedPercent(), chosen + " against " + any);
     assertTrue(chosen.p99Millis() < stay.p99Millis(), chosen + " against " + stay);
   }
 
-  private static LocalityModel.Result run(String name, double gain, double load, double skew) {
+  private static LocalityModelLine run(String name, double gain, double load, double skew) {
     SpillRule rule = new SpillRule(gain);
     return run(
         name,
         (place, random) ->
-            new LocalityPoolChooser(place, LinkCosts.DEFAULT, pool -> 4, random, rule),
+            new LocalityPoolChooser(
+                place, LinkCosts.DEFAULT, pool -> LocalityModel.SLOTS, random, rule),
         load,
         skew);
   }
 
-  private static LocalityModel.Result run(
+  private static LocalityModelLine run(
       String name,
       BiFunction<Place, RandomGenerator, PoolChooser> chooser,
       double load,
       double skew) {
-    List<LocalityModel.Result> results = new ArrayList<>();
+    List<LocalityModelLine> results = new ArrayList<>();
     for (int seed = 1; seed <= SEEDS; seed++) {
       results.add(new LocalityModel(seed, chooser).run(load, skew, SECONDS));
     }
-    LocalityModel.Result median = LocalityModel.Result.median(results);
+    LocalityModelLine median = LocalityModelLine.median(results);
     System.out.println("  " + name + ": " + median);
     return median;
   }
