Leave pools that fail, hear of closed connections, refuse conflicting manifests

Cause: the owner may eject a share of its targets only, so a pool whose targets all fail kept its calls; a target that starts anew while idle got its full load; a tenant could publish routes of another.

--- a/src/main/java/org/radishpost/config/ConfigVerdicts.java
+++ b/src/main/java/org/radishpost/config/ConfigVerdicts.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ManifestConflicts;
 import org.radishpost.manifest.ManifestFault;
 import org.radishpost.manifest.ManifestValidator;
 
@@ -73,7 +74,7 @@
     long base = base(change);
     long standing = standing(before, change);
     if (base == ANY_VERSION && change instanceof ConfigChange.SetService || base == standing) {
-      return List.of();
+      return others(before, change);
     }
     return List.of(
         "baseVersion: the change was made for version "
@@ -83,6 +84,19 @@
             + " is in force: read that one and make the change again");
   }
 
+  private static List<String> others(ConfigState before, ConfigChange change) {
+    if (!(change instanceof ConfigChange.Publish(Manifest manifest))) {
+      return List.of();
+    }
+    List<Manifest> standing =
+        before.manifests().values().stream()
+            .map(VersionedManifest::manifest)
+            .filter(other -> !other.gateway().equals(manifest.gateway()))
+            .toList();
+    return new ManifestConflicts()
+        .faults(manifest, standing).stream().map(ManifestFault::toString).toList();
+  }
+
   private static boolean foreign(ConfigState before, Manifest manifest) {
     VersionedManifest current = before.manifests().get(manifest.gateway());
     return current != null && !current.manifest().tenant().equals(manifest.tenant());
--- a/src/main/java/org/radishpost/http/CallSender.java
+++ b/src/main/java/org/radishpost/http/CallSender.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** Sends calls to addresses, each once; thread-safe. */
@@ -22,4 +23,7 @@
 
   /** Closes all idle connections to the address; running calls go on. */
   void closeIdle(Endpoint address);
+
+  /** Emits an address when the last connection to it was closed, from either end. */
+  Flux<Endpoint> closed();
 }
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -36,6 +36,7 @@
   private final Scheduler clock;
   private final ConnectionProvider connections;
   private final HttpClient client;
+  private final OpenConnections open = new OpenConnections();
 
   /**
    * Creates a sender.
@@ -81,6 +82,7 @@
     return client
         .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
         .headers(fields -> fields.set(head.headers()))
+        .doOnConnected(connection -> open.opened(address, connection))
         .doOnRequest((request, connection) -> sent.set(true))
         .request(HttpMethod.valueOf(head.method()))
         .uri(head.target())
@@ -96,6 +98,11 @@
     connections.disposeWhen(new InetSocketAddress(address.ip(), address.port()));
   }
 
+  @Override
+  public Flux<Endpoint> closed() {
+    return open.closed();
+  }
+
   /** Closes all connections. */
   public Mono<Void> close() {
     return connections.disposeLater();
--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -27,6 +27,7 @@
 import org.radishpost.pool.HandBackReason;
 import org.radishpost.pool.TargetOutcome;
 import org.radishpost.routing.PoolChooser;
+import org.radishpost.routing.PoolHealth;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -48,6 +49,7 @@
   private final RetryBudget budget;
   private final RetryPolicy retries;
   private final Scheduler clock;
+  private final PoolHealth health = new PoolHealth();
   private final Map<PoolId, HedgePolicy> hedges = new ConcurrentHashMap<>();
 
   CallRouter(
@@ -94,7 +96,10 @@
 
   private Optional<PoolId> choose(Call call, Set<PoolId> tried) {
     synchronized (chooser) {
-      return chooser.choose(call.facts(), directory.candidates(call.match()), tried, now());
+      Set<PoolId> usable = health.usable(directory.candidates(call.match()), now());
+      Optional<PoolId> pool = chooser.choose(call.facts(), usable, tried, now());
+      pool.ifPresent(chosen -> health.chosen(chosen, now()));
+      return pool;
     }
   }
 
@@ -200,7 +205,7 @@
   }
 
   private Mono<Reply> answered(Attempt attempt, Reply reply) {
-    if (reply.status() < SERVER_ERROR || reply.refusal().isPresent()) {
+    if (!serverError(reply)) {
       budget.succeeded();
       return Mono.just(reply);
     }
@@ -240,13 +245,21 @@
       switch (result) {
         case CallResult.HandedBack back -> chooser.handedBack(pool, back.reason(), now());
         case CallResult.Unreachable unreachable -> chooser.unreachable(pool, now());
-        case CallResult.Answered answered -> {}
+        case CallResult.Answered answered -> judge(pool, serverError(answered.reply()));
         case CallResult.Shed shed -> {}
-        case CallResult.Lost lost -> {}
+        case CallResult.Lost lost -> judge(pool, true);
       }
     }
   }
 
+  private void judge(PoolId pool, boolean failed) {
+    health.answered(pool, failed, now());
+  }
+
+  private static boolean serverError(Reply reply) {
+    return reply.status() >= SERVER_ERROR && reply.refusal().isEmpty();
+  }
+
   private long now() {
     return clock.now(TimeUnit.NANOSECONDS);
   }
--- a/src/main/java/org/radishpost/node/MeteredSender.java
+++ b/src/main/java/org/radishpost/node/MeteredSender.java
@@ -8,6 +8,7 @@
 import org.radishpost.http.Reply;
 import org.radishpost.http.RequestHead;
 import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -37,4 +38,9 @@
   public void closeIdle(Endpoint address) {
     sender.closeIdle(address);
   }
+
+  @Override
+  public Flux<Endpoint> closed() {
+    return sender.closed();
+  }
 }
--- a/src/main/java/org/radishpost/node/OwnedPools.java
+++ b/src/main/java/org/radishpost/node/OwnedPools.java
@@ -11,6 +11,7 @@
 import org.radishpost.http.CallResult;
 import org.radishpost.http.HopHandler;
 import org.radishpost.http.Problem;
+import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.PoolId;
 import org.radishpost.membership.Members;
 import org.radishpost.pool.HandBackReason;
@@ -87,6 +88,11 @@
     }
   }
 
+  /** Takes note that the last connection to a target was closed. */
+  void closed(Endpoint target) {
+    owned.values().forEach(runner -> runner.closed(target));
+  }
+
   /** Lets time pass for every pool. */
   void tick() {
     owned.values().forEach(PoolRunner::tick);
--- a/src/main/java/org/radishpost/node/PoolRunner.java
+++ b/src/main/java/org/radishpost/node/PoolRunner.java
@@ -100,6 +100,16 @@
         });
   }
 
+  /** Takes note that the last connection to a target was closed, if it is one of the pool's. */
+  void closed(Endpoint target) {
+    PoolSpec known = spec;
+    boolean own =
+        known != null && known.targets().stream().anyMatch(t -> t.address().equals(target));
+    if (own) {
+      decide(out -> pool.closedByTarget(target, now(), out));
+    }
+  }
+
   void tick() {
     decide(out -> pool.tick(now(), out));
   }
--- a/src/main/java/org/radishpost/node/VmCore.java
+++ b/src/main/java/org/radishpost/node/VmCore.java
@@ -140,6 +140,7 @@
     running.add(links.events().subscribe(this::linkEvent));
     links.answerWith(this::answer);
     config.start();
+    running.add(targets.closed().subscribe(owned::closed));
     running.add(config.changes().subscribe(this::configuration));
     running.add(membership.start());
     claims.start();
--- a/src/test/java/org/radishpost/node/ScenarioSteps.java
+++ b/src/test/java/org/radishpost/node/ScenarioSteps.java
@@ -137,7 +137,7 @@
         case "down" -> target.down = on;
         case "draining" -> target.draining = on;
         case "failing" -> target.failFast = on;
-        case "cold" -> target.restart(world.targets.nowMillis());
+        case "cold" -> world.targets.restart(target);
         default -> throw new IllegalArgumentException(fault);
       }
     }
--- a/src/test/java/org/radishpost/node/ScenarioTargets.java
+++ b/src/test/java/org/radishpost/node/ScenarioTargets.java
@@ -27,8 +27,10 @@
 import org.radishpost.lib.Place;
 import org.radishpost.pool.LoadReport;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
 /** The targets of a scenario, as all VMs reach them. */
@@ -40,6 +42,7 @@
   private final Scheduler time;
   private final RandomGenerator random;
   private final Map<Endpoint, ScenarioTarget> targets = new LinkedHashMap<>();
+  private final Sinks.Many<Endpoint> reset = Sinks.many().multicast().directBestEffort();
   final List<String> probes = new ArrayList<>();
   private final Map<String, Integer> runsByRequest = new LinkedHashMap<>();
   private final Map<String, Set<Place>> placesByRequest = new LinkedHashMap<>();
@@ -63,6 +66,12 @@
     return all().stream().filter(t -> t.place.zone().value().equals(zone)).toList();
   }
 
+  /** Starts a target anew, which closes all connections to it. */
+  void restart(ScenarioTarget target) {
+    target.restart(nowMillis());
+    reset.tryEmitNext(target.address);
+  }
+
   int runsOf(String request) {
     return runsByRequest.getOrDefault(request, 0);
   }
@@ -93,6 +102,13 @@
 
       @Override
       public void closeIdle(Endpoint address) {}
+
+      @Override
+      public Flux<Endpoint> closed() {
+        return reset
+            .asFlux()
+            .flatMap(address -> Mono.delay(Duration.ofMillis(1), time).thenReturn(address));
+      }
     };
   }
 
@@ -139,7 +155,7 @@
     if (!marker.isEmpty() && marker.equals(target.crashMarker)) {
       target.crashes++;
       later(wayMicros, () -> sink.error(new ConnectionDiedException("The target crashed.")));
-      target.restart(nowMillis());
+      restart(target);
       return;
     }
     if (target.failFast) {
