--- a/src/main/java/org/radishpost/http/BodyReader.java
+++ b/src/main/java/org/radishpost/http/BodyReader.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.radishpost.errors.RequestBodyException;
 import org.reactivestreams.Publisher;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
@@ -18,6 +20,7 @@
   private final MonoSink<CallBody> result;
   private final int startBytes;
   private final ByteArrayOutputStream start = new ByteArrayOutputStream();
+  private final AtomicBoolean used = new AtomicBoolean();
   private boolean started;
   private boolean completed;
   private Throwable failure;
@@ -53,17 +56,40 @@
 
   private void keep(ByteBuf buffer) {
     start.writeBytes(CallBody.copy(buffer));
-    if (start.size() < startBytes) {
+    if (start.size() <= startBytes) {
       request(1);
       return;
     }
     started = true;
+    result.success(new CallBody(start.toByteArray(), Optional.of(this)));
+  }
+
+  /** Tells whether the rest has been asked for. */
+  boolean used() {
+    return used.get();
+  }
+
+  /** Returns what follows the first part, for one subscriber. */
+  Flux<ByteBuf> remaining() {
     Publisher<ByteBuf> remaining = this::attach;
-    result.success(new CallBody(start.toByteArray(), Optional.of(Flux.from(remaining))));
+    return Flux.from(remaining);
+  }
+
+  /** Ends the reading unless somebody asked for the rest. */
+  void cancelUnused() {
+    if (used.compareAndSet(false, true)) {
+      cancel();
+    }
   }
 
   private void attach(Subscriber<? super ByteBuf> subscriber) {
     CoreSubscriber<? super ByteBuf> downstream = Operators.toCoreSubscriber(subscriber);
+    if (!used.compareAndSet(false, true)) {
+      Operators.error(
+          downstream,
+          new RequestBodyException("The body was used up: let the caller send it again.", null));
+      return;
+    }
     synchronized (this) {
       next = downstream;
     }
--- a/src/main/java/org/radishpost/http/BodyTooLarge.java
+++ b/src/main/java/org/radishpost/http/BodyTooLarge.java
@@ -12,12 +12,13 @@
     super("body too large", null, false, false);
   }
 
-  /** Returns the same body, which fails once it has more than so many bytes. */
-  static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
+  /** Returns the same body, which tells and fails once it has more than so many bytes. */
+  static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes, Runnable onExcess) {
     AtomicLong seen = new AtomicLong();
     return body.handle(
         (part, sink) -> {
           if (seen.addAndGet(part.readableBytes()) > maxBytes) {
+            onExcess.run();
             sink.error(new BodyTooLarge());
           } else {
             sink.next(part);
--- a/src/main/java/org/radishpost/http/CallBody.java
+++ b/src/main/java/org/radishpost/http/CallBody.java
@@ -13,14 +13,15 @@
  * The body of a request: a first part kept in memory, and the rest read while it is sent.
  *
  * <p>Until {@link #take()} is called only the first part is sent, as often as wanted, so that the
- * call can go elsewhere. The rest follows after that, once.
+ * call can go elsewhere. The rest follows after that, once; when any of it has been asked for, the
+ * body cannot be sent again. Thread-safe.
  */
 public final class CallBody {
   private final byte[] start;
-  private final Optional<Flux<ByteBuf>> rest;
+  private final Optional<BodyReader> rest;
   private final Sinks.Empty<Void> taken = Sinks.empty();
 
-  CallBody(byte[] start, Optional<Flux<ByteBuf>> rest) {
+  CallBody(byte[] start, Optional<BodyReader> rest) {
     this.start = start;
     this.rest = rest;
   }
@@ -35,6 +36,11 @@
     return rest.isEmpty();
   }
 
+  /** Tells whether no part of the body is used up, so that the call can go to another pool. */
+  public boolean canMove() {
+    return rest.isEmpty() || !rest.get().used();
+  }
+
   /** Tells whether there are no bytes at all. */
   public boolean empty() {
     return start.length == 0 && rest.isEmpty();
@@ -50,23 +56,26 @@
     taken.tryEmitEmpty();
   }
 
-  /** Returns the bytes to send, without copying those in memory. */
+  /**
+   * Returns the bytes to send, without copying those in memory.
+   *
+   * @return the bytes; {@link org.radishpost.errors.RequestBodyException} instead of the rest when
+   *     that was asked for before
+   */
   public Flux<ByteBuf> stream() {
     Mono<ByteBuf> first = Mono.fromSupplier(() -> Unpooled.wrappedBuffer(start));
     if (rest.isEmpty()) {
       return start.length == 0 ? Flux.empty() : first.flux();
     }
-    return first.concatWith(taken.asMono().thenMany(rest.get()));
+    return first.concatWith(taken.asMono().thenMany(rest.get().remaining()));
   }
 
-  /** Stops reading: nobody wants the rest. */
+  /** Stops reading if nobody has asked for the rest. */
   public void drop() {
-    if (rest.isPresent() && taken.tryEmitEmpty() == Sinks.EmitResult.OK) {
-      rest.get().take(0).subscribe();
-    }
+    rest.ifPresent(BodyReader::cancelUnused);
   }
 
-  /** Reads the first part of a body. */
+  /** Reads the first part of a body, up to the first bytes beyond the bound. */
   static Mono<CallBody> read(Flux<ByteBuf> source, int startBytes) {
     return BodyReader.read(source, startBytes);
   }
--- /dev/null
+++ b/src/main/java/org/radishpost/http/ConnectionLimit.java
@@ -0,0 +1,36 @@
+package org.radishpost.http;
+
+import io.netty.channel.Channel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.radishpost.settings.NodeSettings.LimitSettings;
+
+/** Bounds the open connections of one caller's address and of all; thread-safe. */
+final class ConnectionLimit {
+  private final LimitSettings limits;
+  private final AtomicInteger all = new AtomicInteger();
+  private final Map<InetAddress, Integer> callers = new ConcurrentHashMap<>();
+
+  ConnectionLimit(LimitSettings limits) {
+    this.limits = limits;
+  }
+
+  /** Counts the connection until it closes; returns false when it is one too many. */
+  boolean admit(Channel channel) {
+    if (!(channel.remoteAddress() instanceof InetSocketAddress remote)) {
+      return false;
+    }
+    InetAddress caller = remote.getAddress();
+    channel.closeFuture().addListener(closed -> leave(caller));
+    int ofCaller = callers.merge(caller, 1, Integer::sum);
+    return all.incrementAndGet() <= limits.connections() && ofCaller <= limits.callerConnections();
+  }
+
+  private void leave(InetAddress caller) {
+    all.decrementAndGet();
+    callers.computeIfPresent(caller, (address, count) -> count == 1 ? null : count - 1);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/http/EdgeNumbers.java
@@ -0,0 +1,50 @@
+package org.radishpost.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.math.BigInteger;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.radishpost.admission.RetryAllowance;
+
+/** Reads the numbers that a caller gives in header fields. */
+final class EdgeNumbers {
+  private static final int MAX_DEPTH = 64;
+  private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,40}");
+  private static final List<String> FIELDS =
+      List.of(HeaderNames.DEADLINE_MILLIS, HeaderNames.DEPTH, HeaderNames.RETRIES_LEFT);
+
+  private EdgeNumbers() {}
+
+  /** Tells whether a field is given twice or is not a whole number. */
+  static boolean malformed(HttpHeaders headers) {
+    return FIELDS.stream().anyMatch(name -> wrong(headers.getAll(name)));
+  }
+
+  /** Returns the time that the caller gives, in milliseconds; 0 when it is over. */
+  static long deadlineMillis(HttpHeaders headers, long max) {
+    return bounded(headers, HeaderNames.DEADLINE_MILLIS, max, max);
+  }
+
+  /** Returns how many calls lie above the call. */
+  static int depth(HttpHeaders headers) {
+    return (int) bounded(headers, HeaderNames.DEPTH, 0, MAX_DEPTH);
+  }
+
+  /** Returns how many retries the chain may still use. */
+  static int retriesLeft(HttpHeaders headers) {
+    return (int)
+        bounded(headers, HeaderNames.RETRIES_LEFT, RetryAllowance.START, RetryAllowance.START);
+  }
+
+  private static boolean wrong(List<String> values) {
+    return values.size() > 1 || values.size() == 1 && !NUMBER.matcher(values.getFirst()).matches();
+  }
+
+  private static long bounded(HttpHeaders headers, String name, long absent, long max) {
+    String text = headers.get(name);
+    if (text == null) {
+      return absent;
+    }
+    return new BigInteger(text).max(BigInteger.ZERO).min(BigInteger.valueOf(max)).longValue();
+  }
+}
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -1,12 +1,14 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
-import org.radishpost.admission.RetryAllowance;
 import org.radishpost.errors.StartException;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
@@ -14,6 +16,7 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.Verdict;
+import org.radishpost.pool.HandBackReason;
 import org.radishpost.routing.RouteMatch;
 import org.radishpost.routing.RouteTable;
 import org.radishpost.settings.NodeSettings.LimitSettings;
@@ -35,8 +38,6 @@
  * <p>Thread-safe after {@link #start()}.
  */
 public final class EdgeServer {
-  private static final int MAX_DEPTH = 64;
-
   private final Endpoint address;
   private final RegionName region;
   private final LimitSettings limits;
@@ -46,6 +47,7 @@
   private final Readiness readiness;
   private final CallHandler handler;
   private final AtomicLong calls;
+  private final ConnectionLimit connections;
   private final InFlight inFlight = new InFlight();
   private DisposableServer server;
 
@@ -81,6 +83,7 @@
     this.readiness = readiness;
     this.handler = handler;
     this.calls = calls;
+    this.connections = new ConnectionLimit(limits);
   }
 
   /**
@@ -98,9 +101,7 @@
                 .protocol(HttpProtocol.HTTP11)
                 .runOn(loops)
                 .idleTimeout(limits.slowSender())
-                .doOnChannelInit(
-                    (observer, channel, remote) ->
-                        channel.pipeline().addFirst(new FramingGuard(NettyPipeline.HttpCodec)))
+                .doOnChannelInit((observer, channel, remote) -> guard(channel))
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headerBytes()))
                 .handle((request, response) -> inFlight.counted(handle(request, response))),
             address);
@@ -123,6 +124,17 @@
     return server.onDispose();
   }
 
+  private void guard(Channel channel) {
+    if (!connections.admit(channel)) {
+      channel.close();
+      return;
+    }
+    channel
+        .pipeline()
+        .addFirst(new FramingGuard(NettyPipeline.HttpCodec, clock, limits.slowSender()))
+        .addAfter(NettyPipeline.HttpCodec, LibraryAnswers.class.getName(), new LibraryAnswers());
+  }
+
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     if (request.uri().equals(Readiness.PATH)) {
       return ReplyWriter.write(readiness.reply(), request.method().name(), response);
@@ -134,9 +146,11 @@
     if (!readiness.keepAlive()) {
       response.header("connection", "close");
     }
-    RequestHead head = RequestCheck.onward(request);
     Optional<RouteMatch> match =
-        routes.get().find(RequestCheck.host(request), head.method(), head.path());
+        RequestTarget.path(request.uri())
+            .flatMap(
+                path ->
+                    routes.get().find(RequestCheck.host(request), request.method().name(), path));
     if (match.isEmpty()) {
       return ReplyWriter.refuseAndClose(Problems.noRoute(), response);
     }
@@ -144,17 +158,7 @@
     if (refusal.isPresent()) {
       return ReplyWriter.refuseAndClose(refusal.get(), response);
     }
-    return CallBody.read(bounded(request, match.get()), limits.replayBytes())
-        .map(body -> call(request.requestHeaders(), head, match.get(), body))
-        .flatMap(call -> handler.handle(call).doFinally(signal -> call.body().drop()))
-        .onErrorResume(
-            BodyTooLarge.class,
-            error ->
-                Mono.just(
-                    Reply.of(
-                        Problems.bodyTooLarge(
-                            match.get().route().maxBodyBytes(), Verdict.NOT_RUN))))
-        .flatMap(reply -> Mono.from(ReplyWriter.write(reply, head.method(), response)));
+    return serve(request, response, match.get());
   }
 
   private Optional<Problem> refusal(HttpServerRequest request, RouteMatch match) {
@@ -164,24 +168,81 @@
     if (!readiness.mayServe()) {
       return Optional.of(Problems.notReady(readiness.why()));
     }
-    long bodyBytes = RequestCheck.bodyBytes(request.requestHeaders());
-    if (bodyBytes > match.route().maxBodyBytes()) {
-      return Optional.of(Problems.bodyTooLarge(match.route().maxBodyBytes(), Verdict.NOT_RUN));
+    if (RequestCheck.bodyBytes(request.requestHeaders()) > match.route().maxBodyBytes()) {
+      return Optional.of(tooLarge(match, Verdict.NOT_RUN));
+    }
+    if (limit(request, match).isZero()) {
+      return Optional.of(Problems.handedBack(HandBackReason.TOO_LATE));
     }
     return Optional.empty();
   }
 
-  private Flux<ByteBuf> bounded(HttpServerRequest request, RouteMatch match) {
-    return BodyTooLarge.bound(request.receive(), match.route().maxBodyBytes());
+  private Mono<Void> serve(
+      HttpServerRequest request, HttpServerResponse response, RouteMatch match) {
+    Duration limit = limit(request, match);
+    long deadline = clock.now(TimeUnit.NANOSECONDS) + limit.toNanos();
+    AtomicBoolean excess = new AtomicBoolean();
+    Flux<ByteBuf> bytes =
+        BodyTooLarge.bound(request.receive(), match.route().maxBodyBytes(), () -> excess.set(true));
+    RequestHead head = RequestCheck.onward(request);
+    return CallBody.read(bytes, limits.replayBytes())
+        .timeout(limit, Mono.error(BodyTooLate::new), clock)
+        .map(body -> call(request.requestHeaders(), head, match, body, deadline))
+        .flatMap(call -> run(call, request, response))
+        .map(
+            reply ->
+                excess.get() && lost(reply) ? Reply.of(tooLarge(match, Verdict.UNKNOWN)) : reply)
+        .onErrorResume(
+            BodyTooLarge.class, error -> refused(tooLarge(match, Verdict.NOT_RUN), response))
+        .onErrorResume(
+            BodyTooLate.class,
+            error -> refused(Problems.handedBack(HandBackReason.TOO_LATE), response))
+        .flatMap(reply -> Mono.from(ReplyWriter.write(reply, head.method(), response)));
+  }
+
+  private Mono<Reply> run(Call call, HttpServerRequest request, HttpServerResponse response) {
+    mayRun(request, !call.body().isWhole());
+    return handler
+        .handle(call)
+        .doOnNext(reply -> closeIfUnread(call, reply, response))
+        .doFinally(
+            signal -> {
+              mayRun(request, false);
+              call.body().drop();
+            });
+  }
+
+  private static void mayRun(HttpServerRequest request, boolean value) {
+    request.withConnection(
+        connection -> connection.channel().attr(LibraryAnswers.MAY_RUN).set(value));
+  }
+
+  private static void closeIfUnread(Call call, Reply reply, HttpServerResponse response) {
+    if (reply.refusal().isPresent() && !call.body().isWhole()) {
+      response.header("connection", "close");
+    }
+  }
+
+  private static Mono<Reply> refused(Problem problem, HttpServerResponse response) {
+    response.header("connection", "close");
+    return Mono.just(Reply.of(problem));
   }
 
-  private Call call(HttpHeaders headers, RequestHead head, RouteMatch match, CallBody body) {
-    long limitMillis =
-        Math.min(
-            match.route().deadline().toMillis(),
-            number(headers, HeaderNames.DEADLINE_MILLIS, Long.MAX_VALUE));
-    long deadline =
-        clock.now(TimeUnit.NANOSECONDS) + TimeUnit.MILLISECONDS.toNanos(Math.max(0, limitMillis));
+  private static boolean lost(Reply reply) {
+    return reply.refusal().filter(verdict -> verdict == Verdict.UNKNOWN).isPresent();
+  }
+
+  private static Problem tooLarge(RouteMatch match, Verdict verdict) {
+    return Problems.bodyTooLarge(match.route().maxBodyBytes(), verdict);
+  }
+
+  private static Duration limit(HttpServerRequest request, RouteMatch match) {
+    long most = match.route().deadline().toMillis();
+    return Duration.ofMillis(EdgeNumbers.deadlineMillis(request.requestHeaders(), most));
+  }
+
+  private Call call(
+      HttpHeaders headers, RequestHead head, RouteMatch match, CallBody body, long deadline) {
     CallFacts facts =
         new CallFacts(
             new CallId(calls.incrementAndGet()),
@@ -196,17 +257,14 @@
             RequestCheck.bodyBytes(headers),
             match.route().homeRegions(),
             fingerprint(head, body),
-            (int) Math.min(MAX_DEPTH, number(headers, HeaderNames.DEPTH, 0)));
+            EdgeNumbers.depth(headers));
     return new Call(
         facts,
         match,
         head,
         body,
         Optional.ofNullable(headers.get(HeaderNames.IDEMPOTENCY_KEY)),
-        (int)
-            Math.min(
-                RetryAllowance.START,
-                number(headers, HeaderNames.RETRIES_LEFT, RetryAllowance.START)));
+        EdgeNumbers.retriesLeft(headers));
   }
 
   private static Optional<Digest> fingerprint(RequestHead head, CallBody body) {
@@ -214,15 +272,12 @@
         .map(digest -> Digest.of(head.method() + "\n" + head.target() + "\n" + digest.hex()));
   }
 
-  private static long number(HttpHeaders headers, String name, long absent) {
-    String text = headers.get(name);
-    if (text == null) {
-      return absent;
-    }
-    try {
-      return Math.max(0, Long.parseLong(text.trim()));
-    } catch (NumberFormatException e) {
-      return absent;
+  /** Ends the wait for the first part of a body. */
+  private static final class BodyTooLate extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private BodyTooLate() {
+      super("time limit", null, false, false);
     }
   }
 }
--- a/src/main/java/org/radishpost/http/FramingGuard.java
+++ b/src/main/java/org/radishpost/http/FramingGuard.java
@@ -1,8 +1,8 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -10,23 +10,58 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
 
 /**
  * Watches the bytes of a connection before they are decoded, and ends it at the first request whose
- * limits two readers could see differently.
+ * limits two readers could see differently, or whose sender is too slow.
  *
  * <p>It passes all bytes before the fault on, then a message marked as failed, and nothing more. So
- * the answers to earlier requests come first, and then a refusal. One for each connection.
+ * the answers to earlier requests come first, and then a refusal. A connection whose request may
+ * already run is closed without one. One guard for each connection.
  */
-final class FramingGuard extends ChannelInboundHandlerAdapter {
+final class FramingGuard extends ChannelDuplexHandler {
   private final FramingScanner scanner = new FramingScanner();
   private final String codecName;
+  private final Scheduler clock;
+  private final SenderPace pace;
+  private Disposable timer = Disposables.disposed();
   private boolean failed;
 
-  /** Creates a guard in front of the decoder with the given name. */
-  FramingGuard(String codecName) {
+  /**
+   * Creates a guard in front of the decoder with the given name.
+   *
+   * @param codecName the decoder
+   * @param clock the clock that measures the sender
+   * @param slowSender the longest time for a head and for a pause within a body
+   */
+  FramingGuard(String codecName, Scheduler clock, Duration slowSender) {
     this.codecName = codecName;
+    this.clock = clock;
+    this.pace = new SenderPace(slowSender);
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    watch(context, pace.leftNanos(now()));
+    context.fireChannelActive();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    timer.dispose();
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void read(ChannelHandlerContext context) {
+    pace.wanted(now());
+    context.read();
   }
 
   @Override
@@ -36,6 +71,7 @@
       return;
     }
     Optional<FramingScanner.Fault> fault = scanner.scan(bytes);
+    pace.came(scanner.inHead(), scanner.inBody(), now());
     if (fault.isEmpty()) {
       context.fireChannelRead(bytes);
       return;
@@ -49,6 +85,30 @@
     refuse(context, fault.get());
   }
 
+  private void watch(ChannelHandlerContext context, long delayNanos) {
+    timer =
+        clock.schedule(
+            () -> context.executor().execute(() -> check(context)),
+            delayNanos,
+            TimeUnit.NANOSECONDS);
+  }
+
+  private void check(ChannelHandlerContext context) {
+    if (!context.channel().isActive()) {
+      return;
+    }
+    long leftNanos = pace.leftNanos(now());
+    if (leftNanos <= 0) {
+      context.close();
+      return;
+    }
+    watch(context, leftNanos);
+  }
+
+  private long now() {
+    return clock.now(TimeUnit.NANOSECONDS);
+  }
+
   private void release(ChannelHandlerContext context, Object message) {
     if (failed) {
       ReferenceCountUtil.release(message);
@@ -58,6 +118,10 @@
   }
 
   private void refuse(ChannelHandlerContext context, FramingScanner.Fault fault) {
+    if (fault.inBody() && LibraryAnswers.mayRun(context.channel())) {
+      context.close();
+      return;
+    }
     DecoderResult failure = DecoderResult.failure(new DecoderException(fault.detail()));
     ChannelHandlerContext codec = context.pipeline().context(codecName);
     if (fault.inBody()) {
--- a/src/main/java/org/radishpost/http/FramingScanner.java
+++ b/src/main/java/org/radishpost/http/FramingScanner.java
@@ -52,7 +52,14 @@
     return Optional.empty();
   }
 
-  private boolean inBody() {
+  /** Tells whether a head has begun and is not whole. */
+  boolean inHead() {
+    return state == State.HEADER
+        || state == State.START_LINE && (line.length() > 0 || carriageReturn);
+  }
+
+  /** Tells whether a head is whole and its body is not. */
+  boolean inBody() {
     return state != State.START_LINE && state != State.HEADER;
   }
 
--- a/src/main/java/org/radishpost/http/HeaderNames.java
+++ b/src/main/java/org/radishpost/http/HeaderNames.java
@@ -1,7 +1,11 @@
 package org.radishpost.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The names of header fields, lower case, and which of them end at the next hop. */
 public final class HeaderNames {
@@ -56,6 +60,9 @@
   /** The view of the pool at the end of a call. */
   public static final String HOP_VIEW = HOP_PREFIX + "view";
 
+  /** Marks an answer that this program wrote; taken off before the answer leaves. */
+  static final String WRITTEN = HOP_PREFIX + "written";
+
   private static final Set<String> PER_CONNECTION =
       Set.of(
           "connection",
@@ -68,6 +75,21 @@
           "upgrade",
           "expect");
 
+  /** Fields that decide about a call, so that Connection cannot take them off. */
+  private static final Set<String> KEPT =
+      Set.of(
+          "host",
+          "content-length",
+          "content-type",
+          "cache-control",
+          IDEMPOTENCY_KEY,
+          OUTCOME,
+          LOAD,
+          REPLAYED,
+          DEADLINE_MILLIS,
+          DEPTH,
+          RETRIES_LEFT);
+
   private HeaderNames() {}
 
   /** Tells whether a field belongs to one connection and is not passed on. */
@@ -75,6 +97,24 @@
     return PER_CONNECTION.contains(name.toLowerCase(Locale.ROOT));
   }
 
+  /** Returns the names that the Connection fields list, lower case. */
+  static Set<String> namedInConnection(HttpHeaders headers) {
+    if (!headers.contains(HttpHeaderNames.CONNECTION)) {
+      return Set.of();
+    }
+    return headers.getAll(HttpHeaderNames.CONNECTION).stream()
+        .flatMap(value -> Stream.of(value.split(",")))
+        .map(name -> name.strip().toLowerCase(Locale.ROOT))
+        .filter(name -> !KEPT.contains(name))
+        .collect(Collectors.toSet());
+  }
+
+  /** Tells whether a field is not passed on, given the names that the Connection fields list. */
+  static boolean endsHere(String name, Set<String> named) {
+    String lower = name.toLowerCase(Locale.ROOT);
+    return PER_CONNECTION.contains(lower) || named.contains(lower);
+  }
+
   /** Tells whether a field is for VMs only. */
   public static boolean betweenVms(String name) {
     return name.regionMatches(true, 0, HOP_PREFIX, 0, HOP_PREFIX.length());
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -93,10 +93,12 @@
             Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNanos)),
             call.facts().depth(),
             call.retriesLeft(),
-            call.facts().fingerprint());
+            call.facts().fingerprint(),
+            call.idempotencyKey(),
+            call.head().headers().get("content-length", ""));
     HttpHeaders headers = call.head().headers().copy();
     hop.write(headers);
-    headers.set(HeaderNames.HOP_VM, self.value());
+    headers.set(HeaderNames.HOP_VM, HopHead.encoded(self.value()));
     headers.set(HeaderNames.HOP_SESSION, session.id());
     headers.set(HeaderNames.HOP_SEQUENCE, sequence);
     headers.set(HeaderNames.HOP_PROOF, session.prove(sequence, hop.text()).hex());
--- a/src/main/java/org/radishpost/http/HopHead.java
+++ b/src/main/java/org/radishpost/http/HopHead.java
@@ -1,7 +1,11 @@
 package org.radishpost.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.Place;
@@ -20,6 +24,8 @@
  * @param depth how many calls lie above the call
  * @param retriesLeft the retries that are left for the chain below
  * @param fingerprint what makes the request recognizable
+ * @param idempotencyKey the key that the caller sent
+ * @param bodyLength the length of the body as text, empty when it is not known
  */
 record HopHead(
     String method,
@@ -30,8 +36,10 @@
     long leftMillis,
     int depth,
     int retriesLeft,
-    Optional<Digest> fingerprint) {
-  private static final String SEPARATOR = "\t";
+    Optional<Digest> fingerprint,
+    Optional<String> idempotencyKey,
+    String bodyLength) {
+  private static final String SEPARATOR = " ";
   private static final int POOL_PARTS = 5;
 
   /** Returns the text that is proved. */
@@ -41,16 +49,18 @@
         method,
         target,
         poolText(),
-        gateway + SEPARATOR + route,
+        routeText(),
         String.valueOf(leftMillis),
         String.valueOf(depth),
         String.valueOf(retriesLeft),
-        fingerprint.map(Digest::hex).orElse(""));
+        fingerprint.map(Digest::hex).orElse(""),
+        bodyLength,
+        idempotencyKey.map(key -> "key " + key).orElse(""));
   }
 
   void write(HttpHeaders headers) {
     headers.set(HeaderNames.HOP_POOL, poolText());
-    headers.set(HeaderNames.HOP_ROUTE, gateway + SEPARATOR + route);
+    headers.set(HeaderNames.HOP_ROUTE, routeText());
     headers.set(HeaderNames.DEADLINE_MILLIS, leftMillis);
     headers.set(HeaderNames.DEPTH, depth);
     headers.set(HeaderNames.RETRIES_LEFT, retriesLeft);
@@ -60,8 +70,8 @@
   /** Reads the fields; empty when one is missing or has another form. */
   static Optional<HopHead> read(String method, String target, HttpHeaders headers) {
     try {
-      String[] pool = headers.get(HeaderNames.HOP_POOL, "").split(SEPARATOR, -1);
-      String[] route = headers.get(HeaderNames.HOP_ROUTE, "").split(SEPARATOR, -1);
+      String[] pool = parts(headers.get(HeaderNames.HOP_POOL, ""));
+      String[] route = parts(headers.get(HeaderNames.HOP_ROUTE, ""));
       if (pool.length != POOL_PARTS || route.length != 2) {
         return Optional.empty();
       }
@@ -79,19 +89,39 @@
               Long.parseLong(headers.get(HeaderNames.DEADLINE_MILLIS, "")),
               Integer.parseInt(headers.get(HeaderNames.DEPTH, "")),
               Integer.parseInt(headers.get(HeaderNames.RETRIES_LEFT, "")),
-              Optional.ofNullable(headers.get(HeaderNames.HOP_FINGERPRINT)).map(Digest::new)));
+              Optional.ofNullable(headers.get(HeaderNames.HOP_FINGERPRINT)).map(Digest::new),
+              Optional.ofNullable(headers.get(HeaderNames.IDEMPOTENCY_KEY)),
+              headers.get("content-length", "")));
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
+  /** Returns a name in the characters that a header field may have. */
+  static String encoded(String name) {
+    return URLEncoder.encode(name, StandardCharsets.UTF_8);
+  }
+
+  /** Returns the name that was encoded; illegal when the text has another form. */
+  static String decoded(String text) {
+    return URLDecoder.decode(text, StandardCharsets.UTF_8);
+  }
+
+  private static String[] parts(String text) {
+    return Stream.of(text.split(SEPARATOR, -1)).map(HopHead::decoded).toArray(String[]::new);
+  }
+
+  private String routeText() {
+    return encoded(gateway) + SEPARATOR + encoded(route);
+  }
+
   private String poolText() {
     return String.join(
         SEPARATOR,
-        pool.gateway().value(),
-        pool.service().value(),
-        pool.place().region().value(),
-        pool.place().zone().value(),
+        encoded(pool.gateway().value()),
+        encoded(pool.service().value()),
+        encoded(pool.place().region().value()),
+        encoded(pool.place().zone().value()),
         String.valueOf(pool.shard()));
   }
 }
--- a/src/main/java/org/radishpost/http/HopResult.java
+++ b/src/main/java/org/radishpost/http/HopResult.java
@@ -22,6 +22,12 @@
   /** Says that the connection to the target died. */
   String DIED = "lost died";
 
+  /** Explains an answer without the field. */
+  String BROKE_OFF = "The other VM broke off: look at its log.";
+
+  /** Says that the proof was refused. */
+  String NOT_PROVED = "not-proved";
+
   /** The answer is for the caller. */
   record Answered() implements HopResult {}
 
@@ -42,7 +48,7 @@
    */
   record Lost(RadishpostException cause) implements HopResult {}
 
-  /** The answer does not come from an owner that accepted the proof. */
+  /** The other VM refused the proof and did not run the call. */
   record NotProved() implements HopResult {}
 
   /** Returns the text for a result. */
@@ -57,23 +63,25 @@
     };
   }
 
-  /** Reads a text. */
+  /** Reads a text; anything unknown means that the call may have run. */
   static HopResult parse(String text) {
-    if (text == null) {
-      return new NotProved();
-    }
-    if (text.equals(ANSWERED)) {
-      return new Answered();
-    }
-    if (text.equals(SHED)) {
-      return new Shed();
-    }
-    if (text.startsWith(HANDED_BACK)) {
-      return new HandedBack(HandBackReason.valueOf(text.substring(HANDED_BACK.length())));
-    }
-    if (text.equals(TIMED_OUT)) {
-      return new Lost(
-          new AnswerTimeoutException("No answer from the target in time: look at its load."));
+    return switch (text) {
+      case null -> new Lost(new ConnectionDiedException(BROKE_OFF));
+      case ANSWERED -> new Answered();
+      case SHED -> new Shed();
+      case NOT_PROVED -> new NotProved();
+      case TIMED_OUT ->
+          new Lost(
+              new AnswerTimeoutException("No answer from the target in time: look at its load."));
+      default -> handedBack(text);
+    };
+  }
+
+  private static HopResult handedBack(String text) {
+    for (HandBackReason reason : HandBackReason.values()) {
+      if (text.equals(HANDED_BACK + reason.name())) {
+        return new HandedBack(reason);
+      }
     }
     return new Lost(
         new ConnectionDiedException("The connection to the target died: look at its log."));
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -1,5 +1,6 @@
 package org.radishpost.http;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +24,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -100,6 +102,14 @@
                 .port(address.port())
                 .protocol(HttpProtocol.HTTP11)
                 .runOn(loops)
+                .doOnChannelInit(
+                    (observer, channel, remote) ->
+                        channel
+                            .pipeline()
+                            .addAfter(
+                                NettyPipeline.HttpCodec,
+                                LibraryAnswers.class.getName(),
+                                new LibraryAnswers()))
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(2 * limits.headerBytes()))
                 .handle((request, response) -> inFlight.counted(handle(request, response))),
             address);
@@ -121,14 +131,17 @@
     HttpHeaders headers = request.requestHeaders();
     Optional<HopHead> head = HopHead.read(request.method().name(), request.uri(), headers);
     if (head.isEmpty()) {
-      return ReplyWriter.refuseAndClose(NOT_PROVED, response);
+      return notProved(response);
     }
-    VmId peer = new VmId(headers.get(HeaderNames.HOP_VM, "none"));
     long sequence = sequence(headers);
-    Optional<LinkSession> session = links.session(peer, headers.get(HeaderNames.HOP_SESSION, ""));
-    if (session.isEmpty() || !accepted(session.get(), sequence, head.get(), headers)) {
-      return ReplyWriter.refuseAndClose(NOT_PROVED, response);
+    Optional<LinkSession> session =
+        peer(headers)
+            .flatMap(vm -> links.session(vm, headers.get(HeaderNames.HOP_SESSION, "")))
+            .filter(found -> accepted(found, sequence, head.get(), headers));
+    if (session.isEmpty()) {
+      return notProved(response);
     }
+    VmId peer = session.get().peer();
     Optional<RouteMatch> match = routes.get().byName(head.get().gateway(), head.get().route());
     if (match.isEmpty()) {
       return answer(
@@ -157,11 +170,25 @@
           case CallResult.Answered answered -> answered.reply();
           default -> Replies.text(503, "");
         };
-    response.header(HeaderNames.HOP_RESULT, HopResult.format(result));
-    result
-        .view()
-        .ifPresent(view -> response.header(HeaderNames.HOP_VIEW, PoolViewHeader.format(view)));
-    return ReplyWriter.write(reply, request.method().name(), response);
+    HttpHeaders fields = new DefaultHttpHeaders();
+    fields.set(HeaderNames.HOP_RESULT, HopResult.format(result));
+    result.view().ifPresent(view -> fields.set(HeaderNames.HOP_VIEW, PoolViewHeader.format(view)));
+    return ReplyWriter.write(reply, request.method().name(), response, fields);
+  }
+
+  private static Publisher<Void> notProved(HttpServerResponse response) {
+    response.header("connection", "close");
+    HttpHeaders fields = new DefaultHttpHeaders();
+    fields.set(HeaderNames.HOP_RESULT, HopResult.NOT_PROVED);
+    return ReplyWriter.write(Reply.of(NOT_PROVED), "GET", response, fields);
+  }
+
+  private static Optional<VmId> peer(HttpHeaders headers) {
+    try {
+      return Optional.of(new VmId(HopHead.decoded(headers.get(HeaderNames.HOP_VM, ""))));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
   }
 
   private static boolean accepted(
@@ -179,9 +206,7 @@
   }
 
   private Call call(HopHead head, HttpHeaders headers, RouteMatch match, CallBody body) {
-    HttpHeaders kept = headers.copy();
-    headers.names().stream().filter(HeaderNames::betweenVms).forEach(kept::remove);
-    headers.names().stream().filter(HeaderNames::perConnection).forEach(kept::remove);
+    HttpHeaders kept = RequestCheck.endToEnd(headers);
     long deadline =
         clock.now(TimeUnit.NANOSECONDS) + TimeUnit.MILLISECONDS.toNanos(head.leftMillis());
     CallFacts facts =
@@ -204,7 +229,7 @@
         match,
         new RequestHead(head.method(), head.target(), kept),
         body,
-        Optional.ofNullable(headers.get(HeaderNames.IDEMPOTENCY_KEY)),
+        head.idempotencyKey(),
         head.retriesLeft());
   }
 }
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -9,17 +9,17 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.Set;
 import org.radishpost.errors.AnswerCutException;
-import org.radishpost.errors.AnswerTimeoutException;
 import org.radishpost.errors.ConnectionDiedException;
-import org.radishpost.errors.NotConnectedException;
-import org.radishpost.errors.RadishpostException;
 import org.radishpost.lib.Endpoint;
+import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
+import reactor.netty.NettyOutbound;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
@@ -71,24 +71,39 @@
             .followRedirect(false)
             .compress(false)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
+            .doOnChannelInit(
+                (observer, channel, remote) ->
+                    channel
+                        .pipeline()
+                        .addAfter(
+                            NettyPipeline.HttpCodec,
+                            InterimAnswers.class.getName(),
+                            new InterimAnswers()))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectLimit.toMillis());
   }
 
   @Override
   public Mono<Reply> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
-    AtomicBoolean sent = new AtomicBoolean();
+    return Mono.defer(() -> send(address, head, body, limit, new SendAttempt()));
+  }
+
+  private Mono<Reply> send(
+      Endpoint address, RequestHead head, CallBody body, Duration limit, SendAttempt attempt) {
     return client
         .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
         .headers(fields -> fields.set(head.headers()))
-        .doOnRequest((request, connection) -> sent.set(true))
         .request(HttpMethod.valueOf(head.method()))
         .uri(head.target())
-        .send((request, out) -> body.empty() ? out : out.send(body.stream()))
+        .send((request, out) -> attempt.begin() ? write(out, body, attempt) : attempt.tooLate())
         .responseConnection((response, connection) -> reply(head.method(), response, connection))
         .next()
-        .timeout(limit, Mono.error(AnswerTimeout::new), clock)
-        .onErrorMap(error -> failure(error, address, sent.get()));
+        .timeout(limit, Mono.error(SendAttempt.AnswerTimeout::new), clock)
+        .onErrorMap(error -> attempt.failure(error, address));
+  }
+
+  private static Publisher<Void> write(NettyOutbound out, CallBody body, SendAttempt attempt) {
+    return body.empty() ? out : out.send(body.stream().doOnError(attempt::bodyFailed));
   }
 
   @Override
@@ -139,38 +154,13 @@
   }
 
   private static HttpHeaders endToEnd(HttpHeaders all) {
+    Set<String> named = HeaderNames.namedInConnection(all);
     HttpHeaders kept = new DefaultHttpHeaders();
     for (Map.Entry<String, String> field : all) {
-      if (!HeaderNames.perConnection(field.getKey())
-          && !all.containsValue("connection", field.getKey(), true)) {
+      if (!HeaderNames.endsHere(field.getKey(), named)) {
         kept.add(field.getKey(), field.getValue());
       }
     }
     return kept;
   }
-
-  private static RadishpostException failure(Throwable error, Endpoint address, boolean sent) {
-    if (error instanceof RadishpostException known) {
-      return known;
-    }
-    if (!sent) {
-      return new NotConnectedException(
-          "No connection to " + address + ": check that it listens there.", error);
-    }
-    if (error instanceof AnswerTimeout) {
-      return new AnswerTimeoutException(
-          "No answer from " + address + " in time: look at its load and its log.");
-    }
-    return new ConnectionDiedException(
-        "The connection to " + address + " died: look at the log of that end.", error);
-  }
-
-  /** Marks the end of the wait inside this class. */
-  private static final class AnswerTimeout extends Exception {
-    private static final long serialVersionUID = 1L;
-
-    private AnswerTimeout() {
-      super("time limit", null, false, false);
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/http/InterimAnswers.java
@@ -0,0 +1,43 @@
+package org.radishpost.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Leaves out answers such as 103 that come before the final one, which the library takes for it.
+ *
+ * <p>One for each connection, behind the codec.
+ */
+final class InterimAnswers extends ChannelInboundHandlerAdapter {
+  private static final int CONTINUE = 100;
+  private static final int SWITCHING_PROTOCOLS = 101;
+
+  private boolean interim;
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof HttpResponse response) {
+      interim = leftOut(response);
+    }
+    if (!interim) {
+      context.fireChannelRead(message);
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      interim = false;
+    }
+    ReferenceCountUtil.release(message);
+    context.read();
+  }
+
+  private static boolean leftOut(HttpResponse response) {
+    int status = response.status().code();
+    return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        && status != CONTINUE
+        && status != SWITCHING_PROTOCOLS;
+  }
+}
--- a/src/main/java/org/radishpost/http/Problem.java
+++ b/src/main/java/org/radishpost/http/Problem.java
@@ -21,6 +21,11 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String TYPE_PREFIX = "urn:radishpost:problem:";
 
+  /** Returns the same problem with another verdict. */
+  Problem with(Verdict other) {
+    return new Problem(status, reason, title, detail, other);
+  }
+
   /** Returns the document. */
   public byte[] toJson() {
     ObjectNode node = MAPPER.createObjectNode();
--- a/src/main/java/org/radishpost/http/Problems.java
+++ b/src/main/java/org/radishpost/http/Problems.java
@@ -16,6 +16,21 @@
         400, "bad-request", "The request is not valid HTTP/1.1.", detail, Verdict.NOT_RUN);
   }
 
+  /** The HTTP library refused the request or could not answer it. */
+  static Problem fromLibrary(int status, Verdict verdict) {
+    return switch (status) {
+      case 400 -> badRequest("Send the head and the body as RFC 9112 tells.").with(verdict);
+      case 413, 414, 431 ->
+          new Problem(
+              status,
+              "head-too-large",
+              "The head of the request is too large.",
+              "Send a shorter path and fewer or shorter header fields.",
+              verdict);
+      default -> lostAnswer(status, "The answer could not be written.");
+    };
+  }
+
   /** No gateway has a route for the request. */
   public static Problem noRoute() {
     return new Problem(
--- a/src/main/java/org/radishpost/http/RequestCheck.java
+++ b/src/main/java/org/radishpost/http/RequestCheck.java
@@ -16,6 +16,8 @@
   private static final Set<String> METHODS =
       Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
 
+  private static final Set<String> BODILESS = Set.of("GET", "HEAD");
+
   private RequestCheck() {}
 
   /** Returns what is wrong with the head, if anything. */
@@ -33,6 +35,18 @@
     if (!request.uri().startsWith("/")) {
       return bad("Send the path in origin form, with the host in the Host field.");
     }
+    if (RequestTarget.path(request.uri()).isEmpty()) {
+      return bad("Send a path without empty or dot segments, escaped slashes and bad characters.");
+    }
+    if (headers.getAll(HeaderNames.IDEMPOTENCY_KEY).size() > 1) {
+      return bad("Send one Idempotency-Key.");
+    }
+    if (EdgeNumbers.malformed(headers)) {
+      return bad("Send the radishpost fields as whole numbers.");
+    }
+    if (BODILESS.contains(request.method().name()) && bodyBytes(headers) != 0) {
+      return bad("Send a body with POST, PUT or PATCH.");
+    }
     if (headers.contains("content-length") && headers.contains("transfer-encoding")) {
       return bad("Send either Content-Length or Transfer-Encoding.");
     }
@@ -63,18 +77,22 @@
 
   /** Returns the head that is passed on. */
   static RequestHead onward(HttpServerRequest request) {
-    HttpHeaders all = request.requestHeaders();
+    HttpHeaders kept = endToEnd(request.requestHeaders());
+    forwarded(request, kept);
+    return new RequestHead(request.method().name(), request.uri(), kept);
+  }
+
+  /** Returns the fields that are passed on. */
+  static HttpHeaders endToEnd(HttpHeaders all) {
+    Set<String> named = HeaderNames.namedInConnection(all);
     HttpHeaders kept = new DefaultHttpHeaders();
     for (Map.Entry<String, String> field : all) {
       String name = field.getKey();
-      if (!HeaderNames.perConnection(name)
-          && !HeaderNames.betweenVms(name)
-          && !all.containsValue("connection", name, true)) {
+      if (!HeaderNames.betweenVms(name) && !HeaderNames.endsHere(name, named)) {
         kept.add(name, field.getValue());
       }
     }
-    forwarded(request, kept);
-    return new RequestHead(request.method().name(), request.uri(), kept);
+    return kept.remove("trailer");
   }
 
   private static void forwarded(HttpServerRequest request, HttpHeaders kept) {
@@ -83,10 +101,14 @@
       return;
     }
     String caller = peer.getAddress().getHostAddress();
-    String before = kept.get("x-forwarded-for");
-    kept.set("x-forwarded-for", before == null ? caller : before + ", " + caller);
+    append(kept, "x-forwarded-for", caller);
     kept.set("x-forwarded-proto", "http");
-    kept.set("via", "1.1 radishpost");
+    append(kept, "via", "1.1 radishpost");
+  }
+
+  private static void append(HttpHeaders headers, String name, String value) {
+    List<String> before = headers.getAll(name);
+    headers.set(name, before.isEmpty() ? value : String.join(", ", before) + ", " + value);
   }
 
   private static Optional<Problem> bad(String detail) {
--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -215,7 +215,7 @@
 
   private Mono<Reply> follow(
       Attempt attempt, RetryDecision decision, Problem otherwise, HandBackReason reason) {
-    if (decision instanceof RetryDecision.Retry retry) {
+    if (decision instanceof RetryDecision.Retry retry && attempt.call().body().canMove()) {
       return attempt(attempt.again(retry.allowance()), reason);
     }
     boolean unknown = attempt.mayHaveRun() && otherwise.verdict() == Verdict.NOT_RUN;
--- a/src/main/java/org/radishpost/node/PoolRunner.java
+++ b/src/main/java/org/radishpost/node/PoolRunner.java
@@ -18,6 +18,7 @@
 import org.radishpost.errors.ConnectionDiedException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.errors.RequestBodyException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
@@ -329,6 +330,10 @@
         ended(id, new TargetOutcome.TimedOut());
         entry.sink.success(new CallResult.Lost(timeout, Optional.of(view())));
       }
+      case RequestBodyException body -> {
+        ended(id, new TargetOutcome.Cancelled());
+        entry.sink.success(new CallResult.Lost(body, Optional.of(view())));
+      }
       default -> {
         ended(id, new TargetOutcome.ConnectionDied(alone(entry)));
         entry.sink.success(new CallResult.Lost(cause, Optional.of(view())));
--- /dev/null
+++ b/src/test/java/org/radishpost/http/EdgeFixture.java
@@ -0,0 +1,214 @@
+package org.radishpost.http;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.radishpost.config.Configuration;
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.errors.NotConnectedException;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.errors.StartException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.TenantName;
+import org.radishpost.manifest.ColdStartSpec;
+import org.radishpost.manifest.DuplicateGuard;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ProbeSpec;
+import org.radishpost.manifest.RouteSpec;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.pool.HandBackReason;
+import org.radishpost.routing.RouteMatch;
+import org.radishpost.routing.RouteTable;
+import org.radishpost.settings.NodeSettings.LimitSettings;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** An edge in virtual time that sends every call straight to one target. */
+final class EdgeFixture implements AutoCloseable {
+  private static final int HANG_MILLIS = 20_000;
+  static final int MAX_BODY_BYTES = 1_000;
+  static final int REPLAY_BYTES = 16;
+  static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
+  static final LimitSettings LIMITS =
+      new LimitSettings(2_048, REPLAY_BYTES, 3, 3, Duration.ofSeconds(10));
+  private static final String GATEWAY = "piac-kőzép";
+
+  final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+  final LoopResources loops = LoopResources.create("edge-test", 2, true);
+  final HttpSender sender =
+      new HttpSender("test", clock, loops, 8, Duration.ofSeconds(5), Duration.ofSeconds(1));
+  final List<Long> leftMillis = new CopyOnWriteArrayList<>();
+  private final Endpoint target;
+  private final EdgeServer server;
+  private final Endpoint address;
+
+  EdgeFixture(Endpoint target) throws StartException {
+    this(target, MAX_BODY_BYTES);
+  }
+
+  EdgeFixture(Endpoint target, long maxBodyBytes) throws StartException {
+    this.target = target;
+    server =
+        new EdgeServer(
+            ANY,
+            new RegionName("kelet"),
+            LIMITS,
+            clock,
+            loops,
+            () -> new OneRoute(maxBodyBytes),
+            new Ready(),
+            this::handle,
+            new AtomicLong());
+    address = server.start();
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket(address.ip(), address.port());
+    socket.setSoTimeout(HANG_MILLIS);
+    return socket;
+  }
+
+  /** Sends the text and returns all that comes until the connection ends. */
+  String exchange(String text) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return rest(socket);
+    }
+  }
+
+  /** Returns the answer to a request after which the connection closes. */
+  String call(String method) throws IOException {
+    return exchange(method + " /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  }
+
+  static String rest(Socket socket) throws IOException {
+    StringBuilder all = new StringBuilder();
+    try {
+      for (int next = socket.getInputStream().read(); next >= 0; ) {
+        all.append((char) next);
+        next = socket.getInputStream().read();
+      }
+    } catch (IOException e) {
+      all.append("<reset>");
+    }
+    return all.toString();
+  }
+
+  static String head(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) socket.getInputStream().read());
+    }
+    return head.toString();
+  }
+
+  private Mono<Reply> handle(Call call) {
+    long left = call.facts().deadlineNanos() - clock.now(TimeUnit.NANOSECONDS);
+    leftMillis.add(TimeUnit.NANOSECONDS.toMillis(left));
+    call.body().take();
+    return sender
+        .send(target, call.head(), call.body(), Duration.ofNanos(left))
+        .onErrorResume(RadishpostException.class, error -> Mono.just(Reply.of(problem(error))));
+  }
+
+  private static Problem problem(RadishpostException error) {
+    return error instanceof NotConnectedException
+        ? Problems.handedBack(HandBackReason.NO_TARGET)
+        : Problems.lostAnswer(502, error.getMessage());
+  }
+
+  static RouteMatch match(String path, long maxBodyBytes, Set<RegionName> regions) {
+    ServiceName service = new ServiceName("s");
+    RouteSpec route =
+        new RouteSpec(
+            "útvonal " + path,
+            "",
+            Set.of("GET"),
+            path,
+            service,
+            RequestKind.READ,
+            1,
+            true,
+            Duration.ofSeconds(30),
+            maxBodyBytes,
+            regions,
+            DuplicateGuard.NONE);
+    ServiceSpec spec =
+        new ServiceSpec(
+            service,
+            List.of(),
+            new ColdStartSpec(1, 1, Duration.ofSeconds(1)),
+            new ProbeSpec("/load", Duration.ofMillis(6), Duration.ofSeconds(1)),
+            10);
+    Manifest manifest =
+        new Manifest(
+            new GatewayName(GATEWAY), new TenantName("t"), 0, List.of(spec), List.of(route));
+    return new RouteMatch(new VersionedManifest(1, manifest), route, spec);
+  }
+
+  @Override
+  public void close() {
+    server.stop().block();
+    sender.close().block();
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+  }
+
+  /**
+   * A table whose routes take every path; those below /home only in another region.
+   *
+   * @param maxBodyBytes the largest body
+   */
+  record OneRoute(long maxBodyBytes) implements RouteTable {
+    @Override
+    public Configuration configuration() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<RouteMatch> find(String host, String method, String path) {
+      return Optional.of(
+          path.startsWith("/home")
+              ? match("/home", maxBodyBytes, Set.of(new RegionName("nyugat")))
+              : match("/", maxBodyBytes, Set.of()));
+    }
+
+    @Override
+    public Optional<RouteMatch> byName(String gateway, String route) {
+      return gateway.equals(GATEWAY) ? find("", "GET", "/") : Optional.empty();
+    }
+  }
+
+  private record Ready() implements Readiness {
+    @Override
+    public boolean ready() {
+      return true;
+    }
+
+    @Override
+    public boolean mayServe() {
+      return true;
+    }
+
+    @Override
+    public boolean keepAlive() {
+      return true;
+    }
+
+    @Override
+    public String why() {
+      return "";
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/http/EdgeRefusalTest.java
@@ -0,0 +1,252 @@
+package org.radishpost.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.util.ResourceLeakDetector;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Requests that the edge refuses, and raw bytes that it has to bear. */
+public class EdgeRefusalTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  private static final String HEAD = " HTTP/1.1\r\nHost: h\r\n";
+  private static final String GET = "GET /a" + HEAD;
+  private static final String POST = "POST /a" + HEAD;
+  private static final int FUZZ_RUNS = Integer.getInteger("seeds", 200);
+
+  private final List<String> leaks = new CopyOnWriteArrayList<>();
+  private ResourceLeakDetector.Level levelBefore;
+  private RawTarget target;
+  private EdgeFixture edge;
+
+  /** Watches for buffers that are not given back. */
+  @BeforeClass
+  public void watch() {
+    levelBefore = ResourceLeakDetector.getLevel();
+    ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
+    ByteBufUtil.setLeakListener((type, records) -> leaks.add(type + records));
+  }
+
+  /** No buffer may be lost by any test. */
+  @AfterClass(alwaysRun = true)
+  public void noLeaks() {
+    System.gc();
+    io.netty.buffer.ByteBufAllocator.DEFAULT.buffer().release();
+    ByteBufUtil.setLeakListener(null);
+    ResourceLeakDetector.setLevel(levelBefore);
+    assertEquals(leaks, List.of());
+  }
+
+  /** Starts an edge with a target that answers each request. */
+  @BeforeMethod
+  public void start() throws Exception {
+    target = new RawTarget(java.util.Collections.nCopies(4 * FUZZ_RUNS, OK).toArray(String[]::new));
+    edge = new EdgeFixture(target.address());
+  }
+
+  /** Stops both. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    edge.close();
+    target.close();
+  }
+
+  /** Requests and the status that refuses them. */
+  @DataProvider
+  public Object[][] refused() {
+    String long3k = "x".repeat(3_000);
+    return new Object[][] {
+      {"GET /a/../b" + HEAD + "\r\n", 400},
+      {"GET /a/%2e%2E/b" + HEAD + "\r\n", 400},
+      {"GET /a%2Fb" + HEAD + "\r\n", 400},
+      {"GET /a%5cb" + HEAD + "\r\n", 400},
+      {"GET /a%zz" + HEAD + "\r\n", 400},
+      {"GET //a" + HEAD + "\r\n", 400},
+      {"GET /a#b" + HEAD + "\r\n", 400},
+      {"GET h:80" + HEAD + "\r\n", 400},
+      {"OPTIONS *" + HEAD + "\r\n", 400},
+      {"TRACE /a" + HEAD + "\r\n", 400},
+      {GET + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", 400},
+      {GET + "Content-Length: 1\r\n\r\na", 400},
+      {GET + "X: a\rb\r\n\r\n", 400},
+      {GET + "X: a\nb\r\n\r\n", 400},
+      {GET + "X: a\0b\r\n\r\n", 400},
+      {GET + "radishpost-deadline-ms: soon\r\n\r\n", 400},
+      {GET + "radishpost-deadline-ms: 0\r\n\r\n", 503},
+      {GET + "radishpost-deadline-ms: -9\r\n\r\n", 503},
+      {GET + "X: " + long3k + "\r\n\r\n", 431},
+      {"GET /" + "x".repeat(5_000) + HEAD + "\r\n", 414},
+      {POST + "Content-Length: 1001\r\n\r\n", 413},
+      {
+        POST + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + "x".repeat(2_000) + "\r\n0\r\n\r\n",
+        413
+      },
+      {POST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+      {"GET /home" + HEAD + "\r\n", 421},
+      {"POST /h%6Fme" + HEAD + "Expect: 100-continue\r\nContent-Length: 9\r\n\r\n", 421},
+    };
+  }
+
+  @Test(dataProvider = "refused")
+  public void refusalIsProblemAndClosesConnection(String text, int status) throws IOException {
+    String got = edge.exchange(text + GET + "\r\n");
+    assertTrue(got.startsWith("HTTP/1.1 " + status + " "), got);
+    assertTrue(got.contains("radishpost-outcome: not-run"), got);
+    assertTrue(got.contains("application/problem+json"), got);
+    assertFalse(got.contains("radishpost-hop-") || got.contains("100 Continue"), got);
+    assertEquals(target.heads, List.of());
+  }
+
+  @Test
+  public void callerIsToldToContinueWhenItsBodyIsWanted() throws IOException {
+    try (Socket caller = edge.connect()) {
+      write(caller, POST + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+      assertTrue(EdgeFixture.head(caller).startsWith("HTTP/1.1 100 "));
+      write(caller, "abc");
+      assertTrue(EdgeFixture.head(caller).startsWith("HTTP/1.1 200 "));
+    }
+  }
+
+  @Test
+  public void deadlineGoesOnAsGivenOrAsTheRouteAllows() throws IOException {
+    for (String given : List.of("700", "99999999999999999999")) {
+      edge.exchange(GET + "Connection: close\r\nradishpost-deadline-ms: " + given + "\r\n\r\n");
+    }
+    edge.call("GET");
+    assertEquals(edge.leftMillis, List.of(700L, 30_000L, 30_000L));
+  }
+
+  @Test
+  public void deadlineRunsWhileTheBodyIsRead() throws IOException {
+    try (Socket caller = edge.connect()) {
+      write(caller, POST + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+      EdgeFixture.head(caller);
+      edge.clock.advanceTimeBy(Duration.ofSeconds(4));
+      write(caller, "abc");
+      EdgeFixture.head(caller);
+      assertEquals(edge.leftMillis, List.of(26_000L));
+      write(caller, POST + "radishpost-deadline-ms: 900\r\nExpect: 100-continue\r\n");
+      write(caller, "Content-Length: 3\r\n\r\n");
+      assertTrue(EdgeFixture.head(caller).startsWith("helloHTTP/1.1 100 "));
+      edge.clock.advanceTimeBy(Duration.ofSeconds(1));
+      String got = EdgeFixture.rest(caller);
+      assertTrue(got.startsWith("HTTP/1.1 503 ") && got.contains("not-run"), got);
+    }
+  }
+
+  @Test
+  public void bodyThatGrowsTooLargeAtTheTargetIsUnknown() throws Exception {
+    try (RawTarget silent = new RawTarget(RawTarget.SILENT);
+        EdgeFixture slow = new EdgeFixture(silent.address())) {
+      try (Socket caller = slow.connect()) {
+        write(caller, POST + "Transfer-Encoding: chunked\r\n\r\n20\r\n" + "x".repeat(32) + "\r\n");
+        while (silent.heads.isEmpty()) {
+          Thread.onSpinWait();
+        }
+        write(caller, "7d0\r\n" + "x".repeat(2_000) + "\r\n");
+        String got = EdgeFixture.head(caller);
+        assertTrue(got.startsWith("HTTP/1.1 413 "), got);
+        assertTrue(got.contains("radishpost-outcome: unknown"), got);
+      }
+      silent.closed.take();
+    }
+  }
+
+  @Test
+  public void badChunkAfterTargetHasTheCallIsUnknown() throws Exception {
+    try (RawTarget silent = new RawTarget(RawTarget.SILENT);
+        EdgeFixture slow = new EdgeFixture(silent.address())) {
+      try (Socket caller = slow.connect()) {
+        write(caller, POST + "Transfer-Encoding: chunked\r\n\r\n20\r\n" + "x".repeat(32) + "\r\n");
+        while (silent.heads.isEmpty()) {
+          Thread.onSpinWait();
+        }
+        write(caller, "zz\r\n");
+        assertFalse(EdgeFixture.rest(caller).contains("not-run"));
+      }
+      silent.closed.take();
+    }
+  }
+
+  @Test
+  public void slowHeadIsCutOff() throws IOException {
+    try (Socket caller = edge.connect()) {
+      write(caller, GET + "\r\n" + "GET /b HTT");
+      assertTrue(EdgeFixture.head(caller).startsWith("HTTP/1.1 200 "));
+      edge.clock.advanceTimeBy(Duration.ofSeconds(21));
+      assertEquals(EdgeFixture.rest(caller), "hello");
+    }
+  }
+
+  @Test
+  public void bodyPauseCountsOnlyWhileBytesAreWanted() {
+    SenderPace pace = new SenderPace(Duration.ofNanos(10));
+    pace.came(false, true, 0);
+    assertEquals(pace.leftNanos(100), 10);
+    pace.wanted(100);
+    assertEquals(pace.leftNanos(109), 1);
+    pace.came(false, true, 109);
+    pace.wanted(109);
+    assertEquals(pace.leftNanos(119), 0);
+    pace.came(true, false, 120);
+    pace.came(true, false, 129);
+    assertEquals(pace.leftNanos(130), 0);
+  }
+
+  @Test
+  public void connectionsBeyondTheLimitAreClosed() throws IOException {
+    try (Socket a = edge.connect();
+        Socket b = edge.connect()) {
+      for (Socket socket : List.of(a, b)) {
+        write(socket, GET + "\r\n");
+        EdgeFixture.head(socket);
+      }
+      try (Socket c = edge.connect()) {
+        write(c, GET + "\r\n");
+        EdgeFixture.head(c);
+        assertFalse(edge.call("GET").startsWith("HTTP"));
+      }
+    }
+  }
+
+  @Test
+  public void mutatedRequestsNeverStopTheEdge() throws IOException {
+    String[] good = {
+      GET + "Connection: close\r\n\r\n",
+      POST + "Connection: close\r\nContent-Length: 4\r\n\r\nabcd",
+      POST + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+    };
+    for (int seed = 0; seed < FUZZ_RUNS; seed++) {
+      Random random = new Random(seed);
+      byte[] bytes = good[seed % good.length].getBytes(StandardCharsets.ISO_8859_1);
+      for (int i = random.nextInt(4); i >= 0; i--) {
+        bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+      }
+      try (Socket socket = edge.connect()) {
+        socket.getOutputStream().write(bytes);
+        socket.shutdownOutput();
+        String got = EdgeFixture.rest(socket);
+        assertFalse(got.startsWith("HTTP/1.1 500"), "seed " + seed + ": " + got);
+      }
+    }
+    assertTrue(edge.call("GET").endsWith("hello"));
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/http/FakeLinks.java
@@ -0,0 +1,104 @@
+package org.radishpost.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiFunction;
+import org.radishpost.lib.Digest;
+import org.radishpost.lib.VmId;
+import org.radishpost.link.LinkMessage;
+import org.radishpost.link.LinkSession;
+import org.radishpost.link.Links;
+import org.radishpost.link.PeerEvent;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Both ends of one link between an entry and an owner, with a shared key. */
+final class FakeLinks {
+  private static final byte[] KEY = "key".getBytes(StandardCharsets.US_ASCII);
+
+  private final VmId entry;
+  private final VmId owner;
+  private final Set<Long> used = ConcurrentHashMap.newKeySet();
+  private final AtomicLong sequence = new AtomicLong();
+  private volatile boolean standing = true;
+
+  FakeLinks(VmId entry, VmId owner) {
+    this.entry = entry;
+    this.owner = owner;
+  }
+
+  Links entry() {
+    return new End(owner);
+  }
+
+  Links owner() {
+    return new End(entry);
+  }
+
+  void cut() {
+    standing = false;
+  }
+
+  /** One end, with its peer. */
+  private final class End implements Links, LinkSession {
+    private final VmId peer;
+
+    private End(VmId peer) {
+      this.peer = peer;
+    }
+
+    @Override
+    public boolean tell(VmId vm, LinkMessage message) {
+      return standing;
+    }
+
+    @Override
+    public Mono<LinkMessage> ask(VmId vm, LinkMessage message, Duration limit) {
+      return Mono.empty();
+    }
+
+    @Override
+    public void answerWith(BiFunction<VmId, LinkMessage, Mono<LinkMessage>> answerer) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Flux<PeerEvent> events() {
+      return Flux.never();
+    }
+
+    @Override
+    public Optional<LinkSession> session(VmId vm) {
+      return standing && vm.equals(peer) ? Optional.of(this) : Optional.empty();
+    }
+
+    @Override
+    public VmId peer() {
+      return peer;
+    }
+
+    @Override
+    public String id() {
+      return "session";
+    }
+
+    @Override
+    public long nextSequence() {
+      return sequence.incrementAndGet();
+    }
+
+    @Override
+    public Digest prove(long number, String text) {
+      return Digest.keyed(KEY, number + "|" + text);
+    }
+
+    @Override
+    public boolean accept(long number, String text, Digest proof) {
+      return prove(number, text).matches(proof) && used.add(number);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -0,0 +1,274 @@
+package org.radishpost.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.radishpost.lib.CallFacts;
+import org.radishpost.lib.CallId;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.PoolId;
+import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
+import org.radishpost.routing.RouteMatch;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/** Calls between two VMs, and what those get who are none. */
+public class HopTest {
+  private static final VmId ENTRY = new VmId("belépő-1");
+  private static final VmId OWNER = new VmId("gazda-1");
+  private static final Place PLACE = Place.of("közép", "közép-a");
+  private static final Duration DEADLINE = Duration.ofSeconds(9);
+  private static final Duration QUIET = Duration.ofMillis(200);
+  private static final int CHUNK_BYTES = 65_536;
+  private static final int BOUNDED_CHUNKS = 400;
+
+  private final List<Call> calls = new CopyOnWriteArrayList<>();
+  private EdgeFixture base;
+  private FakeLinks links;
+  private HopServer server;
+  private Endpoint address;
+  private HopClient client;
+  private volatile CallResult result;
+  private volatile Sinks.Empty<Void> cancelled;
+
+  /** Starts an owner and an entry. */
+  @BeforeMethod
+  public void start() throws Exception {
+    base = new EdgeFixture(EdgeFixture.ANY);
+    links = new FakeLinks(ENTRY, OWNER);
+    calls.clear();
+    cancelled = Sinks.empty();
+    result = new CallResult.Answered(Replies.text(200, "hello"), Optional.empty());
+    server =
+        new HopServer(
+            EdgeFixture.ANY,
+            EdgeFixture.LIMITS,
+            base.clock,
+            base.loops,
+            () -> new EdgeFixture.OneRoute(EdgeFixture.MAX_BODY_BYTES),
+            links.owner(),
+            (call, pool, onTaken) -> run(call),
+            new AtomicLong());
+    address = server.start();
+    client = new HopClient(ENTRY, base.sender, links.entry(), base.clock);
+  }
+
+  /** Stops both. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    server.stop().block();
+    base.close();
+  }
+
+  @Test
+  public void callArrivesAsItWasSent() {
+    Call call = call(CallBody.whole("ab".getBytes(StandardCharsets.US_ASCII)), "kulcs");
+    CallResult.Answered answered = (CallResult.Answered) send(call);
+    assertEquals(text(answered.reply()), "hello");
+    Call came = calls.getFirst();
+    assertEquals(came.facts().route(), call.facts().route());
+    assertEquals(came.idempotencyKey(), call.idempotencyKey());
+    assertEquals(came.facts().deadlineNanos(), DEADLINE.toNanos());
+    assertFalse(came.head().headers().names().stream().anyMatch(HeaderNames::betweenVms));
+  }
+
+  @Test
+  public void targetCannotSpeakForTheOwner() {
+    Reply lie = Replies.text(200, "ran");
+    lie.headers().set(HeaderNames.HOP_RESULT, "handed-back NO_TARGET");
+    result = new CallResult.Answered(lie, Optional.empty());
+    CallResult.Answered answered =
+        (CallResult.Answered) send(call(CallBody.whole(new byte[0]), "k"));
+    assertEquals(text(answered.reply()), "ran");
+  }
+
+  /** Lines that an attacker changes in a proved request, and their replacement. */
+  @DataProvider
+  public Object[][] changes() {
+    return new Object[][] {
+      {"radishpost-hop-proof: .*", "radishpost-hop-proof: " + "0".repeat(64)},
+      {"radishpost-hop-proof: .*", "x: y"},
+      {"radishpost-hop-vm: .*", "radishpost-hop-vm: other"},
+      {"radishpost-hop-vm: .*", "radishpost-hop-vm: %"},
+      {"radishpost-hop-session: .*", "radishpost-hop-session: none"},
+      {"radishpost-hop-sequence: .*", "radishpost-hop-sequence: 77"},
+      {"idempotency-key: .*", "idempotency-key: other"},
+      {"idempotency-key: .*", "x: y"},
+      {"content-length: .*", "content-length: 1"},
+      {"radishpost-deadline-ms: .*", "radishpost-deadline-ms: 99999"},
+      {"POST /a", "POST /b"},
+      {"radishpost-hop-fingerprint: .*", "radishpost-hop-fingerprint: " + "0".repeat(64)},
+      {"radishpost-hop-route: .*", "radishpost-hop-route: a b"},
+    };
+  }
+
+  @Test(dataProvider = "changes")
+  public void changedRequestGetsNothing(String line, String other) throws IOException {
+    String text = captured().replaceFirst("(?i)" + line, other);
+    String got = raw(text);
+    assertTrue(got.startsWith("HTTP/1.1 403 ") || got.startsWith("HTTP/1.1 400 "), got);
+    assertEquals(calls, List.of());
+  }
+
+  @Test
+  public void replayedRequestGetsNothing() throws IOException {
+    String text = captured();
+    assertTrue(raw(text).startsWith("HTTP/1.1 200 "));
+    assertTrue(raw(text).startsWith("HTTP/1.1 403 "));
+    assertEquals(calls.size(), 1);
+  }
+
+  @Test
+  public void nothingIsSentWithoutLink() {
+    links.cut();
+    assertTrue(send(call(CallBody.whole(new byte[0]), "k")) instanceof CallResult.Unreachable);
+    assertEquals(calls, List.of());
+  }
+
+  /** Answers of a VM that broke off or is of another release. */
+  @DataProvider
+  public Object[][] unclear() {
+    return new Object[][] {{""}, {"radishpost-hop-result: handed-back WHO_KNOWS\r\n"}};
+  }
+
+  @Test(dataProvider = "unclear")
+  public void unclearResultIsNeverNotRun(String field) throws IOException {
+    String answer = "HTTP/1.1 500 E\r\n" + field + "Content-Length: 0\r\n\r\n";
+    try (RawTarget other = new RawTarget(answer)) {
+      CallResult got = send(call(CallBody.whole(new byte[0]), "k"), other.address());
+      assertTrue(got instanceof CallResult.Lost, got.toString());
+    }
+  }
+
+  @Test
+  public void cancelledCallIsCancelledAtTheOwner() {
+    result = null;
+    Disposable running =
+        client.send(call(CallBody.whole(new byte[0]), "k"), pool(), owner(address)).subscribe();
+    while (calls.isEmpty()) {
+      Thread.onSpinWait();
+    }
+    running.dispose();
+    cancelled.asMono().block();
+  }
+
+  @Test
+  public void stalledOwnerBoundsTheBytesTakenFromTheSender() throws IOException {
+    AtomicLong taken = new AtomicLong();
+    Flux<ByteBuf> source =
+        Flux.range(0, Integer.MAX_VALUE)
+            .map(i -> Unpooled.wrappedBuffer(new byte[CHUNK_BYTES]))
+            .doOnNext(part -> taken.incrementAndGet());
+    CallBody body = CallBody.read(source, CHUNK_BYTES).block();
+    body.take();
+    try (RawTarget stalled = new RawTarget(RawTarget.STALL)) {
+      Disposable running =
+          client.send(call(body, "k"), pool(), owner(stalled.address())).subscribe();
+      long before = -1;
+      while (before != taken.get() || stalled.heads.isEmpty()) {
+        before = taken.get();
+        Mono.delay(QUIET).block();
+      }
+      assertTrue(taken.get() < BOUNDED_CHUNKS, taken + " chunks");
+      running.dispose();
+    }
+  }
+
+  private Mono<CallResult> run(Call call) {
+    calls.add(call);
+    if (result == null) {
+      return Mono.<CallResult>never().doOnCancel(() -> cancelled.tryEmitEmpty());
+    }
+    return Mono.just(result);
+  }
+
+  private CallResult send(Call call) {
+    return send(call, address);
+  }
+
+  private CallResult send(Call call, Endpoint to) {
+    return client.send(call, pool(), owner(to)).block();
+  }
+
+  /** Returns the bytes of a proved request that has not reached the owner. */
+  private String captured() throws IOException {
+    try (RawTarget thief = new RawTarget(RawTarget.CLOSE)) {
+      send(call(CallBody.whole(new byte[0]), "k"), thief.address());
+      return thief.heads.getFirst();
+    }
+  }
+
+  private String raw(String text) throws IOException {
+    try (Socket socket = new Socket(address.ip(), address.port())) {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      socket.shutdownOutput();
+      return EdgeFixture.rest(socket);
+    }
+  }
+
+  private static VmEntry owner(Endpoint hop) {
+    return new VmEntry(OWNER, PLACE, hop, hop, false);
+  }
+
+  private static PoolId pool() {
+    RouteMatch match = EdgeFixture.match("/", 1, Set.of());
+    return new PoolId(match.manifest().manifest().gateway(), match.route().service(), PLACE, 0);
+  }
+
+  private Call call(CallBody body, String key) {
+    RouteMatch match = EdgeFixture.match("/", 1, Set.of());
+    DefaultHttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("host", "h").set(HeaderNames.IDEMPOTENCY_KEY, key);
+    if (body.isWhole()) {
+      headers.set("content-length", body.empty() ? 0 : 2);
+    }
+    CallFacts facts =
+        new CallFacts(
+            new CallId(1),
+            match.manifest().manifest().gateway(),
+            match.route().name(),
+            match.route().service(),
+            match.manifest().manifest().tenant(),
+            match.route().kind(),
+            1,
+            true,
+            base.clock.now(TimeUnit.NANOSECONDS) + DEADLINE.toNanos(),
+            0,
+            Set.of(),
+            body.digest(),
+            0);
+    return new Call(
+        facts, match, new RequestHead("POST", "/a", headers), body, Optional.of(key), 2);
+  }
+
+  private static String text(Reply reply) {
+    return reply
+        .body()
+        .map(part -> part.toString(StandardCharsets.US_ASCII))
+        .collectList()
+        .map(parts -> String.join("", parts))
+        .block();
+  }
+}
