--- a/src/test/java/org/radishpost/http/HopTest.java
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -184,7 +184,7 @@
     CallBody body = CallBody.read(source, CHUNK_BYTES).block();
     body.take();
     try (RawTarget stalled = new RawTarget(RawTarget.STALL)) {
-      Disposable running =
+      final Disposable running =
           client.send(call(body, "k"), pool(), owner(stalled.address())).subscribe();
       long before = -1;
       while (before != taken.get() || stalled.heads.isEmpty()) {
