--- a/src/main/java/org/radishpost/admin/AdminServer.java
+++ b/src/main/java/org/radishpost/admin/AdminServer.java
@@ -129,7 +129,7 @@
   private Mono<byte[]> body(HttpServerRequest request, Permissions holder) {
     long maxBytes =
         holder.publishAny() ? ManifestBounds.MAX_DOCUMENT_BYTES : ServiceChangeCodec.MAX_BYTES;
-    Flux<ByteBuf> bounded = BodyTooLarge.bound(request.receive(), maxBytes);
+    Flux<ByteBuf> bounded = BodyTooLarge.bound(request.receive(), maxBytes, () -> {});
     return reactor.netty.ByteBufFlux.fromInbound(bounded)
         .aggregate()
         .asByteArray()
