--- a/src/main/java/org/radishpost/pgm/Main.java
+++ b/src/main/java/org/radishpost/pgm/Main.java
@@ -14,6 +14,7 @@
       VersionCommand.class,
       ServeCommand.class,
       DemoCommand.class,
+      BenchCommand.class,
     })
 public final class Main {
   private Main() {}
--- a/src/main/java/org/radishpost/standin/HttpTarget.java
+++ b/src/main/java/org/radishpost/standin/HttpTarget.java
@@ -100,13 +100,15 @@
   }
 
   private void connected(Connection connection) {
+    if (!open.add(connection.channel())) {
+      return;
+    }
     TargetCounters counters = state.counters();
     int now = counters.connections.incrementAndGet();
     connection
         .channel()
         .closeFuture()
         .addListener(closed -> counters.connections.decrementAndGet());
-    open.add(connection.channel());
     if (now > state.options().connections()) {
       counters.refusedConnections.incrementAndGet();
       connection.channel().close();
--- /dev/null
+++ b/src/test/java/org/radishpost/bench/LoadDriverTest.java
@@ -0,0 +1,86 @@
+package org.radishpost.bench;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import org.radishpost.bench.LoadPlan.EventPlan;
+import org.radishpost.bench.LoadPlan.KindPlan;
+import org.radishpost.errors.StartException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.standin.TargetControl;
+import org.radishpost.standin.TargetOptions;
+import org.radishpost.standin.TargetServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A short load on a target stand-in over real sockets. */
+public class LoadDriverTest {
+  private final RuntimeClock clock = new RuntimeClock();
+  private TargetServer targets;
+  private Endpoint target;
+
+  /** Starts a target. */
+  @BeforeMethod
+  public void start() throws StartException {
+    targets = new TargetServer(clock);
+    target =
+        targets.add(
+            new Endpoint("127.0.0.1", 0), TargetOptions.warm(500, 500, Duration.ofMillis(1), 1));
+  }
+
+  /** Stops it. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    targets.stop();
+  }
+
+  @Test
+  public void everyCallOfTheLoadRunsOnce() {
+    LoadResult result = run(List.of());
+    assertEquals(result.outcomes().answered(), result.outcomes().total(), result.toString());
+    assertEquals(targets.stats(target).runs(), result.outcomes().total());
+  }
+
+  @Test
+  public void outcomesAreToldApart() {
+    targets.control(target, shedding());
+    assertEquals(run(List.of()).outcomes().answered(), 0);
+    assertEquals(run(List.of()).outcomes().notRun(), run(List.of()).outcomes().total());
+    String silent = "{\"silent\": true}";
+    LoadResult result =
+        run(
+            List.of(
+                new EventPlan(-50, "silent", "PUT", "http://" + target + "/control", silent, "")));
+    assertEquals(result.events().getFirst().result(), "200");
+    assertEquals(result.outcomes().timeout(), result.outcomes().total(), result.toString());
+  }
+
+  private static TargetControl shedding() {
+    return new TargetControl(1, false, false, true, false, null, 0, false, false, 0, null);
+  }
+
+  private LoadResult run(List<EventPlan> events) {
+    LoadPlan plan =
+        new LoadPlan(
+            7,
+            200,
+            500,
+            300,
+            1_000,
+            400,
+            LoadPlan.Spread.IN_TURN,
+            List.of(target.toString()),
+            List.of(new KindPlan("read", "GET", "/", 1, 1, 0, false, List.of())),
+            events,
+            null);
+    LoadDriver driver = new LoadDriver(plan, clock, clock, line -> {});
+    try {
+      return driver.run().block();
+    } finally {
+      driver.close().block();
+    }
+  }
+}
--- a/src/test/java/org/radishpost/standin/TargetServerTest.java
+++ b/src/test/java/org/radishpost/standin/TargetServerTest.java
@@ -24,6 +24,7 @@
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
 
 /** Each trait and fault of the target stand-in, seen from outside. */
 public class TargetServerTest {
@@ -64,6 +65,17 @@
     assertEquals(report(answer).warmPercent(), 100);
   }
 
+  @Test
+  public void requestsOfOneConnectionCountAsOneConnection() throws Exception {
+    Endpoint target = targets.add(ANY, TargetOptions.warm(2, 1, QUICK, 1));
+    client = HttpClient.create(ConnectionProvider.create("one", 1)).disableRetry(true);
+    for (int i = 0; i < 5; i++) {
+      assertEquals(call(target, HttpMethod.GET, "/", "").status(), 200);
+    }
+    assertEquals(targets.stats(target).maxConnections(), 1);
+    assertEquals(targets.stats(target).refusedConnections(), 0);
+  }
+
   @Test
   public void moreThanSlotsAndQueueIsShedAsNotRun() throws Exception {
     Endpoint target = targets.add(ANY, TargetOptions.warm(1, 20, ENDLESS, 1));
