--- a/src/main/java/org/radishpost/pgm/Main.java
+++ b/src/main/java/org/radishpost/pgm/Main.java
@@ -17,6 +17,7 @@
       VersionCommand.class,
       ServeCommand.class,
       DemoCommand.class,
+      BenchCommand.class,
       CheckCommand.class,
       PublishCommand.class,
       ShowCommand.class,
