Find the VM by its address, sort metrics, keep home-bound calls out of time lines

A port of one digit was read as a part of the host's name, as the client built an address text: it now gives host and port apart. Families of metrics come in a fixed order. A test sends home-bound calls through three VMs and looks for their words in all time lines and metrics.

--- a/src/main/java/org/radishpost/admin/MetricsJson.java
+++ b/src/main/java/org/radishpost/admin/MetricsJson.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.TreeMap;
 
 /** Writes metrics as JSON. */
 final class MetricsJson {
@@ -18,8 +19,7 @@
     ObjectNode gauges = node.putObject("gauges");
     registry.getGauges().forEach((name, gauge) -> gauges.putPOJO(name, gauge.getValue()));
     ObjectNode counters = node.putObject("counters");
-    registry
-        .getMetrics()
+    new TreeMap<>(registry.getMetrics())
         .forEach(
             (name, metric) -> {
               if (metric instanceof Counting counting && !(metric instanceof Sampling)) {
--- a/src/main/java/org/radishpost/admin/PrometheusText.java
+++ b/src/main/java/org/radishpost/admin/PrometheusText.java
@@ -24,8 +24,7 @@
 
   static String of(MetricRegistry registry) {
     Map<String, StringBuilder> families = new TreeMap<>();
-    registry
-        .getMetrics()
+    new TreeMap<>(registry.getMetrics())
         .forEach((name, metric) -> write(MetricName.parse(name), metric, families));
     StringBuilder text = new StringBuilder();
     families.values().forEach(text::append);
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -158,7 +158,7 @@
 
   private Publisher<Void> answer(
       CallResult result, HttpServerRequest request, HttpServerResponse response) {
-    Reply reply =
+    final Reply reply =
         switch (result) {
           case CallResult.Answered answered -> answered.reply();
           default -> Replies.text(503, "");
--- a/src/main/java/org/radishpost/pgm/AdminClient.java
+++ b/src/main/java/org/radishpost/pgm/AdminClient.java
@@ -71,6 +71,8 @@
       throws AdminRequestException {
     try {
       return HttpClient.newConnection()
+          .host(admin.ip())
+          .port(admin.port())
           .disableRetry(true)
           .responseTimeout(ANSWER_LIMIT)
           .headers(
@@ -79,7 +81,7 @@
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
               })
           .request(method)
-          .uri("http://" + admin + path)
+          .uri(path)
           .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
           .responseSingle(
               (response, content) ->
--- a/src/test/java/org/radishpost/admin/AdminRoutesTest.java
+++ b/src/test/java/org/radishpost/admin/AdminRoutesTest.java
@@ -47,7 +47,7 @@
   }
 
   @Test
-  public void foreignGatewayAnswersLikeAMissingOne() {
+  public void foreignGatewayAnswersLikeMissingOne() {
     assertEquals(world.get(Set.of("read:" + tenant()), path).status(), 200);
     AdminAnswer foreign = world.get(Set.of("read:other", "publish:other"), path);
     AdminAnswer missing = world.get(Set.of("read:other"), "/v1/gateways/none");
--- a/src/test/java/org/radishpost/knownred/KnownRedListenerTest.java
+++ b/src/test/java/org/radishpost/knownred/KnownRedListenerTest.java
@@ -41,7 +41,8 @@
         results.getFailedTests().stream().map(result -> result.getName()).toList(),
         List.of("failsUnlisted"));
     String printed = bytes.toString(UTF_8);
-    assertTrue(printed.contains("KNOWN RED: " + KnownRedSample.class.getName() + "#fails"), printed);
+    assertTrue(
+        printed.contains("KNOWN RED: " + KnownRedSample.class.getName() + "#fails"), printed);
     assertTrue(printed.contains("passed this time: " + KnownRedSample.class.getName() + "#passes"));
   }
 
--- a/src/test/java/org/radishpost/pgm/AdminApiTest.java
+++ b/src/test/java/org/radishpost/pgm/AdminApiTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.http.HttpResponse;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
 import org.radishpost.node.RuntimeClock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -73,4 +74,27 @@
     assertEquals(admin.send("POST", "/v1/service?operation=z2", in).statusCode(), 200);
     assertFalse(admin.get("/v1/status").body().contains("\"name\":\"kozep-2\""));
   }
+
+  @Test
+  public void homeBoundCallLeavesNoRequestDataInTimeLines() throws Exception {
+    JsonNode before = admin.json(admin.get("/v1/gateways/demo"));
+    ObjectNode manifest = (ObjectNode) before.path("manifest");
+    manifest.put("baseVersion", before.path("version").asLong());
+    manifest.path("routes").forEach(r -> ((ObjectNode) r).putArray("homeRegions").add("kozep"));
+    HttpResponse<String> published =
+        admin.send("PUT", "/v1/gateways/demo?operation=home", manifest.toString());
+    assertEquals(published.statusCode(), 200, published.body());
+    for (Endpoint edge : demo.edges()) {
+      String path = "/archive/secretword?q=secretword";
+      HttpResponse<String> answer = new AdminCalls(edge, "secretword").get(path);
+      assertTrue(answer.body().contains("secretword"), answer.body());
+    }
+    for (Endpoint each : demo.admins()) {
+      AdminCalls calls = new AdminCalls(each, DemoSystem.DEMO_TOKEN);
+      String events = calls.get("/v1/timeline").body();
+      assertTrue(events.contains("STARTED"), events);
+      assertFalse(events.contains("secretword"), events);
+      assertFalse(calls.get("/v1/metrics").body().contains("secretword"));
+    }
+  }
 }
