--- a/src/main/java/org/radishpost/http/BodyTooLarge.java
+++ b/src/main/java/org/radishpost/http/BodyTooLarge.java
@@ -5,13 +5,18 @@
 import reactor.core.publisher.Flux;
 
 /** Ends a body that is larger than its route allows. */
-final class BodyTooLarge extends Exception {
+public final class BodyTooLarge extends Exception {
   private static final long serialVersionUID = 1L;
 
   private BodyTooLarge() {
     super("body too large", null, false, false);
   }
 
+  /** Returns the same body, which fails once it has more than so many bytes. */
+  public static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
+    return bound(body, maxBytes, () -> {});
+  }
+
   /** Returns the same body, which tells and fails once it has more than so many bytes. */
   static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes, Runnable onExcess) {
     AtomicLong seen = new AtomicLong();
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.radishpost.errors.StartException;
+import org.radishpost.events.HybridClock;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
 import org.radishpost.lib.Digest;
@@ -54,6 +55,7 @@
   private final Links links;
   private final HopHandler handler;
   private final AtomicLong calls;
+  private final HopStamps stamps;
   private final InFlight inFlight = new InFlight();
   private DisposableServer server;
 
@@ -68,6 +70,7 @@
    * @param links the links, whose sessions prove the calls
    * @param handler who runs the calls
    * @param calls the source of call numbers
+   * @param stamps the clock of this VM's time line
    */
   public HopServer(
       Endpoint address,
@@ -77,7 +80,8 @@
       Supplier<RouteTable> routes,
       Links links,
       HopHandler handler,
-      AtomicLong calls) {
+      AtomicLong calls,
+      HybridClock stamps) {
     this.address = address;
     this.limits = limits;
     this.clock = clock;
@@ -86,6 +90,7 @@
     this.links = links;
     this.handler = handler;
     this.calls = calls;
+    this.stamps = new HopStamps(stamps);
   }
 
   /**
@@ -142,6 +147,7 @@
       return notProved(response);
     }
     VmId peer = session.get().peer();
+    stamps.take(headers);
     Optional<RouteMatch> match = routes.get().byName(head.get().gateway(), head.get().route());
     if (match.isEmpty()) {
       return answer(
@@ -163,14 +169,15 @@
     }
   }
 
-  private static Publisher<Void> answer(
+  private Publisher<Void> answer(
       CallResult result, HttpServerRequest request, HttpServerResponse response) {
-    Reply reply =
+    final Reply reply =
         switch (result) {
           case CallResult.Answered answered -> answered.reply();
           default -> Replies.text(503, "");
         };
     HttpHeaders fields = new DefaultHttpHeaders();
+    fields.set(HeaderNames.HOP_STAMP, stamps.next());
     fields.set(HeaderNames.HOP_RESULT, HopResult.format(result));
     result.view().ifPresent(view -> fields.set(HeaderNames.HOP_VIEW, PoolViewHeader.format(view)));
     return ReplyWriter.write(reply, request.method().name(), response, fields);
--- a/src/main/java/org/radishpost/node/EventLog.java
+++ b/src/main/java/org/radishpost/node/EventLog.java
@@ -21,18 +21,21 @@
   private final VmId vm;
   private final HybridClock clock;
   private final TimeLine timeLine;
+  private final NodeMetrics metrics;
   private final AtomicLong sequence = new AtomicLong();
 
-  EventLog(VmId vm, HybridClock clock, TimeLine timeLine) {
+  EventLog(VmId vm, HybridClock clock, TimeLine timeLine, NodeMetrics metrics) {
     this.vm = vm;
     this.clock = clock;
     this.timeLine = timeLine;
+    this.metrics = metrics;
   }
 
   @Override
   public void emit(EventCode code, EventField... fields) {
     Event event = new Event(clock.next(), vm, sequence.incrementAndGet(), code, List.of(fields));
     timeLine.add(event);
+    metrics.happened(code);
     Level level = level(code.level());
     if (LOG.isEnabled(level)) {
       LOG.log(level, message(event));
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/AdminClient.java
@@ -0,0 +1,113 @@
+package org.radishpost.pgm;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.radishpost.errors.AdminRequestException;
+import org.radishpost.lib.Endpoint;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Asks the administration API of one VM; thread-safe. */
+final class AdminClient {
+  private static final Duration ANSWER_LIMIT = Duration.ofSeconds(15);
+  private static final int OK = 200;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final Endpoint admin;
+  private final String token;
+
+  AdminClient(Endpoint admin, String token) {
+    this.admin = admin;
+    this.token = token;
+  }
+
+  /**
+   * Reads something.
+   *
+   * @throws AdminRequestException if the VM does not answer or refuses
+   */
+  JsonNode get(String path) throws AdminRequestException {
+    AdminReply reply =
+        exchange(HttpMethod.GET, path, new byte[0])
+            .orElseThrow(
+                () ->
+                    new AdminRequestException(
+                        "The VM at " + admin + " gave no answer: ask again or ask another VM."));
+    if (reply.status() != OK) {
+      throw refused(reply);
+    }
+    return reply.json();
+  }
+
+  /**
+   * Wants a change.
+   *
+   * @return the answer; empty when the request may have arrived and none came
+   * @throws AdminRequestException if the VM cannot be reached
+   */
+  Optional<AdminReply> change(HttpMethod method, String path, byte[] body)
+      throws AdminRequestException {
+    return exchange(method, path, body);
+  }
+
+  /** Returns the failure that a refusal stands for. */
+  AdminRequestException refused(AdminReply reply) {
+    StringBuilder text = new StringBuilder("The VM at " + admin + " refused (" + reply.status());
+    text.append("):");
+    reply.json().path("faults").forEach(fault -> text.append(' ').append(fault.asText()));
+    return new AdminRequestException(text.toString());
+  }
+
+  private Optional<AdminReply> exchange(HttpMethod method, String path, byte[] body)
+      throws AdminRequestException {
+    try {
+      return HttpClient.newConnection()
+          .disableRetry(true)
+          .responseTimeout(ANSWER_LIMIT)
+          .headers(
+              headers -> {
+                headers.set(HttpHeaderNames.AUTHORIZATION, "Bearer " + token);
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+              })
+          .request(method)
+          .uri("http://" + admin + path)
+          .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+          .responseSingle(
+              (response, content) ->
+                  content
+                      .asByteArray()
+                      .defaultIfEmpty(new byte[0])
+                      .flatMap(bytes -> Mono.fromCallable(() -> mapper.readTree(bytes)))
+                      .map(json -> new AdminReply(response.status().code(), json)))
+          .blockOptional();
+    } catch (RuntimeException e) {
+      return failed(Exceptions.unwrap(e));
+    }
+  }
+
+  private Optional<AdminReply> failed(Throwable cause) throws AdminRequestException {
+    if (beforeSend(cause)) {
+      throw new AdminRequestException(
+          "Nothing listens on " + admin + ": check --admin and that the VM runs.", cause);
+    }
+    if (cause instanceof IOException) {
+      return Optional.empty();
+    }
+    throw new AdminRequestException(
+        "The VM at " + admin + " could not be asked: check --admin and the network.", cause);
+  }
+
+  private static boolean beforeSend(Throwable failure) {
+    return Stream.iterate(failure, cause -> cause != null, Throwable::getCause)
+        .anyMatch(ConnectException.class::isInstance);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/CheckCommand.java
@@ -0,0 +1,72 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.radishpost.errors.ManifestException;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.errors.SettingsException;
+import org.radishpost.errors.SettingsFault;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ManifestCodec;
+import org.radishpost.manifest.ManifestFault;
+import org.radishpost.manifest.ManifestValidator;
+import org.radishpost.settings.SettingsCodec;
+
+/** Checks settings and manifests without a VM. */
+@Command(
+    name = "check",
+    description = "Check a settings file or a manifest and print every fault with its path.")
+public final class CheckCommand extends PgmCommand {
+  @Option(
+      name = {"--settings"},
+      title = "FILE",
+      description = "A settings file (JSON).")
+  private String settings = "";
+
+  @Option(
+      name = {"--manifest"},
+      title = "FILE",
+      description = "A manifest (JSON).")
+  private String manifest = "";
+
+  /** Creates the command. */
+  public CheckCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    if (settings.isEmpty() && manifest.isEmpty()) {
+      throw new SettingsException("Give --settings FILE or --manifest FILE, or both.");
+    }
+    List<String> faults = new ArrayList<>();
+    if (!settings.isEmpty()) {
+      settingsFaults(Files.read(Path.of(settings))).forEach(f -> faults.add(settings + ": " + f));
+    }
+    if (!manifest.isEmpty()) {
+      manifestFaults(Files.read(Path.of(manifest))).forEach(f -> faults.add(manifest + ": " + f));
+    }
+    faults.forEach(System.err::println);
+    return faults.isEmpty() ? ExitCode.OK : ExitCode.USAGE;
+  }
+
+  private static List<String> settingsFaults(byte[] document) {
+    try {
+      new SettingsCodec().decode(document);
+      return List.of();
+    } catch (SettingsException e) {
+      return e.faults().stream().map(SettingsFault::toString).toList();
+    }
+  }
+
+  private static List<String> manifestFaults(byte[] document) {
+    try {
+      Manifest manifest = new ManifestCodec().decode(document);
+      return new ManifestValidator()
+          .faults(manifest).stream().map(ManifestFault::toString).toList();
+    } catch (ManifestException e) {
+      return List.of(e.getMessage().split("; "));
+    }
+  }
+}
--- a/src/main/java/org/radishpost/pgm/Main.java
+++ b/src/main/java/org/radishpost/pgm/Main.java
@@ -1,8 +1,11 @@
 package org.radishpost.pgm;
 
 import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.annotations.Group;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.radishpost.errors.ManifestException;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.errors.SettingsException;
 
 /** The entry point of the one binary. */
 @com.github.rvesse.airline.annotations.Cli(
@@ -14,6 +17,21 @@
       VersionCommand.class,
       ServeCommand.class,
       DemoCommand.class,
+      CheckCommand.class,
+      PublishCommand.class,
+      ShowCommand.class,
+      ZoneCommand.class,
+      RegionCommand.class,
+      VmCommand.class,
+      StatusCommand.class,
+      TimelineCommand.class,
+      ModelCommand.class,
+    },
+    groups = {
+      @Group(
+          name = "standin",
+          description = "Stand-ins of the platform and of targets, for tests and measurements.",
+          commands = {StandinLogCommand.class, StandinTargetsCommand.class}),
     })
 public final class Main {
   private Main() {}
@@ -35,6 +53,9 @@
     } catch (ParseException e) {
       System.err.println(e.getMessage() + ": see radishpost --help.");
       return ExitCode.USAGE.number();
+    } catch (SettingsException | ManifestException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.USAGE.number();
     } catch (RadishpostException e) {
       System.err.println(e.getMessage());
       return ExitCode.FAILED.number();
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/ShowCommand.java
@@ -0,0 +1,24 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import org.radishpost.errors.RadishpostException;
+
+/** Shows gateways or one manifest. */
+@Command(
+    name = "show",
+    description = "List the gateways, or show the manifest of one with its version.")
+public final class ShowCommand extends AdminCommand {
+  @Arguments(title = "GATEWAY", description = "The gateway; all are listed without it.")
+  private String gateway = "";
+
+  /** Creates the command. */
+  public ShowCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    String path = gateway.isEmpty() ? "/v1/gateways" : GatewayPath.of(gateway);
+    System.out.println(client().get(path).toPrettyString());
+    return ExitCode.OK;
+  }
+}
--- a/src/test/java/org/radishpost/http/HopTest.java
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.radishpost.events.HybridClock;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
 import org.radishpost.lib.Endpoint;
@@ -70,9 +71,10 @@
             () -> new EdgeFixture.OneRoute(EdgeFixture.MAX_BODY_BYTES),
             links.owner(),
             (call, pool, onTaken) -> run(call),
-            new AtomicLong());
+            new AtomicLong(),
+            new HybridClock(() -> 0));
     address = server.start();
-    client = new HopClient(ENTRY, base.sender, links.entry(), base.clock);
+    client = new HopClient(ENTRY, base.sender, links.entry(), base.clock, new HybridClock(() -> 0));
   }
 
   /** Stops both. */
