--- a/src/main/java/org/radishpost/http/BodyTooLarge.java
+++ b/src/main/java/org/radishpost/http/BodyTooLarge.java
@@ -12,8 +12,13 @@
     super("body too large", null, false, false);
   }
 
+  /** Returns the same body, which fails once it has more than so many bytes. */
+  public static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes) {
+    return bound(body, maxBytes, () -> {});
+  }
+
   /** Returns the same body, which tells and fails once it has more than so many bytes. */
-  public static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes, Runnable onExcess) {
+  static Flux<ByteBuf> bound(Flux<ByteBuf> body, long maxBytes, Runnable onExcess) {
     AtomicLong seen = new AtomicLong();
     return body.handle(
         (part, sink) -> {
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -146,8 +146,8 @@
     if (session.isEmpty()) {
       return notProved(response);
     }
-    stamps.take(headers);
     VmId peer = session.get().peer();
+    stamps.take(headers);
     Optional<RouteMatch> match = routes.get().byName(head.get().gateway(), head.get().route());
     if (match.isEmpty()) {
       return answer(
--- a/src/test/java/org/radishpost/http/EdgeRefusalTest.java
+++ b/src/test/java/org/radishpost/http/EdgeRefusalTest.java
@@ -148,6 +148,14 @@
     }
   }
 
+  @Test
+  public void chunkedBodyOfAnyMethodKeepsItsLimits() throws IOException {
+    String body = "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    edge.exchange("DELETE /a" + HEAD + "Connection: close\r\n" + body);
+    String head = target.heads.getFirst().toLowerCase(java.util.Locale.ROOT);
+    assertTrue(head.contains("chunked") || head.contains("content-length: 4"), head);
+  }
+
   @Test
   public void bodyThatGrowsTooLargeAtTheTargetIsUnknown() throws Exception {
     try (RawTarget silent = new RawTarget(RawTarget.SILENT);
