Keep heartbeats on a thread of their own

Cause: link events were handled on the thread that sends heartbeats, and each took the lock of OwnedPools.reconcile. Under load beats came late, links counted as silent, ownership moved, which made more link events. Seen in a jstack: LinkControl.silent -> MemberTable.rebuild on one thread, others waiting for reconcile. Change: links have a clock with a thread of their own, their events are handled elsewhere, reconciles are merged into one; peers follow PeerPlan; a hop without a link asks for one. Ruled out: too short a silence limit; it was not changed.

--- a/src/main/java/org/radishpost/bench/LocalSystem.java
+++ b/src/main/java/org/radishpost/bench/LocalSystem.java
@@ -15,6 +15,7 @@
 import org.radishpost.manifest.TargetSpec;
 import org.radishpost.node.Node;
 import org.radishpost.node.NodeSecrets;
+import org.radishpost.node.RuntimeClock;
 import org.radishpost.settings.NodeSettings;
 import org.radishpost.settings.NodeSettings.Balancing;
 import org.radishpost.settings.NodeSettings.PlatformSettings;
@@ -24,7 +25,6 @@
 import org.radishpost.standin.TargetOptions;
 import org.radishpost.standin.TargetServer;
 import reactor.core.publisher.Flux;
-import reactor.core.scheduler.Scheduler;
 
 /**
  * A whole deployment in this process, over real sockets on free ports: log, targets and VMs.
@@ -38,7 +38,7 @@
   private static final Duration LIMIT = Duration.ofSeconds(20);
   private static final int KEY_BYTES = 32;
 
-  private final Scheduler clock;
+  private final RuntimeClock clock;
   private final RandomGenerator random;
   private final MemoryVmList vms;
   private final LogServer platform;
@@ -52,7 +52,7 @@
    * @param clock the clock and timers
    * @param random the source of keys and choices
    */
-  public LocalSystem(Scheduler clock, RandomGenerator random) {
+  public LocalSystem(RuntimeClock clock, RandomGenerator random) {
     this.clock = clock;
     this.random = random;
     this.vms = new MemoryVmList(clock);
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -55,6 +55,7 @@
   public Mono<CallResult> send(Call call, PoolId pool, VmEntry owner) {
     Optional<LinkSession> session = links.session(owner.id());
     if (session.isEmpty()) {
+      links.connect(owner);
       return Mono.just(
           new CallResult.Unreachable(
               new LinkException("No link to VM " + owner.id() + ": wait until it stands again.")));
--- a/src/main/java/org/radishpost/link/Links.java
+++ b/src/main/java/org/radishpost/link/Links.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.BiFunction;
 import org.radishpost.lib.VmId;
+import org.radishpost.platform.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -25,6 +26,9 @@
   /** Emits what happens, in order for each peer, on one thread; subscribe before the start. */
   Flux<PeerEvent> events();
 
+  /** Opens a link to a VM, unless one stands or is being opened; returns at once. */
+  default void connect(VmEntry peer) {}
+
   /** Returns the session with a peer, while a link stands. */
   Optional<LinkSession> session(VmId peer);
 
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -118,7 +118,7 @@
     control.keep(wanted);
   }
 
-  /** Opens a link to the peer if none stands, and keeps it while it is used. */
+  @Override
   public void connect(VmEntry entry) {
     control.connect(entry);
   }
--- a/src/main/java/org/radishpost/node/LateLinks.java
+++ b/src/main/java/org/radishpost/node/LateLinks.java
@@ -9,6 +9,7 @@
 import org.radishpost.link.LinkSession;
 import org.radishpost.link.Links;
 import org.radishpost.link.PeerEvent;
+import org.radishpost.platform.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -38,6 +39,11 @@
     return links.get().events();
   }
 
+  @Override
+  public void connect(VmEntry peer) {
+    links.get().connect(peer);
+  }
+
   @Override
   public Optional<LinkSession> session(VmId peer) {
     return links.get().session(peer);
--- a/src/main/java/org/radishpost/node/Membership.java
+++ b/src/main/java/org/radishpost/node/Membership.java
@@ -4,13 +4,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.radishpost.config.Configuration;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.link.LinkMessage;
 import org.radishpost.link.PeerEvent;
-import org.radishpost.membership.Member;
 import org.radishpost.membership.MemberTable;
+import org.radishpost.membership.PeerPlan;
 import org.radishpost.platform.VmEntry;
 import org.radishpost.platform.VmList;
 import reactor.core.Disposable;
@@ -98,12 +97,7 @@
   }
 
   private void changed() {
-    Set<VmEntry> wanted =
-        table.all().stream()
-            .map(Member::entry)
-            .filter(entry -> !entry.id().equals(table.self().id()))
-            .collect(Collectors.toSet());
-    keepLinks.accept(wanted);
+    keepLinks.accept(PeerPlan.DEFAULT.peers(table.self(), table.all()));
     listener.run();
   }
 }
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -28,7 +28,6 @@
 import reactor.core.Disposable;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
 
@@ -48,7 +47,8 @@
   private static final int TIME_LINE_EVENTS = 10_000;
 
   private final NodeSettings settings;
-  private final Scheduler clock;
+  private final RuntimeClock clock;
+  private final RuntimeClock linkClock;
   private final EventLog events;
   private final HybridClock stamps;
   private final TimeLine timeLine = new TimeLine(TIME_LINE_EVENTS);
@@ -78,10 +78,12 @@
    * @param clock the clock and timers
    * @param random a source that nobody can foretell
    */
-  public Node(NodeSettings settings, NodeSecrets secrets, Scheduler clock, RandomGenerator random) {
+  public Node(
+      NodeSettings settings, NodeSecrets secrets, RuntimeClock clock, RandomGenerator random) {
     this.settings = settings;
     this.secrets = secrets;
     this.clock = clock;
+    this.linkClock = clock.withThread("link-" + settings.vm());
     this.random = random;
     this.stamps = new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS));
     this.events = new EventLog(settings.vm(), stamps, timeLine, metrics);
@@ -144,7 +146,7 @@
             self,
             secrets.linkKey(),
             LinkOptions.DEFAULT,
-            clock,
+            linkClock,
             events,
             random,
             () -> core.config().announcedVersion());
@@ -218,6 +220,7 @@
     events.emit(EventCode.STOPPED);
     return links
         .stop()
+        .doFinally(signal -> linkClock.dispose())
         .then(edgeServer.stop())
         .then(adminServer.stop())
         .then(hopServer.stop())
--- a/src/main/java/org/radishpost/node/RuntimeClock.java
+++ b/src/main/java/org/radishpost/node/RuntimeClock.java
@@ -12,12 +12,35 @@
  * the only place that reads the system's clock.
  */
 public final class RuntimeClock implements Scheduler {
-  private final Scheduler timers = Schedulers.parallel();
-  private final long startNanos = System.nanoTime();
-  private final long startEpochNanos = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+  private final Scheduler timers;
+  private final long startNanos;
+  private final long startEpochNanos;
 
   /** Creates a clock that starts at the wall clock's time. */
-  public RuntimeClock() {}
+  public RuntimeClock() {
+    this(
+        Schedulers.parallel(),
+        System.nanoTime(),
+        TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()));
+  }
+
+  private RuntimeClock(Scheduler timers, long startNanos, long startEpochNanos) {
+    this.timers = timers;
+    this.startNanos = startNanos;
+    this.startEpochNanos = startEpochNanos;
+  }
+
+  /** Returns a clock of the same time whose tasks run on a thread of their own. */
+  public RuntimeClock withThread(String name) {
+    return new RuntimeClock(Schedulers.newSingle(name, true), startNanos, startEpochNanos);
+  }
+
+  @Override
+  public void dispose() {
+    if (timers != Schedulers.parallel()) {
+      timers.dispose();
+    }
+  }
 
   @Override
   public long now(TimeUnit unit) {
--- a/src/main/java/org/radishpost/node/VmCore.java
+++ b/src/main/java/org/radishpost/node/VmCore.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.radishpost.admission.RetryBudget;
@@ -67,6 +68,7 @@
   private final Disposable.Composite running = Disposables.composite();
   private final SuspectRegistry suspects;
   private final ConfigReplicaService config;
+  private final AtomicBoolean reconcileDue = new AtomicBoolean();
   private final MemberTable table;
   private final Membership membership;
   private final ClaimService claims;
@@ -137,7 +139,7 @@
 
   /** Begins to listen to the links, the log and the list of VMs. */
   void start() {
-    running.add(links.events().subscribe(this::linkEvent));
+    running.add(links.events().publishOn(clock).subscribe(this::linkEvent));
     links.answerWith(this::answer);
     config.start();
     running.add(targets.closed().subscribe(owned::closed));
@@ -247,6 +249,13 @@
   }
 
   private void reconcile() {
+    if (reconcileDue.compareAndSet(false, true)) {
+      clock.schedule(this::reconcileNow);
+    }
+  }
+
+  private void reconcileNow() {
+    reconcileDue.set(false);
     owned.reconcile();
   }
 
--- a/src/main/java/org/radishpost/pgm/DemoSystem.java
+++ b/src/main/java/org/radishpost/pgm/DemoSystem.java
@@ -16,6 +16,7 @@
 import org.radishpost.lib.VmId;
 import org.radishpost.node.Node;
 import org.radishpost.node.NodeSecrets;
+import org.radishpost.node.RuntimeClock;
 import org.radishpost.settings.NodeSettings;
 import org.radishpost.standin.LogServer;
 import org.radishpost.standin.MemoryLog;
@@ -24,7 +25,6 @@
 import org.radishpost.standin.TargetServer;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
 
 /** The parts of the demo: stand-ins, three entry VMs and a published manifest. */
 final class DemoSystem {
@@ -47,14 +47,14 @@
           new NodeSettings.TokenSettings(
               Digest.of(DEMO_TOKEN), List.of("read", "operate", "publish:" + DemoManifest.TENANT)));
 
-  private final Scheduler clock;
+  private final RuntimeClock clock;
   private final RandomGenerator random;
   private final MemoryVmList vms;
   private final LogServer platform;
   private final TargetServer targets;
   private final List<Node> nodes = new ArrayList<>();
 
-  DemoSystem(Scheduler clock, RandomGenerator random) {
+  DemoSystem(RuntimeClock clock, RandomGenerator random) {
     this.clock = clock;
     this.random = random;
     this.vms = new MemoryVmList(clock);
