Keep fingerprints of home-bound calls at home

Cause: crash counts of a request went to every VM, also outside the home regions of its route. Change: the listener of crashes learns the home regions and tells VMs there only; each gateway of the schedules has targets of its own. Conclusion: the check for home regions now covers fingerprints too.

--- a/src/main/java/org/radishpost/bench/PoolModel.java
+++ b/src/main/java/org/radishpost/bench/PoolModel.java
@@ -144,7 +144,8 @@
     int poolCount = variant.owned() ? 1 : ENTRY_VMS;
     for (int i = 0; i < poolCount; i++) {
       PoolId id = new PoolId(GATEWAY, SERVICE, PLACE, 0);
-      SuspectRegistry suspects = new SuspectRegistry(new VmId("vm-" + i), (f, points) -> {});
+      SuspectRegistry suspects =
+          new SuspectRegistry(new VmId("vm-" + i), (regions, f, points) -> {});
       Pool pool =
           Pools.create(variant.policy(), id, variant.limits(), choices.split(), suspects, () -> 1);
       pool.configure(service, service.targets(), 0, action -> act(pool, action));
--- a/src/main/java/org/radishpost/node/VmCore.java
+++ b/src/main/java/org/radishpost/node/VmCore.java
@@ -22,12 +22,14 @@
 import org.radishpost.http.Hops;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.PoolId;
+import org.radishpost.lib.RegionName;
 import org.radishpost.lib.VmId;
 import org.radishpost.link.LinkMessage;
 import org.radishpost.link.Links;
 import org.radishpost.link.PeerEvent;
 import org.radishpost.manifest.ManifestCodec;
 import org.radishpost.manifest.ManifestValidator;
+import org.radishpost.membership.Member;
 import org.radishpost.membership.MemberTable;
 import org.radishpost.platform.PlatformLog;
 import org.radishpost.platform.VmEntry;
@@ -292,12 +294,13 @@
     };
   }
 
-  private void tellSuspect(Digest fingerprint, int points) {
+  private void tellSuspect(Set<RegionName> homeRegions, Digest fingerprint, int points) {
     events.emit(EventCode.SUSPECT_COUNTED, EventField.of("points", points));
     LinkMessage message = new LinkMessage.SuspectSeen(fingerprint, points);
     table.all().stream()
-        .map(member -> member.entry().id())
-        .filter(vm -> !vm.equals(self.id()))
-        .forEach(vm -> links.tell(vm, message));
+        .map(Member::entry)
+        .filter(vm -> !vm.id().equals(self.id()))
+        .filter(vm -> homeRegions.isEmpty() || homeRegions.contains(vm.place().region()))
+        .forEach(vm -> links.tell(vm.id(), message));
   }
 }
--- a/src/main/java/org/radishpost/pool/CrashWatch.java
+++ b/src/main/java/org/radishpost/pool/CrashWatch.java
@@ -87,7 +87,8 @@
   private void blame(Crash crash, long nowNanos) {
     for (CallFacts call : crash.dead) {
       Optional<Digest> fingerprint = call.fingerprint();
-      fingerprint.ifPresent(f -> suspects.crashed(f, crash.dead.size(), nowNanos));
+      fingerprint.ifPresent(
+          f -> suspects.crashed(call.homeRegions(), f, crash.dead.size(), nowNanos));
     }
   }
 
--- a/src/main/java/org/radishpost/suspects/SuspectListener.java
+++ b/src/main/java/org/radishpost/suspects/SuspectListener.java
@@ -1,6 +1,8 @@
 package org.radishpost.suspects;
 
+import java.util.Set;
 import org.radishpost.lib.Digest;
+import org.radishpost.lib.RegionName;
 
 /** Learns of the crashes that this VM counts; must not block. */
 @FunctionalInterface
@@ -8,8 +10,9 @@
   /**
    * A target has crashed while the request ran on it.
    *
+   * @param homeRegions the only regions that may hear of it; empty for all
    * @param fingerprint the digest of the request
    * @param points what this VM has counted for it, see {@link SuspectRegistry#CRASH_POINTS}
    */
-  void counted(Digest fingerprint, int points);
+  void counted(Set<RegionName> homeRegions, Digest fingerprint, int points);
 }
--- a/src/main/java/org/radishpost/suspects/SuspectRegistry.java
+++ b/src/main/java/org/radishpost/suspects/SuspectRegistry.java
@@ -3,7 +3,9 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.radishpost.lib.Digest;
+import org.radishpost.lib.RegionName;
 import org.radishpost.lib.VmId;
 
 /**
@@ -49,10 +51,12 @@
   /**
    * Takes note that a target crashed while the request ran on it.
    *
+   * @param homeRegions the only regions that may hear of the request; empty for all
+   * @param fingerprint the digest of the request
    * @param sharers how many requests died with the target, this one among them
    */
-  public void crashed(Digest fingerprint, int sharers, long nowNanos) {
-    listener.counted(fingerprint, count(fingerprint, sharers, nowNanos));
+  public void crashed(Set<RegionName> homeRegions, Digest fingerprint, int sharers, long nowNanos) {
+    listener.counted(homeRegions, fingerprint, count(fingerprint, sharers, nowNanos));
   }
 
   /** Takes the points that another VM has counted for a request. */
--- a/src/test/java/org/radishpost/config/ConfigWorld.java
+++ b/src/test/java/org/radishpost/config/ConfigWorld.java
@@ -4,17 +4,21 @@
 import java.io.InputStream;
 import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.radishpost.errors.LogUnavailableException;
 import org.radishpost.errors.ManifestException;
+import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.VmId;
 import org.radishpost.manifest.Manifest;
 import org.radishpost.manifest.ManifestCodec;
 import org.radishpost.manifest.ManifestTest;
 import org.radishpost.manifest.ManifestValidator;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.manifest.TargetSpec;
 import org.radishpost.node.ConfigReplicaService;
 import org.radishpost.platform.LogPage;
 import org.radishpost.platform.LogRecord;
@@ -84,8 +88,27 @@
   }
 
   static Manifest manifest(String gateway, long baseVersion) {
+    List<ServiceSpec> services =
+        VALID.services().stream().map(service -> ownTargets(service, gateway)).toList();
     return new Manifest(
-        new GatewayName(gateway), VALID.tenant(), baseVersion, VALID.services(), VALID.routes());
+        new GatewayName(gateway), VALID.tenant(), baseVersion, services, VALID.routes());
+  }
+
+  /** Gives each gateway targets of its own, as no two may share one. */
+  private static ServiceSpec ownTargets(ServiceSpec service, String gateway) {
+    int shift = 100 * (gateway.charAt(gateway.length() - 1) - '0');
+    List<TargetSpec> targets =
+        service.targets().stream()
+            .map(
+                target ->
+                    new TargetSpec(
+                        new Endpoint(target.address().ip(), target.address().port() + shift),
+                        target.place(),
+                        target.slots(),
+                        target.connections()))
+            .toList();
+    return new ServiceSpec(
+        service.name(), targets, service.coldStart(), service.probe(), service.ejectPercent());
   }
 
   private static Manifest valid() {
--- a/src/test/java/org/radishpost/node/ScenarioNet.java
+++ b/src/test/java/org/radishpost/node/ScenarioNet.java
@@ -31,6 +31,7 @@
 
   private final Scheduler time;
   private final Map<VmId, Port> ports = new LinkedHashMap<>();
+  final Map<String, Integer> suspectsHeard = new LinkedHashMap<>();
   private final Set<Set<VmId>> cuts = new HashSet<>();
 
   ScenarioNet(Scheduler time) {
@@ -138,6 +139,9 @@
       if (!linked.contains(peer)) {
         return false;
       }
+      if (message instanceof LinkMessage.SuspectSeen) {
+        suspectsHeard.merge(ports.get(peer).entry.place().region().value(), 1, Integer::sum);
+      }
       way(this, ports.get(peer))
           .subscribe(t -> ports.get(peer).emitted.tryEmitNext(new PeerEvent.Told(id(), message)));
       return true;
--- a/src/test/java/org/radishpost/node/ScenarioSteps.java
+++ b/src/test/java/org/radishpost/node/ScenarioSteps.java
@@ -10,8 +10,10 @@
 import io.cucumber.java.en.When;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.radishpost.config.ConfigChange;
 import org.radishpost.config.PublishResult;
 import org.radishpost.config.Scope;
@@ -87,13 +89,13 @@
   }
 
   /** Sends a request that crashes targets. */
-  @When("a request that crashes targets is sent {int} times")
-  public void poison(int times) {
+  @When("a {string} request that crashes targets is sent {int} times")
+  public void poison(String path, int times) {
     world.targets.all().forEach(target -> target.crashMarker = "poison");
     for (int i = 0; i < times; i++) {
       world
           .readyVm()
-          .ifPresent(vm -> world.send(vm, "/lookup", Map.of(ScenarioTargets.CRASH, "poison")));
+          .ifPresent(vm -> world.send(vm, path, Map.of(ScenarioTargets.CRASH, "poison")));
       world.load("/lookup", 50, Duration.ofMillis(500));
     }
   }
@@ -312,6 +314,9 @@
       }
     }
     world.vms.values().forEach(vm -> assertTrue(vm.homeViolations.isEmpty()));
+    Set<String> heard = new HashSet<>(world.net.suspectsHeard.keySet());
+    heard.remove(region);
+    assertEquals(heard, Set.of(), "fingerprints left the region");
   }
 
   /** Every VM has the newest configuration, and none ever went back. */
--- a/src/test/java/org/radishpost/pool/PoolFixture.java
+++ b/src/test/java/org/radishpost/pool/PoolFixture.java
@@ -71,6 +71,6 @@
   }
 
   static SuspectRegistry suspects() {
-    return new SuspectRegistry(new VmId("vm-1"), (f, points) -> {});
+    return new SuspectRegistry(new VmId("vm-1"), (regions, f, points) -> {});
   }
 }
--- a/src/test/java/org/radishpost/pool/PoolWorld.java
+++ b/src/test/java/org/radishpost/pool/PoolWorld.java
@@ -23,7 +23,7 @@
   final Map<Endpoint, FakeTarget> targets = new HashMap<>();
   final List<String> faults = new ArrayList<>();
   final Map<HandBackReason, Integer> handBacks = new HashMap<>();
-  final SuspectRegistry suspects = new SuspectRegistry(new VmId("vm"), (f, points) -> {});
+  final SuspectRegistry suspects = new SuspectRegistry(new VmId("vm"), (regions, f, points) -> {});
   final int ejectQuota;
   long now;
   int answered;
--- a/src/test/java/org/radishpost/suspects/SuspectRegistryTest.java
+++ b/src/test/java/org/radishpost/suspects/SuspectRegistryTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Set;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.VmId;
 import org.testng.annotations.Test;
@@ -15,8 +16,8 @@
 
   @Test
   public void threeCrashesOverAllVmsCondemnAndRepeatsDoNotCount() {
-    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (f, points) -> {});
-    registry.crashed(KILLER, 1, 0);
+    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (regions, f, points) -> {});
+    registry.crashed(Set.of(), KILLER, 1, 0);
     for (int i = 0; i < 5; i++) {
       registry.merge(OTHER, KILLER, SuspectRegistry.CRASH_POINTS, 0);
     }
@@ -28,7 +29,7 @@
 
   @Test
   public void fullAnswerClears() {
-    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (f, points) -> {});
+    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (regions, f, points) -> {});
     registry.merge(OTHER, KILLER, 3 * SuspectRegistry.CRASH_POINTS, 0);
     registry.answered(KILLER);
     assertFalse(registry.condemned(KILLER, 0));
@@ -36,9 +37,9 @@
 
   @Test
   public void memoryIsBounded() {
-    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (f, points) -> {});
+    SuspectRegistry registry = new SuspectRegistry(new VmId("vm-1"), (regions, f, points) -> {});
     for (int i = 0; i < SuspectRegistry.MAX_SUSPECTS + 10; i++) {
-      registry.crashed(Digest.of("request " + i), 1, 0);
+      registry.crashed(Set.of(), Digest.of("request " + i), 1, 0);
     }
     assertEquals(registry.size(), SuspectRegistry.MAX_SUSPECTS);
   }
--- a/src/test/resources/org/radishpost/scenarios/faults.feature
+++ b/src/test/resources/org/radishpost/scenarios/faults.feature
@@ -84,7 +84,7 @@
   Scenario: A request that crashes targets is sent again and again
     Given a deployment with seed 45
     When "/lookup" calls come at 100 per second for 1 seconds
-    And a request that crashes targets is sent 12 times
+    And a "/lookup" request that crashes targets is sent 12 times
     Then at most 6 targets crashed
     And no cold target had more than it bears
     And every not-run is true
--- a/src/test/resources/org/radishpost/scenarios/promises.feature
+++ b/src/test/resources/org/radishpost/scenarios/promises.feature
@@ -35,6 +35,7 @@
     And "/home" calls come at 300 per second for 2 seconds
     And the targets of "lo-2" become slow
     And "/home" calls come at 300 per second for 2 seconds
+    And a "/home" request that crashes targets is sent 12 times
     Then no home-bound call left "lockyer"
     And every not-run is true
 
