Begin a shutdown only when it is asked for

Each VM said "The VM is about to stop" from its start: serve built the shutdown when it began to wait for the signal, and building it ran its first steps. No test started a process; the demo built its shutdown late. Conclusion: a test now builds a shutdown without running it.

--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -199,6 +199,10 @@
    * lets running requests end.
    */
   public Mono<Void> stop() {
+    return Mono.defer(this::stopNow);
+  }
+
+  private Mono<Void> stopNow() {
     events.emit(EventCode.STOPPING);
     core.state().stopping();
     return Mono.delay(settings.shutdown().balancerWait(), clock)
--- a/src/main/java/org/radishpost/pgm/BenchCommand.java
+++ b/src/main/java/org/radishpost/pgm/BenchCommand.java
@@ -22,6 +22,7 @@
 import org.radishpost.manifest.ManifestCodec;
 import org.radishpost.node.RuntimeClock;
 import org.radishpost.settings.NodeSettings;
+import org.radishpost.settings.NodeSettings.LogFormat;
 import org.radishpost.settings.SettingsCodec;
 import reactor.core.scheduler.Schedulers;
 
@@ -88,7 +89,7 @@
 
   @Override
   protected ExitCode run() throws RadishpostException {
-    System.setProperty("radishpost.log", "text");
+    LogForm.use(LogFormat.TEXT);
     LoadPlan plan =
         planFile.isEmpty() ? deploymentPlan() : LoadPlan.read(Files.read(Path.of(planFile)));
     LoadDriver driver =
--- a/src/main/java/org/radishpost/pgm/DemoCommand.java
+++ b/src/main/java/org/radishpost/pgm/DemoCommand.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.node.RuntimeClock;
+import org.radishpost.settings.NodeSettings.LogFormat;
 
 /** Runs the whole system in one process on loopback, to try it out. */
 @Command(
@@ -26,7 +27,7 @@
 
   @Override
   protected ExitCode run() throws RadishpostException {
-    System.setProperty("radishpost.log", "text");
+    LogForm.use(LogFormat.TEXT);
     final StopSignal stop = StopSignal.listen();
     DemoSystem demo = new DemoSystem(new RuntimeClock(), new SecureRandom());
     demo.start(port);
--- a/src/main/java/org/radishpost/pgm/DemoSystem.java
+++ b/src/main/java/org/radishpost/pgm/DemoSystem.java
@@ -107,6 +107,11 @@
     return nodes.stream().map(Node::admin).toList();
   }
 
+  /** Returns the VMs. */
+  List<Node> nodes() {
+    return List.copyOf(nodes);
+  }
+
   /** Returns how often targets ran a call with the idempotency key. */
   long runs(String key) {
     return targets.runs(key);
--- a/src/main/java/org/radishpost/pgm/ServeCommand.java
+++ b/src/main/java/org/radishpost/pgm/ServeCommand.java
@@ -30,8 +30,7 @@
   @Override
   protected ExitCode run() throws RadishpostException {
     NodeSettings settings = new SettingsCodec().decode(Files.read(Path.of(settingsFile)));
-    System.setProperty(
-        "radishpost.log", settings.logFormat() == NodeSettings.LogFormat.JSON ? "json" : "text");
+    LogForm.use(settings.logFormat());
     StopSignal stop = StopSignal.listen();
     Node node =
         new Node(
--- a/src/test/java/org/radishpost/pgm/WholePathTest.java
+++ b/src/test/java/org/radishpost/pgm/WholePathTest.java
@@ -17,13 +17,16 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.http.Readiness;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.Endpoint;
+import org.radishpost.node.Node;
 import org.radishpost.node.RuntimeClock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 /** Real requests through three VMs on loopback. */
 public class WholePathTest {
@@ -59,6 +62,14 @@
     }
   }
 
+  @Test
+  public void shutdownBeginsOnlyWhenItIsSubscribed() throws Exception {
+    Node node = demo.nodes().getFirst();
+    Mono<Void> shutdown = node.stop();
+    HttpResponse<String> answer = send(get(node.edge(), Readiness.PATH));
+    assertEquals(answer.statusCode(), 200, answer.body() + shutdown);
+  }
+
   @Test
   public void largeUploadArrivesWhole() throws Exception {
     byte[] body = new byte[LARGE_BYTES];
