Say unknown when a hedge was lost and the first send did not run

Cause: of two sends the first was kept when it was shed or unreachable, also when the second had been lost. The caller then heard not-run, which need not be true. Found by reading. Change: a result that may have run goes before one that did not. Conclusion: not-run stays true for hedged calls.

--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -160,11 +160,11 @@
         && answered.reply().status() < SERVER_ERROR;
   }
 
-  private static CallResult better(CallResult first, CallResult second) {
-    if (wins(second) || first instanceof CallResult.HandedBack) {
-      return second;
-    }
-    return first;
+  /** Returns the result that is true of both sends: one that may have run goes before not-run. */
+  static CallResult better(CallResult first, CallResult second) {
+    boolean firstMayHaveRun =
+        first instanceof CallResult.Answered || first instanceof CallResult.Lost;
+    return wins(second) || !firstMayHaveRun ? second : first;
   }
 
   private Mono<CallResult> run(Call call, PoolId pool) {
--- /dev/null
+++ b/src/test/java/org/radishpost/node/CallRouterTest.java
@@ -0,0 +1,22 @@
+package org.radishpost.node;
+
+import static org.testng.Assert.assertSame;
+
+import java.util.Optional;
+import org.radishpost.errors.NotConnectedException;
+import org.radishpost.http.CallResult;
+import org.testng.annotations.Test;
+
+/** What a hedged call says of its two sends. */
+public class CallRouterTest {
+  @Test
+  public void lostHedgeIsNotHiddenByFirstSendThatDidNotRun() {
+    CallResult lost = ScenarioVm.lost();
+    CallResult shed = new CallResult.Shed(Optional.empty());
+    CallResult unreachable =
+        new CallResult.Unreachable(new NotConnectedException("Not there: start it."));
+    assertSame(CallRouter.better(shed, lost), lost);
+    assertSame(CallRouter.better(unreachable, lost), lost);
+    assertSame(CallRouter.better(lost, shed), lost);
+  }
+}
