--- a/src/main/java/org/radishpost/admin/PrometheusText.java
+++ b/src/main/java/org/radishpost/admin/PrometheusText.java
@@ -16,13 +16,14 @@
  * counters, gauges of numbers become gauges, histograms and timers become summaries in the unit
  * that their name says.
  */
-final class PrometheusText {
+public final class PrometheusText {
   private static final String PREFIX = "radishpost_";
   private static final double[] QUANTILES = {0.5, 0.99, 0.999};
 
   private PrometheusText() {}
 
-  static String of(MetricRegistry registry) {
+  /** Returns the text of all metrics. */
+  public static String of(MetricRegistry registry) {
     Map<String, StringBuilder> families = new TreeMap<>();
     new TreeMap<>(registry.getMetrics())
         .forEach((name, metric) -> write(MetricName.parse(name), metric, families));
--- a/src/main/java/org/radishpost/bench/ClaimModel.java
+++ b/src/main/java/org/radishpost/bench/ClaimModel.java
@@ -19,8 +19,8 @@
 import org.radishpost.claims.ClaimRequest;
 import org.radishpost.claims.ClaimShard;
 import org.radishpost.lib.Digest;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
--- a/src/main/java/org/radishpost/bench/CountingLog.java
+++ b/src/main/java/org/radishpost/bench/CountingLog.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
-import org.radishpost.platform.PlatformLog;
-import org.radishpost.platform.http.LogJson;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
+import org.radishpost.store.PlatformLog;
+import org.radishpost.store.http.LogJson;
 import reactor.core.publisher.Mono;
 
 /** Counts the reads of a log and the bytes of their bodies; thread-safe. */
--- a/src/main/java/org/radishpost/bench/LinkModel.java
+++ b/src/main/java/org/radishpost/bench/LinkModel.java
@@ -21,7 +21,7 @@
 import org.radishpost.link.PeerEvent;
 import org.radishpost.link.PeerTraffic;
 import org.radishpost.link.TcpLinks;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
--- a/src/main/java/org/radishpost/bench/MembershipModel.java
+++ b/src/main/java/org/radishpost/bench/MembershipModel.java
@@ -23,7 +23,7 @@
 import org.radishpost.membership.Member;
 import org.radishpost.membership.MemberTable;
 import org.radishpost.membership.PeerPlan;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
--- a/src/main/java/org/radishpost/claims/ClaimShard.java
+++ b/src/main/java/org/radishpost/claims/ClaimShard.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
 
 /**
  * Decides the claims of one shard by the order of its stream on the log.
--- a/src/main/java/org/radishpost/config/ConfigAction.java
+++ b/src/main/java/org/radishpost/config/ConfigAction.java
@@ -5,7 +5,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** What {@link ConfigReplica} wants done. */
 public sealed interface ConfigAction {
--- a/src/main/java/org/radishpost/config/ConfigEvent.java
+++ b/src/main/java/org/radishpost/config/ConfigEvent.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
 
 /** What {@link ConfigReplica} is told. */
 public sealed interface ConfigEvent {
--- a/src/main/java/org/radishpost/config/ConfigFold.java
+++ b/src/main/java/org/radishpost/config/ConfigFold.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.radishpost.errors.ManifestException;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** Applies the records of the configuration stream to a state, one after the other; thread-safe. */
 public final class ConfigFold {
--- a/src/main/java/org/radishpost/config/ConfigReplica.java
+++ b/src/main/java/org/radishpost/config/ConfigReplica.java
@@ -8,8 +8,8 @@
 import org.radishpost.errors.ManifestException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
 
 /**
  * One VM's copy of the configuration: takes events and returns what is to be done.
--- a/src/main/java/org/radishpost/config/LogContact.java
+++ b/src/main/java/org/radishpost/config/LogContact.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.radishpost.platform.LogPage;
+import org.radishpost.store.LogPage;
 
 /** When the log was last heard, and what its clock shows; not thread-safe. */
 final class LogContact {
--- a/src/main/java/org/radishpost/config/LogOrderRules.java
+++ b/src/main/java/org/radishpost/config/LogOrderRules.java
@@ -1,7 +1,7 @@
 package org.radishpost.config;
 
 import java.util.Optional;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** Order on the log decides, and a snapshot bears the versions of what it holds. */
 final class LogOrderRules implements ReplicaRules {
--- a/src/main/java/org/radishpost/config/RecentRecords.java
+++ b/src/main/java/org/radishpost/config/RecentRecords.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** The last records applied, without gaps, within a bound of bytes; not thread-safe. */
 final class RecentRecords {
--- a/src/main/java/org/radishpost/config/ReplicaRules.java
+++ b/src/main/java/org/radishpost/config/ReplicaRules.java
@@ -1,7 +1,7 @@
 package org.radishpost.config;
 
 import java.util.Optional;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** The rules that keep all replicas alike; an interface so that tests can break them. */
 interface ReplicaRules {
--- a/src/main/java/org/radishpost/config/SnapshotKeeper.java
+++ b/src/main/java/org/radishpost/config/SnapshotKeeper.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.radishpost.platform.LogPage;
+import org.radishpost.store.LogPage;
 
 /**
  * When the snapshot stream is read, and when this VM writes a snapshot to it; not thread-safe.
--- /dev/null
+++ b/src/main/java/org/radishpost/direct/AnswerFacts.java
@@ -0,0 +1,22 @@
+package org.radishpost.direct;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.radishpost.placement.LoadSample;
+import org.radishpost.placement.TargetId;
+
+/**
+ * What an answer of a target says beside its body.
+ *
+ * @param notRun whether it says that the target did not run the request
+ * @param genuine whether it bears the proof that a target's application made it
+ * @param answeredBy the target that names itself in it
+ * @param load the load that it reports
+ * @param coldLeft how much longer the target stays cold
+ */
+public record AnswerFacts(
+    boolean notRun,
+    boolean genuine,
+    Optional<TargetId> answeredBy,
+    Optional<LoadSample> load,
+    Optional<Duration> coldLeft) {}
--- /dev/null
+++ b/src/main/java/org/radishpost/direct/DirectAttempt.java
@@ -0,0 +1,84 @@
+package org.radishpost.direct;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.http.Call;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.placement.PlacedCall;
+import org.radishpost.placement.TargetId;
+import org.radishpost.placement.TrackedTarget;
+
+/** How far a call has come: where it was sent and whether it may have run. */
+final class DirectAttempt {
+  private final Call call;
+  private final ServiceName service;
+  private final PlacedCall placed;
+  private final Set<TargetId> tried = new HashSet<>();
+  private Optional<TrackedTarget> last = Optional.empty();
+  private boolean open;
+  private boolean ran;
+  private int arrivals;
+
+  DirectAttempt(Call call, ServiceName service, PlacedCall placed) {
+    this.call = call;
+    this.service = service;
+    this.placed = placed;
+  }
+
+  Call call() {
+    return call;
+  }
+
+  ServiceName service() {
+    return service;
+  }
+
+  PlacedCall placed() {
+    return placed;
+  }
+
+  /** Returns the targets that it is not sent to again. */
+  Set<TargetId> tried() {
+    return tried;
+  }
+
+  /** Returns the target that it was last sent to. */
+  Optional<TrackedTarget> last() {
+    return last;
+  }
+
+  /** Tells whether a target may have run it, as far as is known. */
+  boolean mayHaveRun() {
+    return ran || open;
+  }
+
+  /** Returns the targets that it has reached, as far as is known. */
+  int arrivals() {
+    return arrivals;
+  }
+
+  void sentTo(TrackedTarget target) {
+    tried.add(target.target().id());
+    last = Optional.of(target);
+    open = true;
+    arrivals++;
+  }
+
+  /** Takes note that the call never reached the target that it was last sent to. */
+  void notReached() {
+    open = false;
+    arrivals--;
+  }
+
+  /** Takes note that the target that it was last sent to says that it did not run it. */
+  void notRun() {
+    open = false;
+  }
+
+  /** Takes note that the last send has ended and that the target may have run the call. */
+  void endedUnknown() {
+    open = false;
+    ran = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/direct/DirectParts.java
@@ -0,0 +1,59 @@
+package org.radishpost.direct;
+
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.radishpost.admission.RetryShare;
+import org.radishpost.config.Configuration;
+import org.radishpost.events.EventSink;
+import org.radishpost.http.CallHandler;
+import org.radishpost.http.CallSender;
+import org.radishpost.lib.Place;
+import org.radishpost.placement.Placement;
+import org.radishpost.placement.TargetDirectory;
+import org.radishpost.placement.WorkTimes;
+import reactor.core.scheduler.Scheduler;
+
+/** Joins the parts of the straight way; call {@link #router} once a process. */
+public final class DirectParts {
+  private DirectParts() {}
+
+  /**
+   * Returns the handler of calls.
+   *
+   * @param self where this VM runs
+   * @param configuration the configuration in force
+   * @param directory the targets
+   * @param protocol how targets are spoken to
+   * @param sender sends calls and questions to targets
+   * @param retries this VM's share of the retries
+   * @param requestIdField the field that names a request
+   * @param clock the clock and timers
+   * @param random spreads the times at which callers come back
+   * @param events where events go
+   */
+  public static CallHandler router(
+      Place self,
+      Supplier<Configuration> configuration,
+      TargetDirectory directory,
+      TargetProtocol protocol,
+      CallSender sender,
+      RetryShare retries,
+      String requestIdField,
+      Scheduler clock,
+      RandomGenerator random,
+      EventSink events) {
+    WorkTimes times = new WorkTimes();
+    return new DirectRouter(
+        configuration,
+        directory,
+        new Placement(self, times),
+        times,
+        new LoadProber(sender, protocol, clock, events),
+        protocol,
+        sender,
+        retries,
+        new CallLog(events, requestIdField),
+        clock,
+        random);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/direct/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a call straight from the VM that took it to a target. */
+package org.radishpost.direct;
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -18,6 +18,8 @@
   STOPPING(1004, Level.INFO),
   /** The process has stopped. */
   STOPPED(1005, Level.INFO),
+  /** The settings file was read again. */
+  SETTINGS_RELOADED(1006, Level.INFO),
 
   /** A newer configuration is in force on this VM. */
   CONFIG_APPLIED(2001, Level.INFO),
@@ -34,6 +36,9 @@
   /** A peer wanted more of the configuration than one message to it could hold or carry. */
   CONFIG_PEER_UNSERVED(2007, Level.WARN),
 
+  /** A desired state or a part of it can't be read; the one before stays in force. */
+  CONFIG_UNREADABLE(2008, Level.ERROR),
+
   /** A link to a peer stands. */
   LINK_UP(3001, Level.INFO),
   /** No link to the peer stands any more, or it could not be reached. */
@@ -52,6 +57,19 @@
   /** The retry budget of this VM is used up. */
   RETRY_BUDGET_EMPTY(4204, Level.WARN),
 
+  /** A call was refused: it has not run. */
+  CALL_REFUSED(4205, Level.INFO),
+  /** A call failed: it may have run. */
+  CALL_FAILED(4206, Level.INFO),
+  /** A call was sent to another target. */
+  CALL_RESENT(4207, Level.INFO),
+  /** A caller left before its answer. */
+  CALL_ABANDONED(4208, Level.INFO),
+  /** One of many calls that went well. */
+  CALL_ANSWERED(4209, Level.INFO),
+  /** So many lines on calls were left out to bound the log. */
+  CALL_LINES_LEFT_OUT(4210, Level.INFO),
+
   /** This VM became the owner of a pool. */
   POOL_TAKEN(5001, Level.INFO),
   /** This VM gave a pool up. */
@@ -65,6 +83,17 @@
   /** A request that crashes targets was refused. */
   SUSPECT_REFUSED(5006, Level.WARN),
 
+  /** A target has registered itself. */
+  TARGET_REGISTERED(5007, Level.INFO),
+  /** A target reports that it is leaving. */
+  TARGET_LEAVING(5008, Level.INFO),
+  /** A target's entry is gone. */
+  TARGET_GONE(5009, Level.INFO),
+  /** A target's entry can't be read; it names no target to use. */
+  TARGET_ENTRY_UNREADABLE(5010, Level.WARN),
+  /** A target doesn't answer or isn't well; it gets a pause. */
+  TARGET_PAUSED(5011, Level.INFO),
+
   /** This VM has read a claim stream through and answers for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
   /** A record of a claim stream is not of a known version. */
@@ -86,7 +115,13 @@
   /** The platform's log has been silent for long. */
   LOG_SILENT(8001, Level.WARN),
   /** The platform's log answers again. */
-  LOG_HEARD(8002, Level.INFO);
+  LOG_HEARD(8002, Level.INFO),
+  /** The platform's store doesn't answer for a topic. */
+  STORE_LOST(8003, Level.WARN),
+  /** The platform's store answers again for a topic. */
+  STORE_REGAINED(8004, Level.INFO),
+  /** The records that come next were deleted; the topic is read anew. */
+  STORE_RESYNC(8005, Level.INFO);
 
   /** How much an event matters. */
   public enum Level {
--- a/src/main/java/org/radishpost/http/EdgeNumbers.java
+++ b/src/main/java/org/radishpost/http/EdgeNumbers.java
@@ -10,19 +10,19 @@
 final class EdgeNumbers {
   private static final int MAX_DEPTH = 64;
   private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,40}");
-  private static final List<String> FIELDS =
-      List.of(HeaderNames.DEADLINE_MILLIS, HeaderNames.DEPTH, HeaderNames.RETRIES_LEFT);
+  private static final List<String> FIELDS = List.of(HeaderNames.DEPTH, HeaderNames.RETRIES_LEFT);
 
   private EdgeNumbers() {}
 
   /** Tells whether a field is given twice or is not a whole number. */
-  static boolean malformed(HttpHeaders headers) {
-    return FIELDS.stream().anyMatch(name -> wrong(headers.getAll(name)));
+  static boolean malformed(HttpHeaders headers, EdgeDialect dialect) {
+    return wrong(headers.getAll(dialect.deadlineField()))
+        || FIELDS.stream().anyMatch(name -> wrong(headers.getAll(name)));
   }
 
   /** Returns the time that the caller gives, in milliseconds; 0 when it is over. */
-  static long deadlineMillis(HttpHeaders headers, long max) {
-    return bounded(headers, HeaderNames.DEADLINE_MILLIS, max, max);
+  static long deadlineMillis(HttpHeaders headers, EdgeDialect dialect, long max) {
+    return bounded(headers, dialect.deadlineField(), max, max);
   }
 
   /** Returns how many calls lie above the call. */
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -39,6 +39,7 @@
  */
 public final class EdgeServer {
   private final Endpoint address;
+  private final EdgeDialect dialect;
   private final RegionName region;
   private final LimitSettings limits;
   private final Scheduler clock;
@@ -55,6 +56,7 @@
    * Creates a server.
    *
    * @param address where it listens
+   * @param dialect how callers speak to it
    * @param region the region of this VM
    * @param limits bounds on what it takes
    * @param clock the clock for deadlines
@@ -66,6 +68,7 @@
    */
   public EdgeServer(
       Endpoint address,
+      EdgeDialect dialect,
       RegionName region,
       LimitSettings limits,
       Scheduler clock,
@@ -75,6 +78,7 @@
       CallHandler handler,
       AtomicLong calls) {
     this.address = address;
+    this.dialect = dialect;
     this.region = region;
     this.limits = limits;
     this.clock = clock;
@@ -139,7 +143,7 @@
     if (request.uri().equals(Readiness.PATH)) {
       return ReplyWriter.write(readiness.reply(), request.method().name(), response);
     }
-    Optional<Problem> fault = RequestCheck.fault(request);
+    Optional<Problem> fault = RequestCheck.fault(request, dialect);
     if (fault.isPresent()) {
       return ReplyWriter.refuseAndClose(fault.get(), response);
     }
@@ -147,7 +151,7 @@
       response.header("connection", "close");
     }
     Optional<RouteMatch> match =
-        RequestTarget.path(request.uri())
+        RequestCheck.path(request.uri(), dialect)
             .flatMap(
                 path ->
                     routes.get().find(RequestCheck.host(request), request.method().name(), path));
@@ -162,7 +166,7 @@
   }
 
   private Optional<Problem> refusal(HttpServerRequest request, RouteMatch match) {
-    if (!match.route().allows(region)) {
+    if (dialect.refusesOutsideHome() && !match.route().allows(region)) {
       return Optional.of(Problems.outsideHome(match.route().homeRegions()));
     }
     if (!readiness.mayServe()) {
@@ -184,7 +188,7 @@
     AtomicBoolean excess = new AtomicBoolean();
     Flux<ByteBuf> bytes =
         BodyTooLarge.bound(request.receive(), match.route().maxBodyBytes(), () -> excess.set(true));
-    RequestHead head = RequestCheck.onward(request);
+    RequestHead head = RequestCheck.onward(request, dialect);
     return CallBody.read(bytes, limits.replayBytes())
         .timeout(limit, Mono.error(BodyTooLate::new), clock)
         .map(body -> call(request.requestHeaders(), head, match, body, deadline))
@@ -236,9 +240,9 @@
     return Problems.bodyTooLarge(match.route().maxBodyBytes(), verdict);
   }
 
-  private static Duration limit(HttpServerRequest request, RouteMatch match) {
+  private Duration limit(HttpServerRequest request, RouteMatch match) {
     long most = match.route().deadline().toMillis();
-    return Duration.ofMillis(EdgeNumbers.deadlineMillis(request.requestHeaders(), most));
+    return Duration.ofMillis(EdgeNumbers.deadlineMillis(request.requestHeaders(), dialect, most));
   }
 
   private Call call(
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -14,9 +14,9 @@
 import org.radishpost.lib.VmId;
 import org.radishpost.link.LinkSession;
 import org.radishpost.link.Links;
-import org.radishpost.platform.VmEntry;
 import org.radishpost.pool.HandBackReason;
 import org.radishpost.pool.PoolView;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
--- a/src/main/java/org/radishpost/http/Hops.java
+++ b/src/main/java/org/radishpost/http/Hops.java
@@ -2,7 +2,7 @@
 
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 
 /** Sends calls to the VMs that own their pools; thread-safe. */
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -1,6 +1,7 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -34,6 +35,7 @@
  */
 public final class HttpSender implements CallSender {
   private final Scheduler clock;
+  private final boolean acceptsUnframed;
   private final ConnectionProvider connections;
   private final HttpClient client;
   private final OpenConnections open = new OpenConnections();
@@ -41,27 +43,19 @@
   /**
    * Creates a sender.
    *
-   * @param name the name in metrics
+   * @param options how calls are sent
    * @param clock the clock for time limits
    * @param loops the threads
-   * @param maxConnections the most connections to one address
-   * @param maxIdle how long a connection may have been idle
-   * @param connectLimit the longest wait for a connection
    */
-  public HttpSender(
-      String name,
-      Scheduler clock,
-      LoopResources loops,
-      int maxConnections,
-      Duration maxIdle,
-      Duration connectLimit) {
+  public HttpSender(SenderOptions options, Scheduler clock, LoopResources loops) {
     this.clock = clock;
+    this.acceptsUnframed = options.acceptsUnframed();
     this.connections =
-        ConnectionProvider.builder(name)
-            .maxConnections(maxConnections)
-            .maxIdleTime(maxIdle)
-            .pendingAcquireMaxCount(maxConnections)
-            .pendingAcquireTimeout(connectLimit)
+        ConnectionProvider.builder(options.name())
+            .maxConnections(options.maxConnections())
+            .maxIdleTime(options.maxIdle())
+            .pendingAcquireMaxCount(options.maxConnections())
+            .pendingAcquireTimeout(options.connectLimit())
             .lifo()
             .build();
     this.client =
@@ -73,15 +67,19 @@
             .compress(false)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
-                (observer, channel, remote) ->
-                    channel
-                        .pipeline()
-                        .addAfter(
-                            NettyPipeline.HttpCodec,
-                            InterimAnswers.class.getName(),
-                            new InterimAnswers()))
+                (observer, channel, remote) -> prepare(channel, options.correlationField()))
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectLimit.toMillis());
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectLimit().toMillis());
+  }
+
+  private static void prepare(Channel channel, Optional<String> correlationField) {
+    channel
+        .pipeline()
+        .addAfter(NettyPipeline.HttpCodec, InterimAnswers.class.getName(), new InterimAnswers())
+        .addAfter(
+            NettyPipeline.HttpCodec,
+            ForeignAnswers.class.getName(),
+            new ForeignAnswers(correlationField));
   }
 
   @Override
@@ -125,7 +123,7 @@
 
   private Mono<Reply> reply(String method, HttpClientResponse response, Connection connection) {
     HttpHeaders headers = endToEnd(response.responseHeaders());
-    if (!hasEnd(method, response)) {
+    if (!acceptsUnframed && !hasEnd(method, response)) {
       connection.dispose();
       return Mono.error(
           new AnswerCutException(
--- /dev/null
+++ b/src/main/java/org/radishpost/http/PageServer.java
@@ -0,0 +1,68 @@
+package org.radishpost.http;
+
+import java.util.Map;
+import java.util.function.Supplier;
+import org.radishpost.errors.StartException;
+import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Serves a few pages of the process's own, such as its readiness and its metrics.
+ *
+ * <p>Create it, {@link #start()} it once, and {@link #stop()} it once.
+ */
+public final class PageServer {
+  private static final int NOT_FOUND = 404;
+
+  private final Endpoint address;
+  private final Map<String, Supplier<Reply>> pages;
+  private final LoopResources loops;
+  private DisposableServer server;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param address where it listens
+   * @param pages the pages by their paths
+   * @param loops the threads
+   */
+  public PageServer(Endpoint address, Map<String, Supplier<Reply>> pages, LoopResources loops) {
+    this.address = address;
+    this.pages = Map.copyOf(pages);
+    this.loops = loops;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the address with the port in use
+   * @throws StartException if the address is taken
+   */
+  public Endpoint start() throws StartException {
+    HttpServer http =
+        HttpServer.create()
+            .host(address.ip())
+            .port(address.port())
+            .runOn(loops)
+            .handle(
+                (request, response) ->
+                    ReplyWriter.write(page(request.uri()), request.method().name(), response));
+    server = ServerStart.bind(http, address);
+    return new Endpoint(address.ip(), server.port());
+  }
+
+  /** Closes everything; ends when it is closed. */
+  public Mono<Void> stop() {
+    server.dispose();
+    return server.onDispose();
+  }
+
+  private Reply page(String uri) {
+    int query = uri.indexOf('?');
+    Supplier<Reply> page = pages.get(query < 0 ? uri : uri.substring(0, query));
+    return page == null ? Replies.text(NOT_FOUND, "no such page\n") : page.get();
+  }
+}
--- a/src/main/java/org/radishpost/http/Reply.java
+++ b/src/main/java/org/radishpost/http/Reply.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
 import java.util.Optional;
 import org.radishpost.lib.Verdict;
 import reactor.core.publisher.Flux;
@@ -24,6 +25,8 @@
     Flux<ByteBuf> body,
     Mono<HttpHeaders> trailers,
     Optional<Verdict> refusal) {
+  private static final double MILLIS_PER_SECOND = 1000;
+
   /** Returns an answer of the system itself with a small body. */
   public static Reply of(Problem problem) {
     byte[] bytes = problem.toJson();
@@ -39,6 +42,17 @@
         Optional.of(problem.verdict()));
   }
 
+  /** Returns the same answer with the time after which the caller may come back. */
+  public Reply withRetryAfter(Duration wait) {
+    double seconds = wait.toMillis() / MILLIS_PER_SECOND;
+    return new Reply(
+        status,
+        headers.copy().set("retry-after", String.valueOf(seconds)),
+        body,
+        trailers,
+        refusal);
+  }
+
   /** Returns the same answer with another body. */
   public Reply withBody(Flux<ByteBuf> other) {
     return new Reply(status, headers, other, trailers, refusal);
--- a/src/main/java/org/radishpost/http/RequestCheck.java
+++ b/src/main/java/org/radishpost/http/RequestCheck.java
@@ -21,7 +21,7 @@
   private RequestCheck() {}
 
   /** Returns what is wrong with the head, if anything. */
-  static Optional<Problem> fault(HttpServerRequest request) {
+  static Optional<Problem> fault(HttpServerRequest request, EdgeDialect dialect) {
     HttpHeaders headers = request.requestHeaders();
     if (!request.version().equals(HttpVersion.HTTP_1_1)) {
       return bad("Use HTTP/1.1.");
@@ -35,13 +35,13 @@
     if (!request.uri().startsWith("/")) {
       return bad("Send the path in origin form, with the host in the Host field.");
     }
-    if (RequestTarget.path(request.uri()).isEmpty()) {
+    if (path(request.uri(), dialect).isEmpty()) {
       return bad("Send a path without empty or dot segments, escaped slashes and bad characters.");
     }
     if (headers.getAll(HeaderNames.IDEMPOTENCY_KEY).size() > 1) {
       return bad("Send one Idempotency-Key.");
     }
-    if (EdgeNumbers.malformed(headers)) {
+    if (EdgeNumbers.malformed(headers, dialect)) {
       return bad("Send the radishpost fields as whole numbers.");
     }
     if (BODILESS.contains(request.method().name()) && bodyBytes(headers) != 0) {
@@ -60,6 +60,15 @@
     return Optional.empty();
   }
 
+  /** Returns the path that routes are matched with, without the query. */
+  static Optional<String> path(String target, EdgeDialect dialect) {
+    if (dialect.normalizesPath()) {
+      return RequestTarget.path(target);
+    }
+    int query = target.indexOf('?');
+    return Optional.of(query < 0 ? target : target.substring(0, query));
+  }
+
   /** Returns the host in lower case without the port. */
   static String host(HttpServerRequest request) {
     String host = request.requestHeaders().get("host", "").toLowerCase(Locale.ROOT);
@@ -76,9 +85,11 @@
   }
 
   /** Returns the head that is passed on. */
-  static RequestHead onward(HttpServerRequest request) {
+  static RequestHead onward(HttpServerRequest request, EdgeDialect dialect) {
     HttpHeaders kept = endToEnd(request.requestHeaders());
-    forwarded(request, kept);
+    if (dialect.addsForwardedFields()) {
+      forwarded(request, kept);
+    }
     return new RequestHead(request.method().name(), request.uri(), kept);
   }
 
--- a/src/main/java/org/radishpost/link/Handshake.java
+++ b/src/main/java/org/radishpost/link/Handshake.java
@@ -9,7 +9,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.radishpost.errors.LinkException;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * The proof of both ends that they hold the shared key, without input or output; for one thread.
--- a/src/main/java/org/radishpost/link/Link.java
+++ b/src/main/java/org/radishpost/link/Link.java
@@ -1,6 +1,6 @@
 package org.radishpost.link;
 
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 
 /** One proved connection to a peer; thread-safe. */
--- a/src/main/java/org/radishpost/link/LinkConnection.java
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -12,7 +12,7 @@
 import java.util.function.LongSupplier;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
--- a/src/main/java/org/radishpost/link/LinkMessage.java
+++ b/src/main/java/org/radishpost/link/LinkMessage.java
@@ -6,8 +6,8 @@
 import org.radishpost.claims.ClaimOutcome;
 import org.radishpost.claims.ClaimRequest;
 import org.radishpost.lib.Digest;
-import org.radishpost.platform.LogRecord;
 import org.radishpost.pool.PoolView;
+import org.radishpost.store.LogRecord;
 
 /** What VMs say to each other over a link once both have proved themselves. */
 public sealed interface LinkMessage {
--- a/src/main/java/org/radishpost/link/Links.java
+++ b/src/main/java/org/radishpost/link/Links.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.function.BiFunction;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/src/main/java/org/radishpost/link/PeerEvent.java
+++ b/src/main/java/org/radishpost/link/PeerEvent.java
@@ -1,7 +1,7 @@
 package org.radishpost.link;
 
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** What happens on the links of this VM. */
 public sealed interface PeerEvent {
--- a/src/main/java/org/radishpost/link/PeerLinks.java
+++ b/src/main/java/org/radishpost/link/PeerLinks.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * The links to one peer: which stand, which one is used, and whether one more is to be opened.
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -18,7 +18,7 @@
 import org.radishpost.events.EventSink;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
--- a/src/main/java/org/radishpost/manifest/RouteSpec.java
+++ b/src/main/java/org/radishpost/manifest/RouteSpec.java
@@ -21,6 +21,7 @@
  * @param maxBodyBytes the largest request body
  * @param homeRegions the only regions where the call may be served, sent and stored; empty for all
  * @param duplicateGuard how the call is kept from running twice
+ * @param terms latency, attempts, rank and split
  */
 public record RouteSpec(
     String name,
@@ -34,13 +35,44 @@
     Duration deadline,
     long maxBodyBytes,
     Set<RegionName> homeRegions,
-    DuplicateGuard duplicateGuard) {
+    DuplicateGuard duplicateGuard,
+    RouteTerms terms) {
   /** Copies the sets. */
   public RouteSpec {
     methods = Set.copyOf(methods);
     homeRegions = Set.copyOf(homeRegions);
   }
 
+  /** Creates a route with the default terms. */
+  public RouteSpec(
+      String name,
+      String host,
+      Set<String> methods,
+      String pathPrefix,
+      ServiceName service,
+      RequestKind kind,
+      int weight,
+      boolean idempotent,
+      Duration deadline,
+      long maxBodyBytes,
+      Set<RegionName> homeRegions,
+      DuplicateGuard duplicateGuard) {
+    this(
+        name,
+        host,
+        methods,
+        pathPrefix,
+        service,
+        kind,
+        weight,
+        idempotent,
+        deadline,
+        maxBodyBytes,
+        homeRegions,
+        duplicateGuard,
+        RouteTerms.DEFAULT);
+  }
+
   /** Tells whether the call may be in the region. */
   public boolean allows(RegionName region) {
     return homeRegions.isEmpty() || homeRegions.contains(region);
--- a/src/main/java/org/radishpost/membership/Candidates.java
+++ b/src/main/java/org/radishpost/membership/Candidates.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.radishpost.lib.RegionName;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** VMs that may own something, with their hashes; immutable. */
 final class Candidates {
--- a/src/main/java/org/radishpost/membership/Member.java
+++ b/src/main/java/org/radishpost/membership/Member.java
@@ -1,6 +1,6 @@
 package org.radishpost.membership;
 
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * One VM as this VM sees it.
--- a/src/main/java/org/radishpost/membership/MemberRecord.java
+++ b/src/main/java/org/radishpost/membership/MemberRecord.java
@@ -1,6 +1,6 @@
 package org.radishpost.membership;
 
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** What is known of one other VM; confined to the thread that changes the table. */
 final class MemberRecord {
--- a/src/main/java/org/radishpost/membership/MemberTable.java
+++ b/src/main/java/org/radishpost/membership/MemberTable.java
@@ -15,7 +15,7 @@
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.VmId;
 import org.radishpost.membership.MemberRecord.LinkState;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * The members as the platform's list names them, corrected by what links say.
--- a/src/main/java/org/radishpost/membership/MemberView.java
+++ b/src/main/java/org/radishpost/membership/MemberView.java
@@ -12,7 +12,7 @@
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.VmId;
 import org.radishpost.lib.ZoneName;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** The members at one moment, with a cache of the owners that they give; thread-safe. */
 final class MemberView {
--- a/src/main/java/org/radishpost/membership/Members.java
+++ b/src/main/java/org/radishpost/membership/Members.java
@@ -5,7 +5,7 @@
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * The view of one VM on all VMs; a wrong view costs speed only.
--- a/src/main/java/org/radishpost/membership/PeerPlan.java
+++ b/src/main/java/org/radishpost/membership/PeerPlan.java
@@ -11,7 +11,7 @@
 import java.util.stream.Collectors;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.RegionName;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /**
  * Chooses the peers that a VM keeps control links to; the same members give the same choice.
--- a/src/main/java/org/radishpost/node/ClaimStream.java
+++ b/src/main/java/org/radishpost/node/ClaimStream.java
@@ -17,7 +17,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
-import org.radishpost.platform.PlatformLog;
+import org.radishpost.store.PlatformLog;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
--- a/src/main/java/org/radishpost/node/ConfigReplicaService.java
+++ b/src/main/java/org/radishpost/node/ConfigReplicaService.java
@@ -23,7 +23,7 @@
 import org.radishpost.link.LinkMessage;
 import org.radishpost.link.Links;
 import org.radishpost.link.PeerEvent;
-import org.radishpost.platform.PlatformLog;
+import org.radishpost.store.PlatformLog;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
--- /dev/null
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -0,0 +1,235 @@
+package org.radishpost.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.radishpost.admin.PrometheusText;
+import org.radishpost.admission.RetryShare;
+import org.radishpost.config.Configuration;
+import org.radishpost.direct.DirectParts;
+import org.radishpost.errors.StartException;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.HybridClock;
+import org.radishpost.events.TimeLine;
+import org.radishpost.http.EdgeServer;
+import org.radishpost.http.HttpSender;
+import org.radishpost.http.PageServer;
+import org.radishpost.http.Replies;
+import org.radishpost.http.SenderOptions;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.placement.TargetDirectory;
+import org.radishpost.platform.PlatformFeed;
+import org.radishpost.platform.PlatformProtocol;
+import org.radishpost.platform.PlatformTargets;
+import org.radishpost.platform.StoreClient;
+import org.radishpost.routing.RouteTable;
+import org.radishpost.routing.RouteTables;
+import org.radishpost.settings.EntrySettings;
+import org.radishpost.settings.NodeSettings.LimitSettings;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * One VM process on the users' platform: it keeps nothing and sends calls straight to targets.
+ *
+ * <p>All work runs on one thread. Create it, {@link #start()} it once, and {@link #stop()} it once.
+ */
+public final class EntryNode {
+  private static final LimitSettings LIMITS =
+      new LimitSettings(65_536, 1 << 20, 4_000, 3_000, Duration.ofSeconds(60));
+  private static final Duration TARGET_IDLE = Duration.ofSeconds(8);
+  private static final Duration CONNECT_LIMIT = Duration.ofMillis(300);
+  private static final int TARGET_CONNECTIONS = 16;
+  private static final Duration TICK = Duration.ofMillis(200);
+
+  /** The balancer asks each second and takes a VM out after two misses. */
+  private static final Duration BALANCER_WAIT = Duration.ofMillis(3_000);
+
+  private static final Duration EXIT_RESERVE = Duration.ofMillis(500);
+  private static final double RETRY_RATIO_USED = 0.75;
+  private static final double RETRY_RESERVE = 1.5;
+  private static final int TIME_LINE_EVENTS = 1_000;
+
+  private final EntrySettings settings;
+  private final LoopResources loops = LoopResources.create("radishpost", 1, true);
+  private final RuntimeClock clock;
+  private final EventLog events;
+  private final NodeMetrics metrics = new NodeMetrics(new MetricRegistry());
+  private final TargetDirectory directory;
+  private final EntryReadiness readiness;
+  private final HttpSender sender;
+  private final EdgeServer edge;
+  private final PageServer readinessPages;
+  private final PageServer metricsPages;
+  private final PlatformFeed feed;
+  private Endpoint metricsAddress;
+  private Endpoint frontAddress;
+  private Endpoint readinessAddress;
+  private volatile Configuration configuration = Configuration.EMPTY;
+  private volatile RouteTable routes = RouteTables.longestPrefix(Configuration.EMPTY);
+
+  /**
+   * Creates a process that does not listen yet.
+   *
+   * @param settings the settings
+   * @param metricsAddress where metrics are served
+   * @param store the address of the platform's store
+   * @param wallClock the clock of the process
+   */
+  public EntryNode(
+      EntrySettings settings, Endpoint metricsAddress, Endpoint store, RuntimeClock wallClock) {
+    this.settings = settings;
+    EventLoop loop = (EventLoop) loops.onServer(false).next();
+    this.clock = wallClock.on(loop);
+    HybridClock stamps = new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS));
+    this.events = new EventLog(settings.vm(), stamps, new TimeLine(TIME_LINE_EVENTS), metrics);
+    this.directory = new TargetDirectory(events);
+    this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::heard);
+    this.sender =
+        new HttpSender(
+            new SenderOptions(
+                "target",
+                TARGET_CONNECTIONS,
+                TARGET_IDLE,
+                CONNECT_LIMIT,
+                Optional.of(PlatformProtocol.REQUEST_ID),
+                true),
+            clock,
+            loops);
+    this.feed =
+        new PlatformFeed(
+            new StoreClient(store, clock, loops),
+            settings.zones(),
+            this::configured,
+            directory,
+            clock,
+            events);
+    this.edge = edge();
+    this.readinessPages =
+        new PageServer(
+            settings.readiness(), Map.of(PlatformProtocol.READY_PATH, readiness::reply), loops);
+    this.metricsPages =
+        new PageServer(
+            metricsAddress,
+            Map.of("/metrics", () -> Replies.text(200, PrometheusText.of(metrics.registry()))),
+            loops);
+  }
+
+  private EdgeServer edge() {
+    RetryShare retries =
+        new RetryShare(settings.bounds().retryRatio() * RETRY_RATIO_USED, RETRY_RESERVE);
+    return new EdgeServer(
+        settings.front(),
+        PlatformProtocol.EDGE,
+        settings.place().region(),
+        LIMITS,
+        clock,
+        loops,
+        () -> routes,
+        readiness,
+        new MeteredCalls(
+            DirectParts.router(
+                settings.place(),
+                () -> configuration,
+                directory,
+                new PlatformTargets(this::statusPath),
+                new MeteredSender(sender, metrics, clock),
+                retries,
+                PlatformProtocol.REQUEST_ID,
+                clock,
+                new SplittableRandom(settings.vm().hashCode() ^ clock.now(TimeUnit.NANOSECONDS)),
+                events),
+            metrics,
+            clock),
+        new AtomicLong());
+  }
+
+  /**
+   * Starts to listen and to serve.
+   *
+   * @throws StartException if an address is taken
+   */
+  public void start() throws StartException {
+    readinessAddress = readinessPages.start();
+    frontAddress = edge.start();
+    metricsAddress = metricsPages.start();
+    clock.schedule(feed::start);
+    Flux.interval(TICK, clock)
+        .onBackpressureDrop()
+        .subscribe(tick -> directory.tick(clock.now(TimeUnit.NANOSECONDS)));
+    events.emit(
+        EventCode.STARTED,
+        EventField.of("edge", settings.front()),
+        EventField.of("place", settings.place()));
+  }
+
+  /** Returns the address at which callers are served. */
+  public Endpoint frontAddress() {
+    return frontAddress;
+  }
+
+  /** Returns the address at which metrics are served. */
+  public Endpoint metricsAddress() {
+    return metricsAddress;
+  }
+
+  /** Returns the address at which the balancer asks for readiness. */
+  public Endpoint readinessAddress() {
+    return readinessAddress;
+  }
+
+  /**
+   * Stops gracefully: turns unready, serves on until the platform's balancer has noticed, and lets
+   * running requests end.
+   */
+  public Mono<Void> stop() {
+    return Mono.defer(this::stopNow).subscribeOn(clock);
+  }
+
+  private Mono<Void> stopNow() {
+    events.emit(EventCode.STOPPING);
+    readiness.stopping();
+    Duration drain = settings.bounds().grace().minus(BALANCER_WAIT).minus(EXIT_RESERVE);
+    return Mono.delay(BALANCER_WAIT, clock)
+        .then(Mono.fromRunnable(this::refuse))
+        .then(edge.inFlight().idle(clock, drain))
+        .then(Mono.fromRunnable(() -> events.emit(EventCode.STOPPED)));
+  }
+
+  private void refuse() {
+    readiness.closed();
+    edge.refuseConnections();
+  }
+
+  private void configured(Configuration newest) {
+    Configuration before = configuration;
+    if (newest.version() != before.version()) {
+      routes = RouteTables.longestPrefix(newest);
+    }
+    configuration = newest;
+    events.emit(
+        EventCode.CONFIG_APPLIED,
+        EventField.of("version", newest.version()),
+        EventField.of("before", before.version()),
+        EventField.of("out", newest.out()));
+  }
+
+  private String statusPath(ServiceName service) {
+    return configuration.manifests().values().stream()
+        .flatMap(versioned -> versioned.manifest().services().stream())
+        .filter(spec -> spec.name().equals(service))
+        .map(ServiceSpec::probe)
+        .map(probe -> probe.path())
+        .findFirst()
+        .orElse("/");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/node/EntryReadiness.java
@@ -0,0 +1,61 @@
+package org.radishpost.node;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.radishpost.http.Readiness;
+
+/**
+ * Whether an entry takes requests: when it knows the configuration and the targets, until it stops.
+ *
+ * <p>After the request to stop it is no longer ready, but it serves on until the balancer has taken
+ * it out. Confined to one thread.
+ */
+final class EntryReadiness implements Readiness {
+  private final BooleanSupplier configured;
+  private final BooleanSupplier targetsKnown;
+  private boolean stopping;
+  private boolean closed;
+
+  EntryReadiness(BooleanSupplier configured, BooleanSupplier targetsKnown) {
+    this.configured = configured;
+    this.targetsKnown = targetsKnown;
+  }
+
+  void stopping() {
+    stopping = true;
+  }
+
+  void closed() {
+    closed = true;
+  }
+
+  @Override
+  public boolean ready() {
+    return !stopping && mayServe();
+  }
+
+  @Override
+  public boolean mayServe() {
+    return !closed && missing().isEmpty();
+  }
+
+  @Override
+  public boolean keepAlive() {
+    return !stopping;
+  }
+
+  @Override
+  public String why() {
+    return stopping ? "This VM is about to stop." : missing().orElse("");
+  }
+
+  private Optional<String> missing() {
+    if (!configured.getAsBoolean()) {
+      return Optional.of("No configuration is known yet.");
+    }
+    if (!targetsKnown.getAsBoolean()) {
+      return Optional.of("The targets are not known yet.");
+    }
+    return Optional.empty();
+  }
+}
--- a/src/main/java/org/radishpost/node/MeteredHops.java
+++ b/src/main/java/org/radishpost/node/MeteredHops.java
@@ -6,7 +6,7 @@
 import org.radishpost.http.Hops;
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -12,19 +12,21 @@
 import org.radishpost.events.EventField;
 import org.radishpost.events.HybridClock;
 import org.radishpost.events.TimeLine;
+import org.radishpost.http.EdgeDialect;
 import org.radishpost.http.EdgeServer;
 import org.radishpost.http.HopClient;
 import org.radishpost.http.HopServer;
 import org.radishpost.http.HttpSender;
+import org.radishpost.http.SenderOptions;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.link.LinkOptions;
 import org.radishpost.link.TcpLinks;
-import org.radishpost.platform.PlatformLog;
-import org.radishpost.platform.VmEntry;
-import org.radishpost.platform.VmList;
-import org.radishpost.platform.http.HttpPlatformLog;
-import org.radishpost.platform.http.HttpVmList;
 import org.radishpost.settings.NodeSettings;
+import org.radishpost.store.PlatformLog;
+import org.radishpost.store.VmEntry;
+import org.radishpost.store.VmList;
+import org.radishpost.store.http.HttpPlatformLog;
+import org.radishpost.store.http.HttpVmList;
 import reactor.core.Disposable;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
@@ -88,9 +90,13 @@
     this.stamps = new HybridClock(() -> clock.now(TimeUnit.MILLISECONDS));
     this.events = new EventLog(settings.vm(), stamps, timeLine, metrics);
     this.targetSender =
-        new HttpSender("target", clock, loops, TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
+        new HttpSender(
+            SenderOptions.own("target", TARGET_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT),
+            clock,
+            loops);
     this.hopSender =
-        new HttpSender("hop", clock, loops, HOP_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT);
+        new HttpSender(
+            SenderOptions.own("hop", HOP_CONNECTIONS, TARGET_IDLE, CONNECT_LIMIT), clock, loops);
     ConnectionProvider platform = ConnectionProvider.create("platform", PLATFORM_CONNECTIONS);
     this.log = new HttpPlatformLog(platform, settings.platform().log(), PLATFORM_LIMIT);
     this.vmList = new HttpVmList(platform, settings.platform().vmList(), PLATFORM_LIMIT);
@@ -118,6 +124,7 @@
     edgeServer =
         new EdgeServer(
             settings.edge(),
+            EdgeDialect.OWN,
             settings.place().region(),
             settings.limits(),
             clock,
--- a/src/main/java/org/radishpost/node/NodeState.java
+++ b/src/main/java/org/radishpost/node/NodeState.java
@@ -2,7 +2,7 @@
 
 import org.radishpost.config.ConfigFreshness;
 import org.radishpost.http.Readiness;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** Whether this VM takes callers' requests: it must know a configuration and be in service. */
 final class NodeState implements Readiness {
--- a/src/main/java/org/radishpost/node/RuntimeClock.java
+++ b/src/main/java/org/radishpost/node/RuntimeClock.java
@@ -1,5 +1,6 @@
 package org.radishpost.node;
 
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
@@ -35,6 +36,11 @@
     return new RuntimeClock(Schedulers.newSingle(name, true), startNanos, startEpochNanos);
   }
 
+  /** Returns a clock of the same time whose tasks run on the given threads. */
+  public RuntimeClock on(ScheduledExecutorService threads) {
+    return new RuntimeClock(Schedulers.fromExecutorService(threads), startNanos, startEpochNanos);
+  }
+
   @Override
   public void dispose() {
     if (timers != Schedulers.parallel()) {
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/EntryCommand.java
@@ -0,0 +1,46 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.time.Duration;
+import org.radishpost.errors.PlatformDocumentException;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.EntryNode;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.platform.SettingsFile;
+import org.radishpost.settings.EntrySettings;
+
+/** Runs one VM process on the users' platform. */
+@Command(
+    name = "entry",
+    description = "Run one VM process on the users' platform, with the settings that it lays down.")
+public final class EntryCommand extends PgmCommand {
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(30);
+
+  @Option(
+      name = {"--metrics-port"},
+      description = "The port at which metrics are served, on the address of the front.")
+  private int metricsPort = 9464;
+
+  /** Creates the command. */
+  public EntryCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    EntrySettings settings =
+        SettingsFile.decode(SettingsFile.fromEnvironment(System.getenv()).bytes());
+    Endpoint store =
+        settings
+            .store()
+            .orElseThrow(
+                () -> new PlatformDocumentException("The settings name no store: add a provider."));
+    StopSignal stop = StopSignal.listen();
+    EntryNode node =
+        new EntryNode(
+            settings, new Endpoint(settings.front().ip(), metricsPort), store, new RuntimeClock());
+    node.start();
+    stop.awaitAndStop(node.stop(), STOP_LIMIT);
+    return ExitCode.OK;
+  }
+}
--- a/src/main/java/org/radishpost/pgm/Main.java
+++ b/src/main/java/org/radishpost/pgm/Main.java
@@ -16,6 +16,8 @@
       HelpCommand.class,
       VersionCommand.class,
       ServeCommand.class,
+      EntryCommand.class,
+      TrainCommand.class,
       DemoCommand.class,
       BenchCommand.class,
       CheckCommand.class,
--- /dev/null
+++ b/src/main/java/org/radishpost/pgm/TrainCommand.java
@@ -0,0 +1,132 @@
+package org.radishpost.pgm;
+
+import com.github.rvesse.airline.annotations.Command;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.node.EntryNode;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.platform.PlatformProtocol;
+import org.radishpost.platform.WireNames;
+import org.radishpost.settings.EntryBounds;
+import org.radishpost.settings.EntrySettings;
+import org.radishpost.standin.KeyedStore;
+import org.radishpost.standin.KeyedStoreServer;
+import org.radishpost.standin.PlatformTargetServer;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Starts an entry among stand-ins and lets it serve some requests, so that the build can record
+ * which classes an entry needs.
+ */
+@Command(
+    name = "train",
+    hidden = true,
+    description = "Serve some requests among stand-ins and end; used by the build.")
+public final class TrainCommand extends PgmCommand {
+  private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final Duration LOOK_INTERVAL = Duration.ofMillis(50);
+  private static final int REQUESTS = 40;
+  private static final int OK = 200;
+  private static final String CONFIGURATION =
+      """
+      {"version":"r1","routes":{"reads":{"host":"train.example","path-prefix":"/reads/",\
+      "kind":"idempotent","timeout-s":1,"target-latency-s":0.25,"priority":1,"service":"trained",\
+      "max-attempts":2,"allowed-regions":[]},"writes":{"host":"train.example",\
+      "path-prefix":"/writes/","kind":"upload","timeout-s":1,"target-latency-s":0.25,"priority":1,\
+      "traffic-split":[{"service":"trained","weight":1}],"max-attempts":2,"allowed-regions":["r"]}},\
+      "services":{"trained":{"health-path":"/healthz","max-conns":100,"warmup-s":1.0,\
+      "warmup-per-s":5.0}},"limits":{"max-header-bytes":16384,"max-body-bytes":1000000}}
+      """;
+
+  /** Creates the command. */
+  public TrainCommand() {}
+
+  @Override
+  protected ExitCode run() throws RadishpostException {
+    LoopResources loops = LoopResources.create("train", 1, true);
+    KeyedStore store = new KeyedStore();
+    Endpoint target = new PlatformTargetServer("t-1", ANY_PORT, loops).start();
+    store.put(WireNames.OPERATOR_TOPIC, WireNames.CONFIGURATION_KEY, CONFIGURATION);
+    store.put(WireNames.TARGET_TOPIC, "t-1", entry(target));
+    Endpoint storeAddress = new KeyedStoreServer(store, ANY_PORT, loops).start();
+    EntryNode node = new EntryNode(settings(), ANY_PORT, storeAddress, new RuntimeClock());
+    node.start();
+    HttpClient readiness = client(loops, node.readinessAddress());
+    readiness
+        .get()
+        .uri(PlatformProtocol.READY_PATH)
+        .responseSingle((response, body) -> Mono.just(response.status().code()))
+        .filter(status -> status == OK)
+        .repeatWhenEmpty(tries -> tries.delayElements(LOOK_INTERVAL))
+        .block(LIMIT);
+    requests(client(loops, node.frontAddress()));
+    node.stop().block(LIMIT);
+    return ExitCode.OK;
+  }
+
+  private static void requests(HttpClient client) {
+    Flux.range(0, REQUESTS)
+        .concatMap(number -> number % 2 == 0 ? read(client, number) : write(client, number))
+        .then()
+        .block(LIMIT);
+  }
+
+  private static Mono<Integer> read(HttpClient client, int number) {
+    return named(client, number)
+        .get()
+        .uri("/reads/a")
+        .responseSingle((response, body) -> body.then(Mono.just(response.status().code())));
+  }
+
+  private static Mono<Integer> write(HttpClient client, int number) {
+    byte[] body = "something to write".getBytes(StandardCharsets.UTF_8);
+    return named(client, number)
+        .post()
+        .uri("/writes/a")
+        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+        .responseSingle((response, bytes) -> bytes.then(Mono.just(response.status().code())));
+  }
+
+  private static HttpClient named(HttpClient client, int number) {
+    return client.headers(
+        headers ->
+            headers
+                .set("host", "train.example")
+                .set(WireNames.REQUEST_ID, "train-" + number)
+                .set(WireNames.DEADLINE_MILLIS, "2000"));
+  }
+
+  private static HttpClient client(LoopResources loops, Endpoint address) {
+    return HttpClient.newConnection().runOn(loops).host(address.ip()).port(address.port());
+  }
+
+  private static String entry(Endpoint address) {
+    return "{\"service\":\"trained\",\"address\":\""
+        + address
+        + "\",\"zone\":\"z\",\"concurrency\":2,\"state\":\"ready\",\"sequence\":1}";
+  }
+
+  private static EntrySettings settings() {
+    return new EntrySettings(
+        new VmId("train"),
+        Place.of("r", "z"),
+        ANY_PORT,
+        ANY_PORT,
+        Optional.empty(),
+        Map.of(new ZoneName("z"), new RegionName("r")),
+        new EntryBounds(0.2, 10, Duration.ofSeconds(4), Duration.ofSeconds(1)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/placement/Target.java
@@ -0,0 +1,36 @@
+package org.radishpost.placement;
+
+import java.time.Duration;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.ServiceName;
+
+/**
+ * A target as it has registered itself.
+ *
+ * @param id its identity
+ * @param service the service that it belongs to
+ * @param address where it listens
+ * @param place where it runs
+ * @param slots the calls that it runs at once
+ * @param draining whether it is leaving and takes no new work
+ * @param coldLeft how much longer it stays cold from when this was written
+ * @param bornMillis when it started, in milliseconds since 1970; 0 when it doesn't say
+ */
+public record Target(
+    TargetId id,
+    ServiceName service,
+    Endpoint address,
+    Place place,
+    int slots,
+    boolean draining,
+    Duration coldLeft,
+    long bornMillis) {
+  /** Tells whether the other entry is about the same run of the same process. */
+  public boolean sameLifetime(Target other) {
+    return id.equals(other.id)
+        && bornMillis == other.bornMillis
+        && address.equals(other.address)
+        && service.equals(other.service);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -0,0 +1,148 @@
+package org.radishpost.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventSink;
+import org.radishpost.lib.ServiceName;
+
+/**
+ * The targets that have registered themselves.
+ *
+ * <p>Entries that lapse while the registry can't be reached say nothing about the targets: those
+ * are kept until a moment after the registry is back, so that live ones can register anew. Confined
+ * to one thread.
+ */
+public final class TargetDirectory {
+  /** How long a target that is missing after the registry's return may take to be back. */
+  public static final long RETURN_GRACE_NANOS = 2_200_000_000L;
+
+  private final EventSink events;
+  private final Map<TargetId, TrackedTarget> targets = new HashMap<>();
+  private final Map<TargetId, Long> missingUntil = new HashMap<>();
+  private boolean heard;
+  private boolean lost;
+  private long graceUntilNanos;
+
+  /** Creates a directory that has heard of no target. */
+  public TargetDirectory(EventSink events) {
+    this.events = events;
+  }
+
+  /** Takes a target's newest entry. */
+  public void registered(Target entry, long nowNanos) {
+    missingUntil.remove(entry.id());
+    TrackedTarget known = targets.get(entry.id());
+    if (known == null) {
+      targets.put(entry.id(), new TrackedTarget(entry, nowNanos));
+      emit(EventCode.TARGET_REGISTERED, entry);
+      return;
+    }
+    if (entry.draining() && !known.target().draining()) {
+      emit(EventCode.TARGET_LEAVING, entry);
+    }
+    known.registered(entry, nowNanos);
+  }
+
+  /** Takes note that a target's entry is gone. */
+  public void unregistered(TargetId id, long nowNanos) {
+    if (!targets.containsKey(id)) {
+      return;
+    }
+    if (lost || nowNanos - graceUntilNanos < 0) {
+      missingUntil.putIfAbsent(id, graceUntilNanos);
+      return;
+    }
+    drop(id);
+  }
+
+  /** Takes all entries that there are; a target without one is unregistered. */
+  public void replaced(Collection<Target> entries, long nowNanos) {
+    heard = true;
+    Map<TargetId, Target> byId = new HashMap<>();
+    entries.forEach(entry -> byId.put(entry.id(), entry));
+    for (TargetId known : List.copyOf(targets.keySet())) {
+      if (!byId.containsKey(known)) {
+        unregistered(known, nowNanos);
+      }
+    }
+    byId.values().forEach(entry -> registered(entry, nowNanos));
+  }
+
+  /** Takes note that the registry doesn't answer. */
+  public void registryLost() {
+    lost = true;
+  }
+
+  /** Takes note that the registry answers again. */
+  public void registryBack(long nowNanos) {
+    if (!lost) {
+      return;
+    }
+    lost = false;
+    graceUntilNanos = nowNanos + RETURN_GRACE_NANOS;
+    missingUntil.replaceAll((id, until) -> graceUntilNanos);
+  }
+
+  /** Lets time pass: targets that are still missing when their grace is over are gone. */
+  public void tick(long nowNanos) {
+    if (lost || missingUntil.isEmpty()) {
+      return;
+    }
+    for (Map.Entry<TargetId, Long> missing : List.copyOf(missingUntil.entrySet())) {
+      if (nowNanos - missing.getValue() >= 0) {
+        drop(missing.getKey());
+      }
+    }
+  }
+
+  /** Tells whether the registry has been read through once. */
+  public boolean heard() {
+    return heard;
+  }
+
+  /** Returns the targets of a service that take new work, but for those tried before. */
+  public List<TrackedTarget> serving(ServiceName service, Set<TargetId> tried) {
+    List<TrackedTarget> found = new ArrayList<>();
+    for (TrackedTarget tracked : targets.values()) {
+      Target target = tracked.target();
+      if (target.service().equals(service) && !target.draining() && !tried.contains(target.id())) {
+        found.add(tracked);
+      }
+    }
+    return found;
+  }
+
+  /** Returns a target, if it is registered. */
+  public Optional<TrackedTarget> find(TargetId id) {
+    return Optional.ofNullable(targets.get(id));
+  }
+
+  /** Returns how many targets are registered. */
+  public int size() {
+    return targets.size();
+  }
+
+  private void drop(TargetId id) {
+    missingUntil.remove(id);
+    TrackedTarget gone = targets.remove(id);
+    if (gone != null) {
+      emit(EventCode.TARGET_GONE, gone.target());
+    }
+  }
+
+  private void emit(EventCode code, Target target) {
+    events.emit(
+        code,
+        EventField.of("target", target.id()),
+        EventField.of("service", target.service()),
+        EventField.of("address", target.address()),
+        EventField.of("zone", target.place().zone()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/platform/DesiredState.java
@@ -0,0 +1,132 @@
+package org.radishpost.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.radishpost.config.VersionedManifest;
+import org.radishpost.errors.PlatformDocumentException;
+import org.radishpost.lib.GatewayName;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.TenantName;
+import org.radishpost.manifest.ColdStartSpec;
+import org.radishpost.manifest.DuplicateGuard;
+import org.radishpost.manifest.Manifest;
+import org.radishpost.manifest.ProbeSpec;
+import org.radishpost.manifest.RouteSpec;
+import org.radishpost.manifest.RouteTerms;
+import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.manifest.WeightedService;
+
+/** Decodes what the operators want into a manifest. */
+final class DesiredState {
+  private static final GatewayName GATEWAY = new GatewayName("platform");
+  private static final TenantName TENANT = new TenantName("platform");
+  private static final Set<String> METHODS =
+      Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+  private static final Duration LONGEST_CALL = Duration.ofMinutes(2);
+  private static final Duration PROBE_COST = Duration.ofMillis(6);
+  private static final Duration PROBE_INTERVAL = Duration.ofMillis(20);
+  private static final long DEFAULT_BODY_BYTES = 64L << 20;
+  private static final int EJECT_PERCENT = 50;
+  private static final double DEFAULT_ATTEMPTS = 2;
+
+  private DesiredState() {}
+
+  /**
+   * Decodes a desired state.
+   *
+   * @throws PlatformDocumentException if a field that is needed is missing or of another type
+   */
+  static VersionedManifest decode(byte[] bytes) throws PlatformDocumentException {
+    Document state = Document.parse("desired state", bytes);
+    try {
+      long maxBody =
+          state.has("limits")
+              ? (long) state.object("limits").number("max-body-bytes", DEFAULT_BODY_BYTES)
+              : DEFAULT_BODY_BYTES;
+      List<ServiceSpec> services = new ArrayList<>();
+      for (Map.Entry<String, Document> service : state.table("services").entrySet()) {
+        services.add(service(service.getKey(), service.getValue()));
+      }
+      List<RouteSpec> routes = new ArrayList<>();
+      for (Map.Entry<String, Document> route : state.table("routes").entrySet()) {
+        routes.add(route(route.getKey(), route.getValue(), maxBody));
+      }
+      routes.sort(Comparator.comparing((RouteSpec route) -> -route.pathPrefix().length()));
+      long version = version(state.text("version"));
+      return new VersionedManifest(version, new Manifest(GATEWAY, TENANT, 0, services, routes));
+    } catch (IllegalArgumentException e) {
+      throw new PlatformDocumentException("desired state: " + e.getMessage(), e);
+    }
+  }
+
+  /** Reads the number of a version such as {@code r12}. */
+  private static long version(String text) throws PlatformDocumentException {
+    try {
+      return Long.parseLong(text.substring(1));
+    } catch (NumberFormatException | IndexOutOfBoundsException e) {
+      throw new PlatformDocumentException("the version " + text + " has no number.", e);
+    }
+  }
+
+  private static ServiceSpec service(String name, Document service)
+      throws PlatformDocumentException {
+    int coldPerSecond = (int) Math.max(1, service.number("warmup-per-s", 1));
+    Duration ramp = service.optionalSeconds("warmup-s").orElse(Duration.ZERO);
+    return new ServiceSpec(
+        new ServiceName(name),
+        List.of(),
+        new ColdStartSpec(coldPerSecond, coldPerSecond, ramp),
+        new ProbeSpec(service.text("health-path"), PROBE_COST, PROBE_INTERVAL),
+        EJECT_PERCENT);
+  }
+
+  private static RouteSpec route(String name, Document route, long maxBody)
+      throws PlatformDocumentException {
+    List<WeightedService> split = new ArrayList<>();
+    for (Document part : route.objectList("traffic-split")) {
+      split.add(new WeightedService(new ServiceName(part.text("service")), part.number("weight")));
+    }
+    ServiceName service =
+        split.isEmpty() ? new ServiceName(route.text("service")) : split.getFirst().service();
+    String kind = route.text("kind");
+    Set<RegionName> homes = new HashSet<>();
+    for (String region : route.textList("allowed-regions")) {
+      homes.add(new RegionName(region));
+    }
+    return new RouteSpec(
+        name,
+        route.text("host").toLowerCase(Locale.ROOT),
+        METHODS,
+        route.text("path-prefix"),
+        service,
+        kind(kind),
+        1,
+        kind(kind) == RequestKind.READ,
+        route.optionalSeconds("timeout-s").orElse(LONGEST_CALL),
+        maxBody,
+        homes,
+        kind(kind) == RequestKind.READ ? DuplicateGuard.NONE : DuplicateGuard.CALLERS_NEVER_RESEND,
+        new RouteTerms(
+            route.optionalSeconds("target-latency-s"),
+            (int) Math.max(1, route.number("max-attempts", DEFAULT_ATTEMPTS)),
+            (int) route.number("priority", 0),
+            split));
+  }
+
+  /** Kinds that are not known are treated as those that may run once only. */
+  private static RequestKind kind(String name) {
+    return switch (name) {
+      case "idempotent" -> RequestKind.READ;
+      case "upload" -> RequestKind.UPLOAD;
+      default -> RequestKind.COMMIT;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/platform/SettingsFile.java
@@ -0,0 +1,124 @@
+package org.radishpost.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.errors.PlatformDocumentException;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.settings.EntryBounds;
+import org.radishpost.settings.EntrySettings;
+
+/** The settings file that the platform lays down for a process. */
+public final class SettingsFile {
+  private static final Duration DEFAULT_HEARTBEAT = Duration.ofMillis(1500);
+  private static final double DEFAULT_RETRY_RATIO = 0.1;
+  private static final double DEFAULT_RETRY_SLACK = 10;
+  private static final double DEFAULT_GRACE_SECONDS = 5;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Path path;
+
+  /** Creates one for the given file. */
+  public SettingsFile(Path path) {
+    this.path = path;
+  }
+
+  /**
+   * Returns the file that the environment names.
+   *
+   * @throws PlatformDocumentException if it names none
+   */
+  public static SettingsFile fromEnvironment(Map<String, String> environment)
+      throws PlatformDocumentException {
+    String path = environment.get(WireNames.SETTINGS_VARIABLE);
+    if (path == null) {
+      throw new PlatformDocumentException(
+          WireNames.SETTINGS_VARIABLE + " is not set: set it to the path of the settings file.");
+    }
+    return new SettingsFile(Path.of(path));
+  }
+
+  /**
+   * Reads the bytes of the file.
+   *
+   * @throws PlatformDocumentException if there is no such file
+   */
+  public byte[] bytes() throws PlatformDocumentException {
+    try {
+      return Files.readAllBytes(path);
+    } catch (IOException e) {
+      throw new PlatformDocumentException("The settings file " + path + " can't be read.", e);
+    }
+  }
+
+  /**
+   * Decodes the settings; fields that are not known are left out.
+   *
+   * @throws PlatformDocumentException if a field is missing or of another type
+   */
+  public static EntrySettings decode(byte[] bytes) throws PlatformDocumentException {
+    Document file = Document.parse("settings", bytes);
+    Document listen = file.object("listen");
+    try {
+      return new EntrySettings(
+          new VmId(file.text("node-name")),
+          Place.of(file.text("region"), file.text("zone")),
+          Endpoint.parse(listen.text("front")),
+          Endpoint.parse(listen.text("readiness")),
+          store(file),
+          zones(file),
+          bounds(file));
+    } catch (IllegalArgumentException e) {
+      throw new PlatformDocumentException("settings: " + e.getMessage(), e);
+    }
+  }
+
+  private static Optional<Endpoint> store(Document file) throws PlatformDocumentException {
+    if (!file.has("provider")) {
+      return Optional.empty();
+    }
+    return Optional.of(Endpoint.parse(file.object("provider").text("address")));
+  }
+
+  private static Map<ZoneName, RegionName> zones(Document file) throws PlatformDocumentException {
+    Map<ZoneName, RegionName> zones = new HashMap<>();
+    for (Map.Entry<String, String> zone : file.texts("zones").entrySet()) {
+      zones.put(new ZoneName(zone.getKey()), new RegionName(zone.getValue()));
+    }
+    return zones;
+  }
+
+  private static EntryBounds bounds(Document file) throws PlatformDocumentException {
+    Map<String, Double> named = new HashMap<>();
+    for (String bound : file.textList("bounds")) {
+      int equals = bound.indexOf('=');
+      if (equals > 0) {
+        number(bound.substring(equals + 1))
+            .ifPresent(value -> named.put(bound.substring(0, equals).strip(), value));
+      }
+    }
+    double grace = named.getOrDefault("grace-s", DEFAULT_GRACE_SECONDS);
+    return new EntryBounds(
+        named.getOrDefault("retry-budget-ratio", DEFAULT_RETRY_RATIO),
+        named.getOrDefault("budget-slack", DEFAULT_RETRY_SLACK),
+        Duration.ofNanos((long) (grace * NANOS_PER_SECOND)),
+        file.optionalSeconds("heartbeat-interval-s").orElse(DEFAULT_HEARTBEAT));
+  }
+
+  /** Reads a bound; those that are true or false have no number. */
+  private static Optional<Double> number(String text) {
+    try {
+      return Optional.of(Double.parseDouble(text.strip()));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/platform/TopicListener.java
@@ -0,0 +1,18 @@
+package org.radishpost.platform;
+
+import java.util.List;
+
+/** Told of what is read from a keyed topic. */
+interface TopicListener {
+  /** Takes the newest record of each key: keys without one are dropped. */
+  void newest(List<KeyedRecord> records);
+
+  /** Takes the record that comes next. */
+  void record(KeyedRecord record);
+
+  /** Takes note that the store doesn't answer. */
+  default void storeLost() {}
+
+  /** Takes note that the store answers again, before what it says. */
+  default void storeBack() {}
+}
--- a/src/main/java/org/radishpost/routing/RouteTables.java
+++ b/src/main/java/org/radishpost/routing/RouteTables.java
@@ -10,4 +10,9 @@
   public static RouteTable of(Configuration configuration) {
     return new IndexedRouteTable(configuration);
   }
+
+  /** Returns the table of the configuration in which the longest prefix wins. */
+  public static RouteTable longestPrefix(Configuration configuration) {
+    return new PrefixRouteTable(configuration);
+  }
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/settings/EntrySettings.java
@@ -0,0 +1,34 @@
+package org.radishpost.settings;
+
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.lib.ZoneName;
+
+/**
+ * The settings of a VM that sends calls straight to targets and keeps nothing itself.
+ *
+ * @param vm the identity
+ * @param place where the process runs
+ * @param front where callers' requests come in
+ * @param readiness where the platform's balancer asks for readiness
+ * @param store where the platform's store listens; absent where there is none
+ * @param zones the availability zones and their regions
+ * @param bounds what the operators want to hold, in the platform's units, by name
+ */
+public record EntrySettings(
+    VmId vm,
+    Place place,
+    Endpoint front,
+    Endpoint readiness,
+    Optional<Endpoint> store,
+    Map<ZoneName, RegionName> zones,
+    EntryBounds bounds) {
+  /** Copies the map. */
+  public EntrySettings {
+    zones = Map.copyOf(zones);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/standin/KeyedStoreServer.java
@@ -0,0 +1,162 @@
+package org.radishpost.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.radishpost.errors.StartException;
+import org.radishpost.http.ServerStart;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.platform.WireNames;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A stand-in of the platform's store that serves the reading calls of its keyed topics.
+ *
+ * <p>{@link #fault} sets what is wrong from then on. Thread-safe after {@link #start()}.
+ */
+public final class KeyedStoreServer {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+  private static final int GONE = 410;
+  private static final int NOT_FOUND = 404;
+  private static final int PAGE_ITEMS = 500;
+  private static final Duration LOOK_INTERVAL = Duration.ofMillis(5);
+
+  private final KeyedStore store;
+  private final Endpoint address;
+  private final LoopResources loops;
+  private final AtomicInteger calls = new AtomicInteger();
+  private volatile StoreFault fault = new StoreFault.None();
+  private DisposableServer server;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param store what it serves
+   * @param address where it listens
+   * @param loops the threads
+   */
+  public KeyedStoreServer(KeyedStore store, Endpoint address, LoopResources loops) {
+    this.store = store;
+    this.address = address;
+    this.loops = loops;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the address with the port in use
+   * @throws StartException if the address is taken
+   */
+  public Endpoint start() throws StartException {
+    server =
+        ServerStart.bind(
+            HttpServer.create()
+                .host(address.ip())
+                .port(address.port())
+                .runOn(loops)
+                .handle(this::handle),
+            address);
+    return new Endpoint(address.ip(), server.port());
+  }
+
+  /** Sets what is wrong from now on. */
+  public void fault(StoreFault newest) {
+    fault = newest;
+  }
+
+  /** Returns how many calls have come. */
+  public int calls() {
+    return calls.get();
+  }
+
+  /** Closes everything; ends when it is closed. */
+  public Mono<Void> stop() {
+    server.dispose();
+    return server.onDispose();
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    calls.incrementAndGet();
+    return switch (fault) {
+      case StoreFault.None none -> serve(request, response);
+      case StoreFault.Refusing refusing -> response.status(refusing.status()).send();
+      case StoreFault.Silent silent -> Mono.never();
+      case StoreFault.Slow slow ->
+          Mono.delay(slow.delay()).then(Mono.from(serve(request, response)));
+      case StoreFault.Closing closing -> {
+        request.withConnection(connection -> connection.channel().close());
+        yield Mono.never();
+      }
+    };
+  }
+
+  private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+    QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    String topic = parameter(query, "topic", "");
+    return switch (query.path()) {
+      case WireNames.LOG_NEWEST -> newest(topic, parameter(query, "after", ""), response);
+      case WireNames.LOG_READ ->
+          read(
+              topic,
+              Long.parseLong(parameter(query, "from", "0")),
+              Duration.ofMillis(Long.parseLong(parameter(query, "wait-ms", "0"))),
+              response);
+      default -> response.status(NOT_FOUND).send();
+    };
+  }
+
+  private Publisher<Void> read(
+      String topic, long from, Duration wait, HttpServerResponse response) {
+    return Flux.interval(Duration.ZERO, LOOK_INTERVAL)
+        .filter(tick -> store.end(topic) > from)
+        .next()
+        .timeout(wait.plusMillis(1), Mono.empty())
+        .then(Mono.defer(() -> Mono.from(records(topic, from, response))));
+  }
+
+  private Publisher<Void> records(String topic, long from, HttpServerResponse response) {
+    return store
+        .read(topic, from)
+        .map(bytes -> (Publisher<Void>) response.status(OK).sendByteArray(Mono.just(bytes)))
+        .orElseGet(() -> response.status(GONE).send());
+  }
+
+  private Publisher<Void> newest(String topic, String after, HttpServerResponse response) {
+    final long end = store.end(topic);
+    List<KeyedStore.Newest> all = store.newest(topic, after);
+    ObjectNode page = MAPPER.createObjectNode();
+    ArrayNode items = page.putArray("items");
+    for (KeyedStore.Newest newest : all.subList(0, Math.min(PAGE_ITEMS, all.size()))) {
+      items
+          .addObject()
+          .put("key", newest.key())
+          .put("value", Base64.getEncoder().encodeToString(newest.value()))
+          .put("offset", newest.offset());
+    }
+    page.put("has-more", all.size() > PAGE_ITEMS);
+    page.put("end", end);
+    return response
+        .status(OK)
+        .header("content-type", "application/json")
+        .sendString(Mono.just(page.toString()));
+  }
+
+  private static String parameter(QueryStringDecoder query, String name, String absent) {
+    Map<String, List<String>> parameters = query.parameters();
+    return parameters.getOrDefault(name, List.of(absent)).getFirst();
+  }
+}
--- a/src/main/java/org/radishpost/standin/LogServer.java
+++ b/src/main/java/org/radishpost/standin/LogServer.java
@@ -14,8 +14,8 @@
 import org.radishpost.errors.VmListUnavailableException;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
-import org.radishpost.platform.http.LogJson;
+import org.radishpost.store.VmEntry;
+import org.radishpost.store.http.LogJson;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -27,7 +27,7 @@
  * The stand-in of the platform over HTTP: the log, the list of VMs and the switches for faults.
  *
  * <p>Create it round a log and a list in memory, start it, and talk to it with the clients of
- * {@code platform.http}. {@code PUT /faults} sets what is wrong from then on. Thread-safe.
+ * {@code store.http}. {@code PUT /faults} sets what is wrong from then on. Thread-safe.
  */
 public final class LogServer {
   private static final int MAX_WAIT_MILLIS = 60_000;
--- a/src/main/java/org/radishpost/standin/MemoryVmList.java
+++ b/src/main/java/org/radishpost/standin/MemoryVmList.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.radishpost.errors.VmListUnavailableException;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
-import org.radishpost.platform.VmList;
+import org.radishpost.store.VmEntry;
+import org.radishpost.store.VmList;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
--- /dev/null
+++ b/src/main/java/org/radishpost/standin/PlatformTargetServer.java
@@ -0,0 +1,116 @@
+package org.radishpost.standin;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.radishpost.errors.StartException;
+import org.radishpost.http.ServerStart;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.platform.WireNames;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A stand-in of a target on the users' platform: it answers each request at once.
+ *
+ * <p>{@link #answers} changes what it says. Thread-safe after {@link #start()}.
+ */
+public final class PlatformTargetServer {
+  /** The path at which it tells its health. */
+  public static final String STATUS_PATH = "/healthz";
+
+  private static final int MISDIRECTED = 421;
+
+  private final String id;
+  private final Endpoint address;
+  private final LoopResources loops;
+  private final List<String> ran = new CopyOnWriteArrayList<>();
+  private volatile Answer answer = new Answer(200, false, "0,0,2,100");
+  private DisposableServer server;
+
+  /**
+   * Creates a target that does not listen yet.
+   *
+   * @param id its identity
+   * @param address where it listens
+   * @param loops the threads
+   */
+  public PlatformTargetServer(String id, Endpoint address, LoopResources loops) {
+    this.id = id;
+    this.address = address;
+    this.loops = loops;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the address with the port in use
+   * @throws StartException if the address is taken
+   */
+  public Endpoint start() throws StartException {
+    server =
+        ServerStart.bind(
+            HttpServer.create()
+                .host(address.ip())
+                .port(address.port())
+                .runOn(loops)
+                .handle(this::handle),
+            address);
+    return new Endpoint(address.ip(), server.port());
+  }
+
+  /** Sets what it answers from now on. */
+  public void answers(Answer newest) {
+    answer = newest;
+  }
+
+  /** Returns the ids of the requests that it has run, in their order. */
+  public List<String> ran() {
+    return ran;
+  }
+
+  /** Closes everything; ends when it is closed. */
+  public Mono<Void> stop() {
+    server.dispose();
+    return server.onDispose();
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    Answer said = answer;
+    response.header(WireNames.ANSWERED_BY, id).header(WireNames.LOAD, said.load());
+    if (request.uri().equals(STATUS_PATH)) {
+      return response.status(200).sendString(Mono.just("ok"));
+    }
+    String name = request.requestHeaders().get(WireNames.REQUEST_ID, "");
+    response.header(WireNames.REQUEST_ID, name);
+    String expected = request.requestHeaders().get(WireNames.EXPECTED_TARGET, id);
+    if (!expected.equals(id)) {
+      return request.receive().then(response.status(MISDIRECTED).send());
+    }
+    if (said.notRun()) {
+      response.header(WireNames.NOT_RUN, "1");
+      return request.receive().then(response.status(said.status()).send());
+    }
+    ran.add(name);
+    response.header(WireNames.PROOF, "proof-of-" + name);
+    return request
+        .receive()
+        .aggregate()
+        .asString()
+        .defaultIfEmpty("")
+        .flatMap(body -> response.status(said.status()).sendString(Mono.just(id + body)).then());
+  }
+
+  /**
+   * What a target says.
+   *
+   * @param status the status of its answers
+   * @param notRun whether it refuses requests as not run
+   * @param load its load, in the platform's form
+   */
+  public record Answer(int status, boolean notRun, String load) {}
+}
--- a/src/main/java/org/radishpost/platform/VmEntry.java
+++ b/src/main/java/org/radishpost/store/VmEntry.java
@@ -1,4 +1,4 @@
-package org.radishpost.platform;
+package org.radishpost.store;
 
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
--- a/src/main/java/org/radishpost/platform/http/BoundedBytes.java
+++ b/src/main/java/org/radishpost/store/http/BoundedBytes.java
@@ -1,4 +1,4 @@
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/main/java/org/radishpost/platform/http/HttpPlatformLog.java
+++ b/src/main/java/org/radishpost/store/http/HttpPlatformLog.java
@@ -1,4 +1,4 @@
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,9 +10,9 @@
 import org.radishpost.errors.LogUnavailableException;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.lib.Endpoint;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
-import org.radishpost.platform.PlatformLog;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
+import org.radishpost.store.PlatformLog;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
--- a/src/main/java/org/radishpost/platform/http/HttpVmList.java
+++ b/src/main/java/org/radishpost/store/http/HttpVmList.java
@@ -1,12 +1,12 @@
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
 
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import org.radishpost.errors.VmListUnavailableException;
 import org.radishpost.lib.Endpoint;
-import org.radishpost.platform.VmEntry;
-import org.radishpost.platform.VmList;
+import org.radishpost.store.VmEntry;
+import org.radishpost.store.VmList;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
--- a/src/main/java/org/radishpost/platform/http/LogJson.java
+++ b/src/main/java/org/radishpost/store/http/LogJson.java
@@ -1,4 +1,4 @@
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -9,9 +9,9 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
+import org.radishpost.store.VmEntry;
 
 /**
  * The JSON forms of the platform's HTTP binding; thread-safe.
--- a/src/main/java/org/radishpost/platform/http/package-info.java
+++ b/src/main/java/org/radishpost/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's services over HTTP and JSON. */
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
--- a/src/test/java/org/radishpost/CorePurityTest.java
+++ b/src/test/java/org/radishpost/CorePurityTest.java
@@ -22,6 +22,7 @@
           "config",
           "membership",
           "pool",
+          "placement",
           "routing",
           "admission",
           "claims",
--- a/src/test/java/org/radishpost/claims/ClaimHistoryTest.java
+++ b/src/test/java/org/radishpost/claims/ClaimHistoryTest.java
@@ -15,9 +15,9 @@
 import org.jetbrains.lincheck.datastructures.StressOptions;
 import org.jetbrains.lincheck.datastructures.ThreadIdGen;
 import org.radishpost.lib.Digest;
-import org.radishpost.platform.PlatformLog;
 import org.radishpost.standin.LogFaults;
 import org.radishpost.standin.MemoryLog;
+import org.radishpost.store.PlatformLog;
 import org.testng.annotations.Test;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
--- a/src/test/java/org/radishpost/claims/DirectClaims.java
+++ b/src/test/java/org/radishpost/claims/DirectClaims.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
-import org.radishpost.platform.PlatformLog;
+import org.radishpost.store.PlatformLog;
 
 /** One VM's shard that carries out its actions at once, on the thread that asks. */
 final class DirectClaims {
--- a/src/test/java/org/radishpost/config/ConfigSchedule.java
+++ b/src/test/java/org/radishpost/config/ConfigSchedule.java
@@ -8,8 +8,8 @@
 import java.util.SplittableRandom;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.LogRecord;
 import org.radishpost.standin.LogFaults;
+import org.radishpost.store.LogRecord;
 import org.testng.Assert;
 
 /** One random schedule of writers and faults, with the invariants checked after every step. */
--- a/src/test/java/org/radishpost/config/ConfigScheduleTest.java
+++ b/src/test/java/org/radishpost/config/ConfigScheduleTest.java
@@ -4,7 +4,7 @@
 
 import java.util.Optional;
 import java.util.stream.LongStream;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/src/test/java/org/radishpost/config/ConfigWorld.java
+++ b/src/test/java/org/radishpost/config/ConfigWorld.java
@@ -20,11 +20,11 @@
 import org.radishpost.manifest.ServiceSpec;
 import org.radishpost.manifest.TargetSpec;
 import org.radishpost.node.ConfigReplicaService;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
-import org.radishpost.platform.PlatformLog;
 import org.radishpost.standin.LogFaults;
 import org.radishpost.standin.MemoryLog;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
+import org.radishpost.store.PlatformLog;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
--- a/src/test/java/org/radishpost/config/FakeNet.java
+++ b/src/test/java/org/radishpost/config/FakeNet.java
@@ -15,7 +15,7 @@
 import org.radishpost.link.LinkSession;
 import org.radishpost.link.Links;
 import org.radishpost.link.PeerEvent;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
--- a/src/test/java/org/radishpost/config/SequentialConfig.java
+++ b/src/test/java/org/radishpost/config/SequentialConfig.java
@@ -9,7 +9,7 @@
 import org.radishpost.lib.GatewayName;
 import org.radishpost.manifest.Manifest;
 import org.radishpost.manifest.ManifestCodec;
-import org.radishpost.platform.LogRecord;
+import org.radishpost.store.LogRecord;
 
 /** What one writer after the other would get: the model that the VMs are compared with. */
 final class SequentialConfig {
--- a/src/test/java/org/radishpost/http/EdgeFixture.java
+++ b/src/test/java/org/radishpost/http/EdgeFixture.java
@@ -48,7 +48,8 @@
   final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
   final LoopResources loops = LoopResources.create("edge-test", 2, true);
   final HttpSender sender =
-      new HttpSender("test", clock, loops, 8, Duration.ofSeconds(5), Duration.ofSeconds(1));
+      new HttpSender(
+          SenderOptions.own("test", 8, Duration.ofSeconds(5), Duration.ofSeconds(1)), clock, loops);
   final List<Long> leftMillis = new CopyOnWriteArrayList<>();
   private final Endpoint target;
   private final EdgeServer server;
@@ -63,6 +64,7 @@
     server =
         new EdgeServer(
             ANY,
+            EdgeDialect.OWN,
             new RegionName("kelet"),
             LIMITS,
             clock,
--- a/src/test/java/org/radishpost/link/FakeNetwork.java
+++ b/src/test/java/org/radishpost/link/FakeNetwork.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.test.scheduler.VirtualTimeScheduler;
--- a/src/test/java/org/radishpost/link/FrameTest.java
+++ b/src/test/java/org/radishpost/link/FrameTest.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import org.radishpost.errors.LinkException;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.Test;
 
 /** Frames and messages as bytes. */
--- a/src/test/java/org/radishpost/link/HandshakeTest.java
+++ b/src/test/java/org/radishpost/link/HandshakeTest.java
@@ -12,7 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.radishpost.errors.LinkException;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.Test;
 
 /** The proof of both ends, without sockets. */
--- a/src/test/java/org/radishpost/link/LinkControlTest.java
+++ b/src/test/java/org/radishpost/link/LinkControlTest.java
@@ -6,7 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- a/src/test/java/org/radishpost/link/LinkFixture.java
+++ b/src/test/java/org/radishpost/link/LinkFixture.java
@@ -7,7 +7,7 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
--- a/src/test/java/org/radishpost/link/RawPeer.java
+++ b/src/test/java/org/radishpost/link/RawPeer.java
@@ -6,7 +6,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import org.radishpost.errors.LinkException;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** The other end of a link by hand, for frames that no VM sends. */
 final class RawPeer implements AutoCloseable {
--- a/src/test/java/org/radishpost/link/Relay.java
+++ b/src/test/java/org/radishpost/link/Relay.java
@@ -8,7 +8,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 
 /** Forwards TCP connections to a VM, and can lose track of those that are open. */
 final class Relay implements AutoCloseable {
--- a/src/test/java/org/radishpost/membership/MemberScheduleTest.java
+++ b/src/test/java/org/radishpost/membership/MemberScheduleTest.java
@@ -16,7 +16,7 @@
 import org.radishpost.config.Scope;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.Test;
 
 /** Tables that learn the same things in chance orders, some late and some never. */
--- a/src/test/java/org/radishpost/membership/MemberTableTest.java
+++ b/src/test/java/org/radishpost/membership/MemberTableTest.java
@@ -20,7 +20,7 @@
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.Test;
 
 /** Who is alive and who owns what. */
--- a/src/test/java/org/radishpost/membership/PeerPlanTest.java
+++ b/src/test/java/org/radishpost/membership/PeerPlanTest.java
@@ -17,7 +17,7 @@
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.radishpost.lib.Place;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.Test;
 
 /** Which peers VMs keep links to. */
--- a/src/test/java/org/radishpost/node/ClaimScheduleTest.java
+++ b/src/test/java/org/radishpost/node/ClaimScheduleTest.java
@@ -8,7 +8,7 @@
 import java.util.function.BiFunction;
 import java.util.function.UnaryOperator;
 import org.radishpost.claims.Claims;
-import org.radishpost.platform.PlatformLog;
+import org.radishpost.store.PlatformLog;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.test.scheduler.VirtualTimeScheduler;
--- a/src/test/java/org/radishpost/node/ClaimVm.java
+++ b/src/test/java/org/radishpost/node/ClaimVm.java
@@ -21,7 +21,7 @@
 import org.radishpost.link.PeerEvent;
 import org.radishpost.membership.Member;
 import org.radishpost.membership.Members;
-import org.radishpost.platform.VmEntry;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
--- a/src/test/java/org/radishpost/node/ClaimWorld.java
+++ b/src/test/java/org/radishpost/node/ClaimWorld.java
@@ -20,8 +20,8 @@
 import org.radishpost.claims.Claims;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.RegionName;
-import org.radishpost.platform.PlatformLog;
 import org.radishpost.standin.MemoryLog;
+import org.radishpost.store.PlatformLog;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** VMs, a faulty log and callers who send their calls again through any VM, in virtual time. */
--- a/src/test/java/org/radishpost/node/ScenarioVm.java
+++ b/src/test/java/org/radishpost/node/ScenarioVm.java
@@ -13,10 +13,10 @@
 import org.radishpost.http.CallResult;
 import org.radishpost.lib.PoolId;
 import org.radishpost.lib.RegionName;
-import org.radishpost.platform.PlatformLog;
-import org.radishpost.platform.VmEntry;
-import org.radishpost.platform.VmList;
 import org.radishpost.settings.NodeSettings.Balancing;
+import org.radishpost.store.PlatformLog;
+import org.radishpost.store.VmEntry;
+import org.radishpost.store.VmList;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
--- a/src/test/java/org/radishpost/node/ScenarioWorld.java
+++ b/src/test/java/org/radishpost/node/ScenarioWorld.java
@@ -30,10 +30,10 @@
 import org.radishpost.lib.VmId;
 import org.radishpost.manifest.DuplicateGuard;
 import org.radishpost.manifest.TargetSpec;
-import org.radishpost.platform.VmEntry;
 import org.radishpost.routing.RouteMatch;
 import org.radishpost.standin.MemoryLog;
 import org.radishpost.standin.MemoryVmList;
+import org.radishpost.store.VmEntry;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
--- /dev/null
+++ b/src/test/java/org/radishpost/pgm/EntryPathTest.java
@@ -0,0 +1,179 @@
+package org.radishpost.pgm;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.VmId;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.node.EntryNode;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.platform.PlatformProtocol;
+import org.radishpost.platform.WireNames;
+import org.radishpost.settings.EntryBounds;
+import org.radishpost.settings.EntrySettings;
+import org.radishpost.standin.KeyedStore;
+import org.radishpost.standin.KeyedStoreServer;
+import org.radishpost.standin.PlatformTargetServer;
+import org.radishpost.standin.PlatformTargetServer.Answer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.netty.resources.LoopResources;
+
+/** A whole entry among stand-ins of the store and of targets, over sockets. */
+public class EntryPathTest {
+  private static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
+  private static final String STATE =
+      """
+      {"version":"r%d","routes":{
+      "reads":{"host":"localhost","path-prefix":"/reads/","kind":"idempotent","timeout-s":5,
+      "target-latency-s":0.25,"service":"s","max-attempts":2},
+      "writes":{"host":"localhost","path-prefix":"/writes/","kind":"non_idempotent",
+      "service":"s","max-attempts":2}%s},
+      "services":{"s":{"health-path":"/healthz"}},"limits":{"max-body-bytes":1000000}}\
+      """;
+  private static final String LATER =
+      """
+      ,"later":{"host":"localhost","path-prefix":"/later/","kind":"idempotent","service":"s"}\
+      """;
+
+  private final HttpClient client = HttpClient.newHttpClient();
+  private LoopResources loops;
+  private KeyedStore store;
+  private KeyedStoreServer storeServer;
+  private PlatformTargetServer first;
+  private PlatformTargetServer second;
+  private EntryNode node;
+
+  /** Starts an entry with two targets. */
+  @BeforeMethod
+  public void start() throws Exception {
+    loops = LoopResources.create("entry-test", 2, true);
+    store = new KeyedStore();
+    storeServer = new KeyedStoreServer(store, ANY, loops);
+    first = new PlatformTargetServer("i-1", ANY, loops);
+    second = new PlatformTargetServer("i-2", ANY, loops);
+    register("i-1", first.start());
+    register("i-2", second.start());
+    EntrySettings settings =
+        new EntrySettings(
+            new VmId("e-1"),
+            Place.of("k", "k-a"),
+            ANY,
+            ANY,
+            Optional.empty(),
+            Map.of(new ZoneName("k-a"), new RegionName("k")),
+            new EntryBounds(0.2, 60, Duration.ofSeconds(4), Duration.ofSeconds(1)));
+    node = new EntryNode(settings, ANY, storeServer.start(), new RuntimeClock());
+    node.start();
+  }
+
+  /** Ends it all. */
+  @AfterMethod
+  public void stop() {
+    node.stop().block();
+    storeServer.stop().block();
+    first.stop().block();
+    second.stop().block();
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+  }
+
+  private void register(String id, Endpoint address) {
+    store.put(
+        WireNames.TARGET_TOPIC,
+        id,
+        "{\"service\":\"s\",\"address\":\""
+            + address
+            + "\",\"zone\":\"k-a\",\"concurrency\":2,\"state\":\"ready\"}");
+  }
+
+  private void publish(int version, String more) {
+    store.put(
+        WireNames.OPERATOR_TOPIC, WireNames.CONFIGURATION_KEY, STATE.formatted(version, more));
+  }
+
+  private HttpResponse<String> get(Endpoint address, String path) throws Exception {
+    return client.send(request(address, path).build(), BodyHandlers.ofString());
+  }
+
+  private HttpResponse<String> post(String path, String body) throws Exception {
+    return client.send(
+        request(node.frontAddress(), path).POST(BodyPublishers.ofString(body)).build(),
+        BodyHandlers.ofString());
+  }
+
+  private static HttpRequest.Builder request(Endpoint address, String path) {
+    return HttpRequest.newBuilder(URI.create("http://localhost:" + address.port() + path))
+        .version(HttpClient.Version.HTTP_1_1)
+        .header(WireNames.REQUEST_ID, "r-1")
+        .header(WireNames.DEADLINE_MILLIS, "20000");
+  }
+
+  private void awaitReady() throws Exception {
+    while (get(node.readinessAddress(), PlatformProtocol.READY_PATH).statusCode() != 200) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  public void servesOnceTheConfigurationIsKnown() throws Exception {
+    assertEquals(get(node.readinessAddress(), PlatformProtocol.READY_PATH).statusCode(), 503);
+    publish(1, "");
+    awaitReady();
+    HttpResponse<String> read = get(node.frontAddress(), "/reads/x?y=1");
+    assertEquals(read.statusCode(), 200);
+    assertEquals(read.headers().firstValue(WireNames.PROOF), Optional.of("proof-of-r-1"));
+    assertEquals(read.headers().firstValue(WireNames.REQUEST_ID), Optional.of("r-1"));
+    assertEquals(post("/writes/x", "body").body().substring(3), "body");
+    assertEquals(get(node.frontAddress(), "/elsewhere/").statusCode(), 404);
+  }
+
+  @Test
+  public void newerVersionComesIntoForceAndOlderOnesDoNot() throws Exception {
+    publish(1, "");
+    awaitReady();
+    assertEquals(get(node.frontAddress(), "/later/x").statusCode(), 404);
+    publish(3, LATER);
+    while (get(node.frontAddress(), "/later/x").statusCode() == 404) {
+      Thread.onSpinWait();
+    }
+    publish(2, "");
+    publish(4, LATER);
+    while (!Integer.valueOf(200).equals(get(node.frontAddress(), "/later/x").statusCode())) {
+      Thread.onSpinWait();
+    }
+    assertEquals(get(node.frontAddress(), "/later/x").statusCode(), 200);
+  }
+
+  @Test
+  public void writeThatOneTargetRefusedRunsOnTheOther() throws Exception {
+    first.answers(new Answer(503, true, "0,0,2,100"));
+    second.answers(new Answer(200, false, "1,0,2,100"));
+    publish(1, "");
+    awaitReady();
+    assertEquals(post("/writes/x", "body").statusCode(), 200);
+    assertEquals(first.ran(), List.of());
+    assertEquals(second.ran(), List.of("r-1"));
+  }
+
+  @Test
+  public void metricsAndReadinessAreServed() throws Exception {
+    publish(1, "");
+    awaitReady();
+    get(node.frontAddress(), "/reads/x");
+    String metrics = get(node.metricsAddress(), "/metrics").body();
+    assertEquals(metrics.contains("radishpost_calls_total{outcome=\"answered\"} 1"), true, metrics);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/placement/SplitPickerTest.java
@@ -0,0 +1,68 @@
+package org.radishpost.placement;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.lib.RequestKind;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.manifest.DuplicateGuard;
+import org.radishpost.manifest.RouteSpec;
+import org.radishpost.manifest.RouteTerms;
+import org.radishpost.manifest.WeightedService;
+import org.testng.annotations.Test;
+
+/** Each VM keeps the weights by itself. */
+public class SplitPickerTest {
+  private static RouteSpec route(WeightedService... split) {
+    return new RouteSpec(
+        "r",
+        "h",
+        Set.of("GET"),
+        "/",
+        new ServiceName("a"),
+        RequestKind.READ,
+        1,
+        true,
+        Duration.ofSeconds(1),
+        1,
+        Set.of(),
+        DuplicateGuard.NONE,
+        new RouteTerms(Optional.empty(), 2, 0, List.of(split)));
+  }
+
+  private static Map<String, Integer> counts(SplitPicker picker, RouteSpec route, int calls) {
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < calls; i++) {
+      counts.merge(picker.next(route).value(), 1, Integer::sum);
+    }
+    return counts;
+  }
+
+  @Test
+  public void weightsHoldWithinFewCalls() {
+    RouteSpec route =
+        route(
+            new WeightedService(new ServiceName("a"), 70),
+            new WeightedService(new ServiceName("b"), 30));
+    SplitPicker picker = new SplitPicker();
+    assertEquals(counts(picker, route, 10), Map.of("a", 7, "b", 3));
+    assertEquals(counts(picker, route, 100), Map.of("a", 70, "b", 30));
+  }
+
+  @Test
+  public void newWeightsTakeOver() {
+    SplitPicker picker = new SplitPicker();
+    counts(picker, route(new WeightedService(new ServiceName("a"), 1)), 5);
+    RouteSpec changed =
+        route(
+            new WeightedService(new ServiceName("a"), 0),
+            new WeightedService(new ServiceName("b"), 1));
+    assertEquals(counts(picker, changed, 5), Map.of("b", 5));
+    assertEquals(counts(picker, route(), 5), Map.of("a", 5));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/placement/Targets.java
@@ -0,0 +1,43 @@
+package org.radishpost.placement;
+
+import java.time.Duration;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
+import org.radishpost.lib.ServiceName;
+
+/** Targets for tests. */
+public final class Targets {
+  private Targets() {}
+
+  /** Returns a target that takes work. */
+  public static Target ready(String id) {
+    return at(id, Place.of("k", "k-a"));
+  }
+
+  /** Returns a target at a place. */
+  public static Target at(String id, Place place) {
+    return target(id, place, false, Duration.ZERO);
+  }
+
+  /** Returns a target that is leaving. */
+  public static Target draining(String id) {
+    return target(id, Place.of("k", "k-a"), true, Duration.ZERO);
+  }
+
+  /** Returns a target that has just started. */
+  public static Target cold(String id, Duration left) {
+    return target(id, Place.of("k", "k-a"), false, left);
+  }
+
+  private static Target target(String id, Place place, boolean draining, Duration coldLeft) {
+    return new Target(
+        new TargetId(id),
+        new ServiceName("s"),
+        new Endpoint("10.0.0.1", 1000 + Math.floorMod(id.hashCode(), 10_000)),
+        place,
+        2,
+        draining,
+        coldLeft,
+        0);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/radishpost/platform/KeyedTopicTest.java
@@ -0,0 +1,161 @@
+package org.radishpost.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.RuntimeClock;
+import org.radishpost.standin.KeyedStore;
+import org.radishpost.standin.KeyedStoreServer;
+import org.radishpost.standin.StoreFault;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.netty.resources.LoopResources;
+
+/** A topic is followed through all that the store may do. */
+public class KeyedTopicTest {
+  private static final String TOPIC = WireNames.TARGET_TOPIC;
+  private static final int HANG_SECONDS = 30;
+
+  private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+  private LoopResources loops;
+  private KeyedStore store;
+  private KeyedStoreServer server;
+  private KeyedTopic topic;
+
+  /** Starts a store with one key. */
+  @BeforeMethod
+  public void start() throws Exception {
+    heard.clear();
+    loops = LoopResources.create("topic-test", 2, true);
+    store = new KeyedStore();
+    store.put(TOPIC, "a", "1");
+    server = new KeyedStoreServer(store, new Endpoint("127.0.0.1", 0), loops);
+    Endpoint address = server.start();
+    RuntimeClock clock = new RuntimeClock().withThread("topic-test");
+    topic =
+        new KeyedTopic(
+            TOPIC,
+            new StoreClient(address, clock, loops),
+            Duration.ofMillis(50),
+            Duration.ofMillis(5),
+            new Heard(),
+            clock,
+            (code, fields) -> heard.add(code.name()));
+  }
+
+  /** Ends it all. */
+  @AfterMethod
+  public void stop() {
+    topic.stop();
+    server.stop().block();
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+  }
+
+  @Test
+  public void newestThenWhatComes() throws Exception {
+    topic.start();
+    await("newest a=1");
+    store.put(TOPIC, "b", "2");
+    await("b=2");
+    store.drop(TOPIC, "a");
+    await("a dropped");
+  }
+
+  @Test
+  public void readsAnewAfterHistoryWasDeleted() throws Exception {
+    topic.start();
+    await("newest a=1");
+    server.fault(new StoreFault.Refusing(503));
+    await("lost");
+    store.put(TOPIC, "b", "2");
+    store.forget(TOPIC);
+    server.fault(new StoreFault.None());
+    await("STORE_RESYNC");
+    await("back");
+    await("newest a=1 b=2");
+  }
+
+  @Test
+  public void outageIsToldOnceAndChangesNothing() throws Exception {
+    topic.start();
+    await("newest a=1");
+    server.fault(new StoreFault.Closing());
+    await("lost");
+    int calls = server.calls();
+    while (server.calls() < calls + 3) {
+      Thread.onSpinWait();
+    }
+    server.fault(new StoreFault.None());
+    await("back");
+    store.put(TOPIC, "c", "3");
+    await("c=3");
+  }
+
+  @Test
+  public void silentStoreIsGivenUpAndAskedAgain() throws Exception {
+    server.fault(new StoreFault.Silent());
+    topic.start();
+    await("lost");
+    server.fault(new StoreFault.None());
+    await("back");
+    await("newest a=1");
+  }
+
+  @Test
+  public void keysWithMarksAndManyPages() throws Exception {
+    for (int i = 0; i < 1_200; i++) {
+      store.put(TOPIC, String.format("key %04d&x=%%1", i), "v");
+    }
+    topic.start();
+    String all = heard.poll(HANG_SECONDS, TimeUnit.SECONDS);
+    assertEquals(all.split("=v", -1).length - 1, 1_200);
+  }
+
+  private void await(String wanted) throws InterruptedException {
+    String next = heard.poll(HANG_SECONDS, TimeUnit.SECONDS);
+    while (next != null && !next.equals(wanted)) {
+      boolean known = List.of("STORE_LOST", "STORE_REGAINED", "STORE_RESYNC").contains(next);
+      assertTrue(known, "'" + next + "' came in place of '" + wanted + "'");
+      next = heard.poll(HANG_SECONDS, TimeUnit.SECONDS);
+    }
+    assertEquals(next, wanted);
+  }
+
+  private final class Heard implements TopicListener {
+    @Override
+    public void newest(List<KeyedRecord> records) {
+      StringBuilder all = new StringBuilder("newest");
+      records.forEach(record -> all.append(' ').append(text(record)));
+      heard.add(all.toString());
+    }
+
+    @Override
+    public void record(KeyedRecord record) {
+      heard.add(text(record));
+    }
+
+    @Override
+    public void storeLost() {
+      heard.add("lost");
+    }
+
+    @Override
+    public void storeBack() {
+      heard.add("back");
+    }
+
+    private static String text(KeyedRecord record) {
+      return record
+          .value()
+          .map(value -> record.key() + "=" + new String(value))
+          .orElse(record.key() + " dropped");
+    }
+  }
+}
--- a/src/test/java/org/radishpost/standin/MemoryLogTest.java
+++ b/src/test/java/org/radishpost/standin/MemoryLogTest.java
@@ -7,7 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.radishpost.platform.LogPage;
+import org.radishpost.store.LogPage;
 import org.testng.annotations.Test;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
--- a/src/test/java/org/radishpost/platform/http/HttpPlatformTest.java
+++ b/src/test/java/org/radishpost/store/http/HttpPlatformTest.java
@@ -1,4 +1,4 @@
-package org.radishpost.platform.http;
+package org.radishpost.store.http;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -12,13 +12,13 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
-import org.radishpost.platform.LogPage;
-import org.radishpost.platform.LogRecord;
-import org.radishpost.platform.VmEntry;
 import org.radishpost.standin.LogFaults;
 import org.radishpost.standin.LogServer;
 import org.radishpost.standin.MemoryLog;
 import org.radishpost.standin.MemoryVmList;
+import org.radishpost.store.LogPage;
+import org.radishpost.store.LogRecord;
+import org.radishpost.store.VmEntry;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
