--- a/src/main/java/org/radishpost/admission/RetryShare.java
+++ b/src/main/java/org/radishpost/admission/RetryShare.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 import org.radishpost.lib.ServiceName;
 
 /**
@@ -12,7 +13,7 @@
  * beyond the part, so that no VM needs to know of the others. Confined to one thread.
  */
 public final class RetryShare {
-  private final double perCall;
+  private final DoubleSupplier perCall;
   private final double reserve;
   private final Map<ServiceName, Double> left = new HashMap<>();
 
@@ -22,14 +23,14 @@
    * @param perCall the retries that each call earns
    * @param reserve the most retries that are saved up for one service
    */
-  public RetryShare(double perCall, double reserve) {
+  public RetryShare(DoubleSupplier perCall, double reserve) {
     this.perCall = perCall;
     this.reserve = reserve;
   }
 
   /** Takes note of a call for the service. */
   public void called(ServiceName service) {
-    left.merge(service, reserve, (had, full) -> Math.min(full, had + perCall));
+    left.merge(service, reserve, (had, full) -> Math.min(full, had + perCall.getAsDouble()));
   }
 
   /** Takes a retry out of the share; tells whether there was one. */
--- a/src/main/java/org/radishpost/direct/DirectAttempt.java
+++ b/src/main/java/org/radishpost/direct/DirectAttempt.java
@@ -9,14 +9,18 @@
 import org.radishpost.placement.TargetId;
 import org.radishpost.placement.TrackedTarget;
 
-/** How far a call has come: where it was sent and whether it may have run. */
+/**
+ * How far a call has come: where it was sent and whether it may have run.
+ *
+ * <p>A call that may be repeated may be at two targets at once. Confined to one thread.
+ */
 final class DirectAttempt {
   private final Call call;
   private final ServiceName service;
   private final PlacedCall placed;
   private final Set<TargetId> tried = new HashSet<>();
   private Optional<TrackedTarget> last = Optional.empty();
-  private boolean open;
+  private int open;
   private boolean ran;
   private int arrivals;
 
@@ -50,7 +54,12 @@
 
   /** Tells whether a target may have run it, as far as is known. */
   boolean mayHaveRun() {
-    return ran || open;
+    return ran || open > 0;
+  }
+
+  /** Tells whether the route allows that it is sent to one more target. */
+  boolean mayGoOn() {
+    return arrivals < call.match().route().terms().maxAttempts();
   }
 
   /** Returns the targets that it has reached, as far as is known. */
@@ -61,24 +70,24 @@
   void sentTo(TrackedTarget target) {
     tried.add(target.target().id());
     last = Optional.of(target);
-    open = true;
+    open++;
     arrivals++;
   }
 
   /** Takes note that the call never reached the target that it was last sent to. */
   void notReached() {
-    open = false;
+    open--;
     arrivals--;
   }
 
   /** Takes note that the target that it was last sent to says that it did not run it. */
   void notRun() {
-    open = false;
+    open--;
   }
 
   /** Takes note that the last send has ended and that the target may have run the call. */
   void endedUnknown() {
-    open = false;
+    open--;
     ran = true;
   }
 }
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -20,6 +20,7 @@
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.WholeAnswer;
 import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.Verdict;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.PlacedCall;
 import org.radishpost.placement.Placement;
@@ -28,7 +29,9 @@
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.WorkTimes;
 import org.radishpost.pool.HandBackReason;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -155,9 +158,48 @@
     if (choice.isEmpty()) {
       return Mono.just(stop(attempt, "no target in service"));
     }
+    return hedged(attempt, choice.get());
+  }
+
+  /** Sends a call, and once more to another target if it may be repeated and takes too long. */
+  private Mono<Reply> hedged(DirectAttempt attempt, Placement.Choice choice) {
+    Mono<Reply> first = send(attempt, choice.target());
+    if (!attempt.call().facts().idempotent() || !attempt.mayGoOn()) {
+      return first;
+    }
+    Duration delay = Duration.ofNanos(placement.hedgeDelayNanos(attempt.placed(), now()));
+    Sinks.Empty<Void> firstEnded = Sinks.empty();
+    Mono<Reply> second =
+        Mono.delay(delay, clock)
+            .takeUntilOther(firstEnded.asMono())
+            .flatMap(tick -> hedge(attempt, choice.target()));
+    return Flux.merge(first.doFinally(signal -> firstEnded.tryEmitEmpty()), second)
+        .takeUntil(DirectRouter::succeeded)
+        .reduce(DirectRouter::better);
+  }
+
+  private Mono<Reply> hedge(DirectAttempt attempt, TrackedTarget slow) {
+    Optional<Placement.Choice> choice =
+        placement.choose(candidates(attempt), attempt.placed(), now());
+    boolean useful = choice.isPresent() && placement.inTime(choice.get(), attempt.placed(), now());
+    if (!useful || !attempt.mayGoOn() || !retries.take(attempt.service())) {
+      return Mono.empty();
+    }
+    log.write(EventCode.CALL_HEDGED, attempt.call(), "no answer yet", Optional.of(slow), now());
     return send(attempt, choice.get().target());
   }
 
+  private static boolean succeeded(Reply reply) {
+    return reply.refusal().isEmpty() && reply.status() < SERVER_ERROR;
+  }
+
+  /** Returns the better of two answers; one that tells of a run goes before a refusal. */
+  private static Reply better(Reply first, Reply second) {
+    boolean secondTellsMore =
+        succeeded(second) || first.refusal().filter(Verdict.NOT_RUN::equals).isPresent();
+    return secondTellsMore ? second : first;
+  }
+
   private Mono<Reply> send(DirectAttempt attempt, TrackedTarget target) {
     if (attempt.call().facts().deadlineNanos() - now() <= 0) {
       return Mono.just(expired(attempt));
@@ -250,9 +292,8 @@
   private Mono<Reply> againOr(
       DirectAttempt attempt, String why, TrackedTarget target, Reply otherwise) {
     boolean arrived = attempt.arrivals() > 0;
-    boolean allowed = attempt.arrivals() < attempt.call().match().route().terms().maxAttempts();
     boolean possible = attempt.call().body().canMove() && !candidates(attempt).isEmpty();
-    if (allowed && possible && (!arrived || retries.take(attempt.service()))) {
+    if (attempt.mayGoOn() && possible && (!arrived || retries.take(attempt.service()))) {
       log.write(EventCode.CALL_RESENT, attempt.call(), why, Optional.of(target), now());
       return place(attempt);
     }
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -38,6 +38,9 @@
  * <p>Thread-safe after {@link #start()}.
  */
 public final class EdgeServer {
+  /** Another VM may be tried almost at once. */
+  private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(100);
+
   private final Endpoint address;
   private final EdgeDialect dialect;
   private final RegionName region;
@@ -150,6 +153,9 @@
     if (!readiness.keepAlive()) {
       response.header("connection", "close");
     }
+    if (!readiness.mayServe()) {
+      return ReplyWriter.refuseAndClose(notReady(), response);
+    }
     Optional<RouteMatch> match =
         RequestCheck.path(request.uri(), dialect)
             .flatMap(
@@ -165,13 +171,14 @@
     return serve(request, response, match.get());
   }
 
+  private Reply notReady() {
+    return Reply.of(Problems.notReady(readiness.why())).withRetryAfter(NOT_READY_RETRY_AFTER);
+  }
+
   private Optional<Problem> refusal(HttpServerRequest request, RouteMatch match) {
     if (dialect.refusesOutsideHome() && !match.route().allows(region)) {
       return Optional.of(Problems.outsideHome(match.route().homeRegions()));
     }
-    if (!readiness.mayServe()) {
-      return Optional.of(Problems.notReady(readiness.why()));
-    }
     if (RequestCheck.bodyBytes(request.requestHeaders()) > match.route().maxBodyBytes()) {
       return Optional.of(tooLarge(match, Verdict.NOT_RUN));
     }
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -59,7 +59,7 @@
             .lifo()
             .build();
     this.client =
-        HttpClient.create(connections)
+        SilentPeers.noticed(HttpClient.create(connections))
             .protocol(HttpProtocol.HTTP11)
             .runOn(loops)
             .disableRetry(true)
@@ -68,7 +68,6 @@
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
                 (observer, channel, remote) -> prepare(channel, options.correlationField()))
-            .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectLimit().toMillis());
   }
 
--- a/src/main/java/org/radishpost/http/ReplyWriter.java
+++ b/src/main/java/org/radishpost/http/ReplyWriter.java
@@ -50,8 +50,13 @@
 
   /** Writes an answer of the system's own and closes the connection after it. */
   static Publisher<Void> refuseAndClose(Problem problem, HttpServerResponse response) {
+    return refuseAndClose(Reply.of(problem), response);
+  }
+
+  /** Writes a refusal and closes the connection after it. */
+  static Publisher<Void> refuseAndClose(Reply refusal, HttpServerResponse response) {
     response.header("connection", "close");
-    return write(Reply.of(problem), "GET", response);
+    return write(refusal, "GET", response);
   }
 
   private static Reply lost() {
--- /dev/null
+++ b/src/main/java/org/radishpost/http/SilentPeers.java
@@ -0,0 +1,25 @@
+package org.radishpost.http;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import jdk.net.ExtendedSocketOptions;
+import reactor.netty.http.client.HttpClient;
+
+/** Socket options that end connections whose other end has gone silent. */
+public final class SilentPeers {
+  private static final int IDLE_SECONDS = 1;
+  private static final int INTERVAL_SECONDS = 1;
+  private static final int PROBES = 2;
+
+  private SilentPeers() {}
+
+  /** Returns the same client with connections that end seconds after their peer fell silent. */
+  public static HttpClient noticed(HttpClient client) {
+    return client
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+  }
+}
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -59,7 +59,7 @@
   private static final double RETRY_RESERVE = 1.5;
   private static final int TIME_LINE_EVENTS = 1_000;
 
-  private final EntrySettings settings;
+  private volatile EntrySettings settings;
   private final LoopResources loops = LoopResources.create("radishpost", 1, true);
   private final RuntimeClock clock;
   private final EventLog events;
@@ -108,7 +108,7 @@
     this.feed =
         new PlatformFeed(
             new StoreClient(store, clock, loops),
-            settings.zones(),
+            () -> this.settings.zones(),
             this::configured,
             directory,
             clock,
@@ -126,7 +126,7 @@
 
   private EdgeServer edge() {
     RetryShare retries =
-        new RetryShare(settings.bounds().retryRatio() * RETRY_RATIO_USED, RETRY_RESERVE);
+        new RetryShare(() -> settings.bounds().retryRatio() * RETRY_RATIO_USED, RETRY_RESERVE);
     return new EdgeServer(
         settings.front(),
         PlatformProtocol.EDGE,
@@ -172,6 +172,15 @@
         EventField.of("place", settings.place()));
   }
 
+  /** Takes over settings that have changed: the zones and the bounds; addresses stay. */
+  public void reload(EntrySettings newest) {
+    settings = newest;
+    events.emit(
+        EventCode.SETTINGS_RELOADED,
+        EventField.of("zones", newest.zones().size()),
+        EventField.of("grace", newest.bounds().grace()));
+  }
+
   /** Returns the address at which callers are served. */
   public Endpoint frontAddress() {
     return frontAddress;
--- a/src/main/java/org/radishpost/pgm/EntryCommand.java
+++ b/src/main/java/org/radishpost/pgm/EntryCommand.java
@@ -16,6 +16,7 @@
     name = "entry",
     description = "Run one VM process on the users' platform, with the settings that it lays down.")
 public final class EntryCommand extends PgmCommand {
+  private static final Duration LOOK_INTERVAL = Duration.ofSeconds(1);
   private static final Duration STOP_LIMIT = Duration.ofSeconds(30);
 
   @Option(
@@ -28,8 +29,9 @@
 
   @Override
   protected ExitCode run() throws RadishpostException {
-    EntrySettings settings =
-        SettingsFile.decode(SettingsFile.fromEnvironment(System.getenv()).bytes());
+    SettingsFile file = SettingsFile.fromEnvironment(System.getenv());
+    byte[] bytes = file.bytes();
+    EntrySettings settings = SettingsFile.decode(bytes);
     Endpoint store =
         settings
             .store()
@@ -40,6 +42,10 @@
         new EntryNode(
             settings, new Endpoint(settings.front().ip(), metricsPort), store, new RuntimeClock());
     node.start();
+    SettingsReload reload = new SettingsReload(file, bytes, node::reload);
+    while (!stop.await(LOOK_INTERVAL)) {
+      reload.look();
+    }
     stop.awaitAndStop(node.stop(), STOP_LIMIT);
     return ExitCode.OK;
   }
--- a/src/main/java/org/radishpost/pgm/StopSignal.java
+++ b/src/main/java/org/radishpost/pgm/StopSignal.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import reactor.core.publisher.Mono;
 import sun.misc.Signal;
@@ -37,6 +38,20 @@
     stopping.block(limit);
   }
 
+  /**
+   * Waits for the first signal for a while.
+   *
+   * @return whether it has come
+   */
+  boolean await(Duration wait) {
+    try {
+      return first.await(wait.toNanos(), TimeUnit.NANOSECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return true;
+    }
+  }
+
   private void received() {
     if (seen.incrementAndGet() > 1) {
       Runtime.getRuntime().halt(ENDED_AT_ONCE);
--- a/src/main/java/org/radishpost/placement/Placement.java
+++ b/src/main/java/org/radishpost/placement/Placement.java
@@ -30,6 +30,8 @@
   private static final double SILENT_COST = 0.5;
   private static final double BUSY_SHARE = 0.8;
   private static final double BUSY_FACTOR = 1.4;
+  private static final double HEDGE_RESERVE = 1.25;
+  private static final double HEDGE_PATIENCE = 1.3;
   private static final double UNKNOWN_PACE_PERCENT = 175;
 
   private final Place self;
@@ -90,6 +92,22 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns how long to wait for an answer before the call is also sent to a second target: until
+   * the second one can just be in time, but not before a usual answer would be there.
+   */
+  public long hedgeDelayNanos(PlacedCall call, long nowNanos) {
+    double work = times.nanos(call.route());
+    double lastMoment = call.targetLatencyNanos() - nowNanos - HEDGE_RESERVE * work;
+    return (long) Math.max(HEDGE_PATIENCE * work, lastMoment);
+  }
+
+  /** Tells whether the answer of a choice is expected in time. */
+  public boolean inTime(Choice choice, PlacedCall call, long nowNanos) {
+    return !choice.target().suspended(nowNanos)
+        && choice.expectedNanos() <= call.targetLatencyNanos() - nowNanos;
+  }
+
   private Choice rate(TrackedTarget target, PlacedCall call, long nowNanos) {
     double expected = expectedNanos(target, call, nowNanos);
     double inTime = Math.max(1, call.targetLatencyNanos() - nowNanos);
--- a/src/main/java/org/radishpost/platform/PlatformFeed.java
+++ b/src/main/java/org/radishpost/platform/PlatformFeed.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.radishpost.config.Configuration;
 import org.radishpost.events.EventSink;
 import org.radishpost.lib.RegionName;
@@ -40,7 +41,7 @@
    */
   public PlatformFeed(
       StoreClient store,
-      Map<ZoneName, RegionName> zones,
+      Supplier<Map<ZoneName, RegionName>> zones,
       Consumer<Configuration> inForce,
       TargetDirectory directory,
       Scheduler clock,
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -1,7 +1,6 @@
 package org.radishpost.platform;
 
 import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.nio.NioChannelOption;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -11,11 +10,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
-import jdk.net.ExtendedSocketOptions;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.errors.StoreException;
+import org.radishpost.http.SilentPeers;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
@@ -33,8 +32,6 @@
   private static final int OK = 200;
   private static final int GONE = 410;
   private static final int CONNECTIONS = 4;
-  private static final int KEEP_ALIVE_SECONDS = 2;
-  private static final int KEEP_ALIVE_PROBES = 3;
   private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
   private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
 
@@ -51,16 +48,11 @@
   public StoreClient(Endpoint address, Scheduler clock, LoopResources loops) {
     this.clock = clock;
     this.client =
-        HttpClient.create(ConnectionProvider.create("store", CONNECTIONS))
+        SilentPeers.noticed(HttpClient.create(ConnectionProvider.create("store", CONNECTIONS)))
             .runOn(loops)
             .disableRetry(true)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.SO_KEEPALIVE, true)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
-            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_LIMIT.toMillis()));
   }
--- a/src/main/java/org/radishpost/platform/TargetTopic.java
+++ b/src/main/java/org/radishpost/platform/TargetTopic.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
@@ -19,13 +20,13 @@
 /** Brings the targets' entries from the store into the directory. */
 final class TargetTopic implements TopicListener {
   private final TargetDirectory directory;
-  private final Map<ZoneName, RegionName> zones;
+  private final Supplier<Map<ZoneName, RegionName>> zones;
   private final Scheduler clock;
   private final EventSink events;
 
   TargetTopic(
       TargetDirectory directory,
-      Map<ZoneName, RegionName> zones,
+      Supplier<Map<ZoneName, RegionName>> zones,
       Scheduler clock,
       EventSink events) {
     this.directory = directory;
@@ -64,7 +65,8 @@
 
   private Optional<Target> decoded(KeyedRecord record) {
     try {
-      return Optional.of(TargetEntry.decode(record.key(), record.value().orElseThrow(), zones));
+      return Optional.of(
+          TargetEntry.decode(record.key(), record.value().orElseThrow(), zones.get()));
     } catch (PlatformDocumentException e) {
       events.emit(EventCode.TARGET_ENTRY_UNREADABLE, EventField.of("why", e.getMessage()));
       return Optional.empty();
--- a/src/test/java/org/radishpost/admission/RetryShareTest.java
+++ b/src/test/java/org/radishpost/admission/RetryShareTest.java
@@ -28,13 +28,15 @@
     double ratio = 0.2;
     double slack = 60;
     long total =
-        IntStream.range(0, vms).mapToLong(i -> taken(new RetryShare(0.15, 1.5), callsPerVm)).sum();
+        IntStream.range(0, vms)
+            .mapToLong(i -> taken(new RetryShare(() -> 0.15, 1.5), callsPerVm))
+            .sum();
     assertTrue(total <= ratio * vms * callsPerVm + slack, "retries: " + total);
   }
 
   @Test
   public void reserveIsBounded() {
-    RetryShare share = new RetryShare(0.15, 1.5);
+    RetryShare share = new RetryShare(() -> 0.15, 1.5);
     for (int i = 0; i < 1_000; i++) {
       share.called(SERVICE);
     }
@@ -44,7 +46,7 @@
 
   @Test
   public void servicesHaveSharesOfTheirOwn() {
-    RetryShare share = new RetryShare(0, 1);
+    RetryShare share = new RetryShare(() -> 0, 1);
     assertTrue(share.take(SERVICE));
     assertTrue(share.take(new ServiceName("other")));
     assertEquals(share.take(SERVICE), false);
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -71,7 +71,7 @@
     directory = new TargetDirectory((code, fields) -> {});
     directory.replaced(List.of(near, other), 0);
     out = Set.of();
-    router = router(new RetryShare(0, 1));
+    router = router(new RetryShare(() -> 0, 1));
   }
 
   private CallHandler router(RetryShare retries) {
@@ -241,14 +241,14 @@
 
   @Test
   public void unreachableTargetCostsNoRetry() {
-    router = router(new RetryShare(0, 0));
+    router = router(new RetryShare(() -> 0, 0));
     targets.calls(near.address(), Mono.error(() -> new NotConnectedException("closed port", null)));
     assertEquals(write().status(), 200);
   }
 
   @Test
   public void retriesEndWithTheShare() {
-    router = router(new RetryShare(0, 0));
+    router = router(new RetryShare(() -> 0, 0));
     dies(near);
     assertEquals(read().status(), 502);
     assertEquals(targets.sent.size(), 1);
@@ -284,6 +284,31 @@
     assertEquals(targets.cancelled, List.of(address(near)));
   }
 
+  @Test
+  public void slowReadIsAlsoSentToAnotherTarget() {
+    targets.calls(near.address(), Mono.never());
+    assertEquals(read().status(), 200);
+    assertEquals(targets.sent, List.of(address(near), address(other)));
+    assertEquals(targets.cancelled, List.of(address(near)));
+  }
+
+  @Test
+  public void slowReadIsSentOnceWithoutShareOfRetries() {
+    router = router(new RetryShare(() -> 0, 0));
+    targets.calls(near.address(), Mono.never());
+    assertEquals(read().status(), 504);
+    assertEquals(targets.sent, List.of(address(near)));
+  }
+
+  @Test
+  public void secondSendThatFailsLeavesTheFirstRunning() {
+    targets.calls(
+        near.address(), FakeTargets.genuine(200).delayElement(Duration.ofMillis(240), clock));
+    dies(other);
+    assertEquals(read().status(), 200);
+    assertEquals(targets.sent, List.of(address(near), address(other)));
+  }
+
   @Test
   public void callerThatLeavesEndsTheWorkAtTheTarget() {
     targets.calls(near.address(), Mono.never());
--- a/src/test/java/org/radishpost/pgm/EntryPathTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryPathTest.java
@@ -140,6 +140,13 @@
     assertEquals(get(node.frontAddress(), "/elsewhere/").statusCode(), 404);
   }
 
+  @Test
+  public void saysNotReadyInPlaceOfNoRouteBeforeTheConfigurationIsKnown() throws Exception {
+    HttpResponse<String> early = get(node.frontAddress(), "/reads/x");
+    assertEquals(early.statusCode(), 503);
+    assertEquals(early.headers().firstValue("retry-after").isPresent(), true);
+  }
+
   @Test
   public void newerVersionComesIntoForceAndOlderOnesDoNot() throws Exception {
     publish(1, "");
