Race two sends of a read without cancelling the one that has ended

Cause: the operators that race two answers cancel a run that has just ended; the cancel closed its connection to the target, so each read paid for a new connection. Found by DirectRouterTest.slowReadIsAlsoSentToAnotherTarget (two cancels where one was due). Change: ReplyRace ends only the run that still works.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -29,9 +29,7 @@
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.WorkTimes;
 import org.radishpost.pool.HandBackReason;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -168,14 +166,9 @@
       return first;
     }
     Duration delay = Duration.ofNanos(placement.hedgeDelayNanos(attempt.placed(), now()));
-    Sinks.Empty<Void> firstEnded = Sinks.empty();
-    Mono<Reply> second =
-        Mono.delay(delay, clock)
-            .takeUntilOther(firstEnded.asMono())
-            .flatMap(tick -> hedge(attempt, choice.target()));
-    return Flux.merge(first.doFinally(signal -> firstEnded.tryEmitEmpty()), second)
-        .takeUntil(DirectRouter::succeeded)
-        .reduce(DirectRouter::better);
+    Mono<Reply> second = Mono.defer(() -> hedge(attempt, choice.target()));
+    return ReplyRace.of(
+        first, Mono.delay(delay, clock), second, DirectRouter::succeeded, DirectRouter::better);
   }
 
   private Mono<Reply> hedge(DirectAttempt attempt, TrackedTarget slow) {
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -300,6 +300,12 @@
     assertEquals(targets.sent, List.of(address(near)));
   }
 
+  @Test
+  public void readThatIsAnsweredCancelsNothing() {
+    read();
+    assertEquals(targets.cancelled, List.of());
+  }
+
   @Test
   public void secondSendThatFailsLeavesTheFirstRunning() {
     targets.calls(
