Set a stand-in target's fault before the answer that confirms it

Cause: TargetServerTest.faultsAreSwitchedAtRunTime failed beside load (expected 0, found 200): the stand-in answered PUT /control and set the fault afterwards, so the next call could come in between. Ruled out: the time limit of 300 ms (a late answer gives 0 too). Change: the fault is set first; only a crash, which takes the connection along, follows the answer.

--- a/src/main/java/org/radishpost/standin/TargetHandler.java
+++ b/src/main/java/org/radishpost/standin/TargetHandler.java
@@ -69,15 +69,18 @@
         .aggregate()
         .asByteArray()
         .flatMap(body -> Mono.fromCallable(() -> mapper.readValue(body, TargetControl.class)))
-        .flatMap(
-            wanted ->
-                json(response, wanted)
-                    .then(Mono.<Void>fromRunnable(() -> onControl.accept(wanted))))
+        .flatMap(wanted -> controlled(wanted, response))
         .onErrorResume(
             IOException.class,
             bad -> json(response.status(HttpResponseStatus.BAD_REQUEST), bad.getMessage()));
   }
 
+  /** A crash takes the connection along, so it comes after the answer; all else comes before. */
+  private Mono<Void> controlled(TargetControl wanted, HttpServerResponse response) {
+    Mono<Void> set = Mono.fromRunnable(() -> onControl.accept(wanted));
+    return wanted.crashNow() ? json(response, wanted).then(set) : set.then(json(response, wanted));
+  }
+
   private Publisher<Void> load(HttpServerResponse response) {
     state.counters().probes.incrementAndGet();
     if (state.control().silent()) {
--- /dev/null
+++ b/src/test/java/org/radishpost/standin/TargetHandlerTest.java
@@ -0,0 +1,60 @@
+package org.radishpost.standin;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.testng.annotations.Test;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** The order in which the stand-in answers and acts. */
+public class TargetHandlerTest {
+  private static final int PATIENCE_MILLIS = 500;
+
+  @Test
+  public void faultIsInForceBeforeItsAnswer() throws Exception {
+    CountDownLatch answered = new CountDownLatch(1);
+    AtomicBoolean answeredFirst = new AtomicBoolean();
+    TargetState state =
+        new TargetState(TargetOptions.warm(1, 4, Duration.ofMillis(1), 1), Schedulers.parallel());
+    TargetHandler handler =
+        new TargetHandler(
+            state,
+            Schedulers.parallel(),
+            wanted -> answeredFirst.set(await(answered)),
+            fromCold -> {});
+    DisposableServer server =
+        HttpServer.create().host("127.0.0.1").port(0).handle(handler::handle).bindNow();
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.port() + "/control"))
+            .PUT(BodyPublishers.ofString("{\"silent\":true}"))
+            .build();
+    CompletableFuture<HttpResponse<String>> answer =
+        HttpClient.newHttpClient()
+            .sendAsync(request, BodyHandlers.ofString())
+            .whenComplete((response, error) -> answered.countDown());
+    assertEquals(answer.get().statusCode(), 200);
+    assertEquals(answeredFirst.get(), false);
+    server.disposeNow();
+  }
+
+  private static boolean await(CountDownLatch latch) {
+    try {
+      return latch.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+}
