Bound what cold targets get, look further when the region is full, wait less long for the store

Change: ColdGate divides a cold target among entries by hash and time; targets of other regions are asked when none near by is good enough; a call is kept back while all that were asked are full, and then refused as not run; waiting reads last 2 s, other calls 0.9 s.

--- a/src/main/java/org/radishpost/direct/DirectAttempt.java
+++ b/src/main/java/org/radishpost/direct/DirectAttempt.java
@@ -18,16 +18,19 @@
   private final Call call;
   private final ServiceName service;
   private final PlacedCall placed;
+  private final long holdUntilNanos;
   private final Set<TargetId> tried = new HashSet<>();
   private Optional<TrackedTarget> last = Optional.empty();
   private int open;
   private boolean ran;
   private int arrivals;
+  private boolean lookedFar;
 
-  DirectAttempt(Call call, ServiceName service, PlacedCall placed) {
+  DirectAttempt(Call call, ServiceName service, PlacedCall placed, long holdUntilNanos) {
     this.call = call;
     this.service = service;
     this.placed = placed;
+    this.holdUntilNanos = holdUntilNanos;
   }
 
   Call call() {
@@ -42,6 +45,18 @@
     return placed;
   }
 
+  /** Returns until when it may be kept back. */
+  long holdUntilNanos() {
+    return holdUntilNanos;
+  }
+
+  /** Tells whether other regions may be asked, which each call does once. */
+  boolean looksFar() {
+    boolean first = !lookedFar;
+    lookedFar = true;
+    return first;
+  }
+
   /** Returns the targets that it is not sent to again. */
   Set<TargetId> tried() {
     return tried;
--- a/src/main/java/org/radishpost/direct/DirectParts.java
+++ b/src/main/java/org/radishpost/direct/DirectParts.java
@@ -8,6 +8,8 @@
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
 import org.radishpost.lib.Place;
+import org.radishpost.lib.VmId;
+import org.radishpost.placement.ColdGate;
 import org.radishpost.placement.Placement;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.WorkTimes;
@@ -20,7 +22,8 @@
   /**
    * Returns the handler of calls.
    *
-   * @param self where this VM runs
+   * @param vm the identity of this VM
+   * @param self where it runs
    * @param configuration the configuration in force
    * @param directory the targets
    * @param protocol how targets are spoken to
@@ -32,6 +35,7 @@
    * @param events where events go
    */
   public static CallHandler router(
+      VmId vm,
       Place self,
       Supplier<Configuration> configuration,
       TargetDirectory directory,
@@ -43,10 +47,12 @@
       RandomGenerator random,
       EventSink events) {
     WorkTimes times = new WorkTimes();
+    ColdGate coldGate = new ColdGate(vm.value());
     return new DirectRouter(
         configuration,
         directory,
-        new Placement(self, times),
+        new Placement(self, times, coldGate, random),
+        coldGate,
         times,
         new LoadProber(sender, protocol, clock, events),
         protocol,
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -21,6 +21,7 @@
 import org.radishpost.http.WholeAnswer;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.Verdict;
+import org.radishpost.placement.ColdGate;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.PlacedCall;
 import org.radishpost.placement.Placement;
@@ -39,8 +40,12 @@
  * route's attempts and this VM's share of the retries. Confined to one thread.
  */
 public final class DirectRouter implements CallHandler {
-  private static final Duration QUESTION_WAIT = Duration.ofMillis(20);
-  private static final Duration FAR_QUESTION_WAIT = Duration.ofMillis(40);
+  private static final int MIN_HOLD_MILLIS = 12;
+  private static final int HOLD_SPREAD_MILLIS = 20;
+
+  /** The part of a call's time that it may be kept back; the rest is for another entry. */
+  private static final double HOLD_PART = 0.5;
+
   private static final int SERVER_ERROR = 500;
   private static final int UNAVAILABLE = 503;
   private static final int TOO_MANY = 429;
@@ -52,6 +57,7 @@
   private final Supplier<Configuration> configuration;
   private final TargetDirectory directory;
   private final Placement placement;
+  private final ColdGate coldGate;
   private final WorkTimes times;
   private final SplitPicker splits;
   private final LoadProber prober;
@@ -68,6 +74,7 @@
    * @param configuration the configuration in force
    * @param directory the targets
    * @param placement chooses among them
+   * @param coldGate told of sends to cold targets
    * @param times how long calls take
    * @param prober asks targets for their load
    * @param protocol how targets are spoken to
@@ -81,6 +88,7 @@
       Supplier<Configuration> configuration,
       TargetDirectory directory,
       Placement placement,
+      ColdGate coldGate,
       WorkTimes times,
       LoadProber prober,
       TargetProtocol protocol,
@@ -92,6 +100,7 @@
     this.configuration = configuration;
     this.directory = directory;
     this.placement = placement;
+    this.coldGate = coldGate;
     this.times = times;
     this.splits = new SplitPicker();
     this.prober = prober;
@@ -109,7 +118,8 @@
         () -> {
           ServiceName service = splits.next(call.match().route());
           retries.called(service);
-          DirectAttempt attempt = new DirectAttempt(call, service, placed(call));
+          long holdNanos = (long) (HOLD_PART * left(call).toNanos());
+          DirectAttempt attempt = new DirectAttempt(call, service, placed(call), now() + holdNanos);
           return place(attempt)
               .timeout(left(call), Mono.fromSupplier(() -> expired(attempt)), clock)
               .doOnCancel(() -> abandoned(attempt));
@@ -135,9 +145,12 @@
 
   private Mono<Reply> place(DirectAttempt attempt) {
     List<TrackedTarget> candidates = candidates(attempt);
-    List<TrackedTarget> asked = placement.toAsk(candidates, now());
-    Mono<Void> answers = prober.ask(asked, target -> placement.ideal(target, now()), QUESTION_WAIT);
-    return answers.then(Mono.defer(() -> choose(attempt)));
+    return ask(placement.toAsk(candidates, now())).then(Mono.defer(() -> choose(attempt)));
+  }
+
+  private Mono<Void> ask(List<TrackedTarget> targets) {
+    return prober.ask(
+        targets, target -> placement.ideal(target, now()), placement.askWait(targets));
   }
 
   private List<TrackedTarget> candidates(DirectAttempt attempt) {
@@ -156,9 +169,26 @@
     if (choice.isEmpty()) {
       return Mono.just(stop(attempt, "no target in service"));
     }
+    if (placement.poor(choice.get()) && attempt.looksFar()) {
+      return ask(placement.toAskFar(candidates(attempt), now()))
+          .then(Mono.defer(() -> choose(attempt)));
+    }
+    if (choice.get().full()) {
+      return hold(attempt, choice.get());
+    }
     return hedged(attempt, choice.get());
   }
 
+  /** Keeps a call back while all targets are full, as long as its answer can still be in time. */
+  private Mono<Reply> hold(DirectAttempt attempt, Placement.Choice choice) {
+    long leftNanos = attempt.call().facts().deadlineNanos() - now();
+    if (now() - attempt.holdUntilNanos() >= 0 || choice.expectedNanos() > leftNanos) {
+      return Mono.just(stop(attempt, "all targets are full"));
+    }
+    Duration pause = Duration.ofMillis(MIN_HOLD_MILLIS + random.nextInt(HOLD_SPREAD_MILLIS));
+    return Mono.delay(pause, clock).then(Mono.defer(() -> place(attempt)));
+  }
+
   /** Sends a call, and once more to another target if it may be repeated and takes too long. */
   private Mono<Reply> hedged(DirectAttempt attempt, Placement.Choice choice) {
     Mono<Reply> first = send(attempt, choice.target());
@@ -199,6 +229,7 @@
     }
     attempt.sentTo(target);
     target.sent();
+    coldGate.sent(target, now());
     attempt.call().body().take();
     long start = now();
     int pace = pacePercent(target);
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -138,6 +138,7 @@
         readiness,
         new MeteredCalls(
             DirectParts.router(
+                settings.vm(),
                 settings.place(),
                 () -> configuration,
                 directory,
--- a/src/main/java/org/radishpost/placement/Placement.java
+++ b/src/main/java/org/radishpost/placement/Placement.java
@@ -1,9 +1,12 @@
 package org.radishpost.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.radishpost.lib.Distance;
 import org.radishpost.lib.Place;
 
@@ -20,6 +23,9 @@
   public static final long FRESH_NANOS = 12_000_000L;
 
   private static final int MAX_ASKED = 6;
+  private static final int MAX_ASKED_FAR = 4;
+  private static final Duration NEAR_WAIT = Duration.ofMillis(20);
+  private static final Duration FAR_WAIT = Duration.ofMillis(45);
   private static final long USEFUL_NANOS = 400_000_000L;
   private static final double LATE_SPREAD = 0.30;
   private static final double LATE_LOSS = 0.9;
@@ -27,7 +33,13 @@
   private static final double COST_PER_SECOND = 0.05;
   private static final double COLD_COST = 2;
   private static final double SUSPENDED_COST = 4;
-  private static final double SILENT_COST = 0.5;
+  private static final double SILENT_COST = 0.4;
+  private static final double TIE_COST = 0.1;
+  private static final double POOR_COST = 0.5;
+
+  /** Calls at a target, as multiples of its slots, from which on it is full. */
+  private static final int FULL_ROUNDS = 2;
+
   private static final double BUSY_SHARE = 0.8;
   private static final double BUSY_FACTOR = 1.4;
   private static final double HEDGE_RESERVE = 1.25;
@@ -36,16 +48,22 @@
 
   private final Place self;
   private final WorkTimes times;
+  private final ColdGate coldGate;
+  private final RandomGenerator random;
 
   /**
    * Creates it.
    *
    * @param self where this VM runs
    * @param times how long calls take
+   * @param coldGate which cold targets may be used
+   * @param random picks among targets that are alike
    */
-  public Placement(Place self, WorkTimes times) {
+  public Placement(Place self, WorkTimes times, ColdGate coldGate, RandomGenerator random) {
     this.self = self;
     this.times = times;
+    this.coldGate = coldGate;
+    this.random = random;
   }
 
   /** Returns the targets to ask now: the nearest that may serve and have said nothing lately. */
@@ -55,12 +73,35 @@
     return near;
   }
 
+  /** Returns some targets of other regions to ask when none near by is good enough. */
+  public List<TrackedTarget> toAskFar(List<TrackedTarget> candidates, long nowNanos) {
+    List<TrackedTarget> far = new ArrayList<>(candidates);
+    far.removeIf(
+        target ->
+            distance(target) != Distance.OTHER_REGION
+                || target.suspended(nowNanos)
+                || target.cold(nowNanos)
+                || target.sample(FRESH_NANOS, nowNanos).isPresent());
+    Collections.shuffle(far, random);
+    return far.subList(0, Math.min(MAX_ASKED_FAR, far.size()));
+  }
+
+  /** Returns how long to wait for the answers of the targets that are asked. */
+  public Duration askWait(List<TrackedTarget> asked) {
+    boolean far = asked.stream().anyMatch(target -> distance(target) == Distance.OTHER_REGION);
+    return far ? FAR_WAIT : NEAR_WAIT;
+  }
+
+  /** Tells whether it is worth to ask in other regions before a choice is followed. */
+  public boolean poor(Choice choice) {
+    return choice.cost() > POOR_COST && distance(choice.target()) != Distance.OTHER_REGION;
+  }
+
   private List<TrackedTarget> near(List<TrackedTarget> candidates, long nowNanos) {
     List<TrackedTarget> sorted = new ArrayList<>(candidates);
     sorted.removeIf(target -> target.suspended(nowNanos) || target.cold(nowNanos));
-    sorted.sort(
-        Comparator.comparing((TrackedTarget target) -> distance(target))
-            .thenComparing(target -> -target.sampleAgeNanos(nowNanos)));
+    Collections.shuffle(sorted, random);
+    sorted.sort(Comparator.comparing(this::distance));
     boolean regional = !sorted.isEmpty() && distance(sorted.getFirst()) != Distance.OTHER_REGION;
     if (regional) {
       sorted.removeIf(target -> distance(target) == Distance.OTHER_REGION);
@@ -84,6 +125,9 @@
   public Optional<Choice> choose(List<TrackedTarget> candidates, PlacedCall call, long nowNanos) {
     Choice best = null;
     for (TrackedTarget target : candidates) {
+      if (!coldGate.admits(target, nowNanos)) {
+        continue;
+      }
       Choice choice = rate(target, call, nowNanos);
       if (best == null || choice.cost() < best.cost()) {
         best = choice;
@@ -125,9 +169,20 @@
     }
     boolean silent = target.sample(USEFUL_NANOS, nowNanos).isEmpty();
     if (silent) {
-      cost += SILENT_COST * (distance(target) == Distance.OTHER_REGION ? 0.2 : 1);
+      cost += SILENT_COST + TIE_COST * random.nextDouble();
     }
-    return new Choice(target, cost, (long) expected);
+    return new Choice(target, cost, (long) expected, full(target, nowNanos));
+  }
+
+  /** Tells whether the target has said that more calls wait there than it can soon run. */
+  private static boolean full(TrackedTarget target, long nowNanos) {
+    return target
+        .sample(USEFUL_NANOS, nowNanos)
+        .filter(
+            known ->
+                known.running() + known.waiting() + target.sentSinceSample()
+                    >= FULL_ROUNDS * known.slots())
+        .isPresent();
   }
 
   /** Returns how long the call would take at the target, the way there and back included. */
@@ -156,6 +211,7 @@
    * @param target the target
    * @param cost the cost, as a share of the worth of a call that is in time
    * @param expectedNanos how long the answer is expected to take
+   * @param full whether the target has more calls waiting than it can soon run
    */
-  public record Choice(TrackedTarget target, double cost, long expectedNanos) {}
+  public record Choice(TrackedTarget target, double cost, long expectedNanos, boolean full) {}
 }
--- a/src/main/java/org/radishpost/platform/PlatformFeed.java
+++ b/src/main/java/org/radishpost/platform/PlatformFeed.java
@@ -18,8 +18,11 @@
  * thread.
  */
 public final class PlatformFeed {
-  /** Desired states are rare, so each is waited for. */
-  private static final Duration OPERATOR_WAIT = Duration.ofSeconds(20);
+  /**
+   * Desired states are rare, so each is waited for; not for long, as a store that has dropped a
+   * wait doesn't say so, and a desired state must be in force within seconds.
+   */
+  private static final Duration OPERATOR_WAIT = Duration.ofSeconds(2);
 
   private static final Duration OPERATOR_PACE = Duration.ofMillis(50);
 
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -32,8 +32,8 @@
   private static final int OK = 200;
   private static final int GONE = 410;
   private static final int CONNECTIONS = 4;
-  private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
-  private static final Duration CONNECT_LIMIT = Duration.ofSeconds(1);
+  private static final Duration CALL_LIMIT = Duration.ofMillis(900);
+  private static final Duration CONNECT_LIMIT = Duration.ofMillis(600);
 
   private final Scheduler clock;
   private final HttpClient client;
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -33,6 +33,7 @@
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.TenantName;
 import org.radishpost.lib.Verdict;
+import org.radishpost.lib.VmId;
 import org.radishpost.manifest.DuplicateGuard;
 import org.radishpost.manifest.Manifest;
 import org.radishpost.manifest.RouteSpec;
@@ -76,6 +77,7 @@
 
   private CallHandler router(RetryShare retries) {
     return DirectParts.router(
+        new VmId("e-1"),
         HERE,
         () -> new Configuration(1, Map.of(), out),
         directory,
@@ -315,6 +317,49 @@
     assertEquals(targets.sent, List.of(address(near), address(other)));
   }
 
+  /** A burst fills every queue. */
+  @Test
+  public void callIsKeptBackWhileAllTargetsAreFullAndThenRefusedUnsent() {
+    targets.statusAnswers(near.address(), Mono.fromSupplier(() -> load("4")));
+    targets.statusAnswers(other.address(), Mono.fromSupplier(() -> load("5")));
+    List<Reply> replies = new ArrayList<>();
+    router.handle(call(false, Set.of())).subscribe(replies::add);
+    clock.advanceTimeBy(Duration.ofMillis(400));
+    assertEquals(replies.size(), 0);
+    clock.advanceTimeBy(Duration.ofMillis(200));
+    assertEquals(replies.getFirst().status(), 503);
+    assertEquals(refusal(replies.getFirst()), Optional.of(Verdict.NOT_RUN));
+    assertEquals(targets.sent, List.of());
+  }
+
+  @Test
+  public void callThatIsKeptBackGoesToTheFirstFreeTarget() {
+    targets.statusAnswers(near.address(), Mono.fromSupplier(() -> load("4")));
+    targets.statusAnswers(other.address(), Mono.fromSupplier(() -> load("4")));
+    List<Reply> replies = new ArrayList<>();
+    router.handle(call(false, Set.of())).subscribe(replies::add);
+    clock.advanceTimeBy(Duration.ofMillis(100));
+    targets.statusAnswers(other.address(), Mono.fromSupplier(() -> load("0")));
+    clock.advanceTimeBy(Duration.ofMillis(40));
+    assertEquals(replies.getFirst().status(), 200);
+    assertEquals(targets.sent, List.of(address(other)));
+  }
+
+  /** All targets of the region are busy, those of another region are not asked before. */
+  @Test
+  public void otherRegionIsAskedWhenNoTargetNearIsGoodEnough() {
+    Target far = Targets.at("far", Place.of("n", "n-a"));
+    directory.registered(far, 0);
+    targets.statusAnswers(near.address(), Mono.fromSupplier(() -> load("3")));
+    targets.statusAnswers(other.address(), Mono.fromSupplier(() -> load("3")));
+    assertEquals(read().status(), 200);
+    assertEquals(targets.sent, List.of(address(far)));
+  }
+
+  private static Reply load(String running) {
+    return FakeTargets.reply(200, "load", running);
+  }
+
   @Test
   public void callerThatLeavesEndsTheWorkAtTheTarget() {
     targets.calls(near.address(), Mono.never());
--- a/src/test/java/org/radishpost/placement/PlacementTest.java
+++ b/src/test/java/org/radishpost/placement/PlacementTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.radishpost.lib.Place;
 import org.testng.annotations.Test;
 
@@ -17,7 +18,8 @@
   private static final Place NEXT_ZONE = Place.of("k", "k-b");
   private static final Place FAR = Place.of("n", "n-a");
 
-  private final Placement placement = new Placement(HERE, new WorkTimes());
+  private final Placement placement =
+      new Placement(HERE, new WorkTimes(), new ColdGate("e-1"), new SplittableRandom(1));
 
   private static TrackedTarget target(String id, Place place, int running, int pace) {
     TrackedTarget target = new TrackedTarget(Targets.at(id, place), 0);
