--- a/src/main/java/org/radishpost/pgm/EntryCommand.java
+++ b/src/main/java/org/radishpost/pgm/EntryCommand.java
@@ -31,6 +31,7 @@
 
   @Override
   protected ExitCode run() throws RadishpostException {
+    BoundedOutput.install();
     SettingsFile file = SettingsFile.fromEnvironment(System.getenv());
     byte[] bytes = file.bytes();
     EntrySettings settings = SettingsFile.decode(bytes);
