Begin each split at a random place, and hold fewer connections to a target

Change: SplitPicker starts at a random phase; 8 connections to a target; a call that is kept back asks again after 20 to 50 ms in place of 12 to 32.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -40,8 +40,8 @@
  * route's attempts and this VM's share of the retries. Confined to one thread.
  */
 public final class DirectRouter implements CallHandler {
-  private static final int MIN_HOLD_MILLIS = 12;
-  private static final int HOLD_SPREAD_MILLIS = 20;
+  private static final int MIN_HOLD_MILLIS = 20;
+  private static final int HOLD_SPREAD_MILLIS = 30;
 
   /** The part of a call's time that it may be kept back; the rest is for another entry. */
   private static final double HOLD_PART = 0.5;
@@ -102,7 +102,7 @@
     this.placement = placement;
     this.coldGate = coldGate;
     this.times = times;
-    this.splits = new SplitPicker();
+    this.splits = new SplitPicker(random);
     this.prober = prober;
     this.protocol = protocol;
     this.sender = sender;
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -48,7 +48,10 @@
       new LimitSettings(65_536, 1 << 20, 4_000, 3_000, Duration.ofSeconds(60));
   private static final Duration TARGET_IDLE = Duration.ofSeconds(8);
   private static final Duration CONNECT_LIMIT = Duration.ofMillis(300);
-  private static final int TARGET_CONNECTIONS = 16;
+
+  /** Small enough that what a target bears suffices for all entries. */
+  private static final int TARGET_CONNECTIONS = 8;
+
   private static final Duration TICK = Duration.ofMillis(200);
 
   /** The balancer asks each second and takes a VM out after two misses. */
--- a/src/main/java/org/radishpost/placement/SplitPicker.java
+++ b/src/main/java/org/radishpost/placement/SplitPicker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.manifest.RouteSpec;
 import org.radishpost.manifest.WeightedService;
@@ -14,10 +15,20 @@
  * shares by itself and within few calls. Confined to one thread.
  */
 public final class SplitPicker {
+  private static final int PHASES = 100;
+
+  private final RandomGenerator random;
   private final Map<String, Shares> byRoute = new HashMap<>();
 
-  /** Creates it without any call. */
-  public SplitPicker() {}
+  /**
+   * Creates it without any call.
+   *
+   * @param random where in the order each split begins, so that the first calls of many VMs don't
+   *     all go to its largest part
+   */
+  public SplitPicker(RandomGenerator random) {
+    this.random = random;
+  }
 
   /** Returns the service for the next call of the route. */
   public ServiceName next(RouteSpec route) {
@@ -28,6 +39,7 @@
     Shares shares = byRoute.get(route.name());
     if (shares == null || !shares.split.equals(split)) {
       shares = new Shares(split);
+      shares.skip(random.nextInt(PHASES));
       byRoute.put(route.name(), shares);
     }
     return shares.next();
@@ -44,6 +56,12 @@
       this.total = split.stream().mapToDouble(WeightedService::weight).sum();
     }
 
+    private void skip(int calls) {
+      for (int i = 0; i < calls; i++) {
+        next();
+      }
+    }
+
     private ServiceName next() {
       int best = 0;
       for (int i = 0; i < credit.length; i++) {
--- a/src/test/java/org/radishpost/placement/SplitPickerTest.java
+++ b/src/test/java/org/radishpost/placement/SplitPickerTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.radishpost.lib.RequestKind;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.manifest.DuplicateGuard;
@@ -49,14 +50,31 @@
         route(
             new WeightedService(new ServiceName("a"), 70),
             new WeightedService(new ServiceName("b"), 30));
-    SplitPicker picker = new SplitPicker();
+    SplitPicker picker = new SplitPicker(new SplittableRandom(7));
     assertEquals(counts(picker, route, 10), Map.of("a", 7, "b", 3));
     assertEquals(counts(picker, route, 100), Map.of("a", 70, "b", 30));
   }
 
+  /** Each of many VMs gets a few calls only, as after all have been restarted. */
+  @Test
+  public void weightsHoldOverManyVmsWithFewCallsEach() {
+    RouteSpec route =
+        route(
+            new WeightedService(new ServiceName("a"), 80),
+            new WeightedService(new ServiceName("b"), 20));
+    SplittableRandom random = new SplittableRandom(7);
+    int calls = 0;
+    int second = 0;
+    for (int vm = 0; vm < 100; vm++) {
+      second += counts(new SplitPicker(random), route, 3).getOrDefault("b", 0);
+      calls += 3;
+    }
+    assertEquals((double) second / calls, 0.2, 0.1);
+  }
+
   @Test
   public void newWeightsTakeOver() {
-    SplitPicker picker = new SplitPicker();
+    SplitPicker picker = new SplitPicker(new SplittableRandom(7));
     counts(picker, route(new WeightedService(new ServiceName("a"), 1)), 5);
     RouteSpec changed =
         route(
