Bound what waits on a link in a class of its own

Its bound drifted: a frame refused for the number of frames gave back bytes that it had not taken, so the bound on bytes grew with each refusal. Found by reading. Change: SendBound. Tests of the link package green.

--- a/src/main/java/org/radishpost/link/LinkConnection.java
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -40,8 +40,7 @@
   private final long openedNanos;
   private final LinkHealth health;
   private final TrafficCounter unproved = new TrafficCounter();
-  private final AtomicInteger queuedFrames = new AtomicInteger();
-  private final AtomicInteger queuedBytes = new AtomicInteger();
+  private final SendBound queued;
   private final AtomicInteger asksTaken = new AtomicInteger();
   private final AskTable asks;
   private final Sinks.Empty<Void> closed = Sinks.empty();
@@ -99,6 +98,7 @@
     this.configVersion = configVersion;
     this.scheduler = scheduler;
     this.listener = listener;
+    this.queued = new SendBound(options.queueFrames(), options.queueBytes());
     this.asks = new AskTable(options.pendingAsks());
     this.openedNanos = nowNanos();
     this.health = new LinkHealth(options, openedNanos);
@@ -211,27 +211,19 @@
         || bytes.length + FrameSeal.SEAL_BYTES > Frame.MAX_BYTES) {
       return false;
     }
-    if (queuedFrames.incrementAndGet() > options.queueFrames()
-        || queuedBytes.addAndGet(bytes.length) > options.queueBytes()) {
-      return dropped(bytes.length);
+    if (!queued.take(bytes.length)) {
+      return false;
     }
     channel.eventLoop().execute(() -> write(bytes));
     return true;
   }
 
-  private boolean dropped(int bytes) {
-    queuedFrames.decrementAndGet();
-    queuedBytes.addAndGet(-bytes);
-    return false;
-  }
-
   private void sendUncounted(Beat beat) {
     if (released) {
       return;
     }
     byte[] bytes = new Frame(Frame.Kind.BEAT, 0, 0, 0, beat.encode()).encode();
-    queuedFrames.incrementAndGet();
-    queuedBytes.addAndGet(bytes.length);
+    queued.force(bytes.length);
     channel.eventLoop().execute(() -> write(bytes));
   }
 
@@ -241,7 +233,7 @@
     ByteBuf buffer = channel.alloc().buffer(LENGTH_BYTES + bytes);
     buffer.writeInt(bytes).writeBytes(frame).writeBytes(seal);
     proof.traffic.sent(LENGTH_BYTES + bytes);
-    channel.writeAndFlush(buffer).addListener(done -> dropped(frame.length));
+    channel.writeAndFlush(buffer).addListener(done -> queued.release(frame.length));
   }
 
   private void writePlain(byte[] frame) {
