--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -19,7 +19,6 @@
 import org.radishpost.http.Reply;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.WholeAnswer;
-import org.radishpost.lib.Distance;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.Verdict;
 import org.radishpost.placement.ColdGate;
@@ -145,17 +144,13 @@
   }
 
   private Mono<Reply> place(DirectAttempt attempt) {
-    return look(attempt, Distance.SAME_ZONE);
+    List<TrackedTarget> candidates = candidates(attempt);
+    return ask(placement.toAsk(candidates, now())).then(Mono.defer(() -> choose(attempt)));
   }
 
-  /** Asks the targets at a distance and goes on with what they say. */
-  private Mono<Reply> look(DirectAttempt attempt, Distance distance) {
-    return ask(attempt, distance).then(Mono.defer(() -> choose(attempt, distance)));
-  }
-
-  private Mono<Void> ask(DirectAttempt attempt, Distance distance) {
-    List<TrackedTarget> asked = placement.toAsk(candidates(attempt), distance, now());
-    return prober.ask(asked, target -> placement.ideal(target, now()), placement.askWait(distance));
+  private Mono<Void> ask(List<TrackedTarget> targets) {
+    return prober.ask(
+        targets, target -> placement.ideal(target, now()), placement.askWait(targets));
   }
 
   private List<TrackedTarget> candidates(DirectAttempt attempt) {
@@ -168,19 +163,16 @@
     return found;
   }
 
-  private Mono<Reply> choose(DirectAttempt attempt, Distance asked) {
+  private Mono<Reply> choose(DirectAttempt attempt) {
     Optional<Placement.Choice> choice =
         placement.choose(candidates(attempt), attempt.placed(), now());
-    boolean settled = choice.isPresent() && placement.settled(choice.get(), asked);
-    if (!settled && asked == Distance.SAME_ZONE) {
-      return look(attempt, Distance.SAME_REGION);
-    }
-    if (!settled && asked == Distance.SAME_REGION && attempt.looksFar()) {
-      return look(attempt, Distance.OTHER_REGION);
-    }
     if (choice.isEmpty()) {
       return Mono.just(stop(attempt, "no target in service"));
     }
+    if (placement.poor(choice.get()) && attempt.looksFar()) {
+      return ask(placement.toAskFar(candidates(attempt), now()))
+          .then(Mono.defer(() -> choose(attempt)));
+    }
     if (choice.get().full()) {
       return hold(attempt, choice.get());
     }
@@ -210,12 +202,6 @@
   }
 
   private Mono<Reply> hedge(DirectAttempt attempt, TrackedTarget slow) {
-    return ask(attempt, Distance.SAME_ZONE)
-        .then(Mono.defer(() -> ask(attempt, Distance.SAME_REGION)))
-        .then(Mono.defer(() -> hedgeNow(attempt, slow)));
-  }
-
-  private Mono<Reply> hedgeNow(DirectAttempt attempt, TrackedTarget slow) {
     Optional<Placement.Choice> choice =
         placement.choose(candidates(attempt), attempt.placed(), now());
     boolean useful = choice.isPresent() && placement.inTime(choice.get(), attempt.placed(), now());
--- a/src/main/java/org/radishpost/placement/Placement.java
+++ b/src/main/java/org/radishpost/placement/Placement.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -14,16 +15,15 @@
  *
  * <p>It answers load that shifts within milliseconds: a target that shares its machine may be four
  * times slower for some hundred milliseconds, and only the target itself knows. So those near by
- * are asked just before a call is sent, then those further away as long as none is good enough, and
- * it goes where it costs least: the chance of a late answer plus the traffic. Confined to one
- * thread.
+ * are asked just before a call is sent, and it goes where it costs least: the chance of a late
+ * answer plus the traffic. Confined to one thread.
  */
 public final class Placement {
   /** How old a sample may be to be used instead of a new question. */
   public static final long FRESH_NANOS = 12_000_000L;
 
-  private static final int MAX_ASKED_NEAR = 6;
-  private static final int MAX_ASKED_FAR = 5;
+  private static final int MAX_ASKED = 6;
+  private static final int MAX_ASKED_FAR = 4;
   private static final Duration NEAR_WAIT = Duration.ofMillis(20);
   private static final Duration FAR_WAIT = Duration.ofMillis(45);
   private static final long USEFUL_NANOS = 400_000_000L;
@@ -35,7 +35,6 @@
   private static final double SUSPENDED_COST = 4;
   private static final double SILENT_COST = 0.4;
   private static final double TIE_COST = 0.1;
-  private static final double GOOD_COST = 0.06;
   private static final double POOR_COST = 0.5;
 
   /** Calls at a target, as multiples of its slots, from which on it is full. */
@@ -67,41 +66,47 @@
     this.random = random;
   }
 
-  /**
-   * Returns the targets at one distance to ask now: those that may serve and have said nothing
-   * lately.
-   */
-  public List<TrackedTarget> toAsk(
-      List<TrackedTarget> candidates, Distance distance, long nowNanos) {
-    List<TrackedTarget> asked = new ArrayList<>();
-    for (TrackedTarget target : candidates) {
-      boolean useful =
-          distance(target) == distance
-              && !target.suspended(nowNanos)
-              && !target.cold(nowNanos)
-              && target.sample(FRESH_NANOS, nowNanos).isEmpty();
-      if (useful) {
-        asked.add(target);
-      }
-    }
-    Collections.shuffle(asked, random);
-    int most = distance == Distance.OTHER_REGION ? MAX_ASKED_FAR : MAX_ASKED_NEAR;
-    return asked.subList(0, Math.min(most, asked.size()));
+  /** Returns the targets to ask now: the nearest that may serve and have said nothing lately. */
+  public List<TrackedTarget> toAsk(List<TrackedTarget> candidates, long nowNanos) {
+    List<TrackedTarget> near = near(candidates, nowNanos);
+    near.removeIf(target -> target.sample(FRESH_NANOS, nowNanos).isPresent());
+    return near;
   }
 
-  /** Returns how long to wait for answers from a distance. */
-  public Duration askWait(Distance distance) {
-    return distance == Distance.OTHER_REGION ? FAR_WAIT : NEAR_WAIT;
+  /** Returns some targets of other regions to ask when none near by is good enough. */
+  public List<TrackedTarget> toAskFar(List<TrackedTarget> candidates, long nowNanos) {
+    List<TrackedTarget> far = new ArrayList<>(candidates);
+    far.removeIf(
+        target ->
+            distance(target) != Distance.OTHER_REGION
+                || target.suspended(nowNanos)
+                || target.cold(nowNanos)
+                || target.sample(FRESH_NANOS, nowNanos).isPresent());
+    Collections.shuffle(far, random);
+    return far.subList(0, Math.min(MAX_ASKED_FAR, far.size()));
   }
 
-  /** Tells whether a choice is good enough that nobody further away than this need be asked. */
-  public boolean settled(Choice choice, Distance asked) {
-    return switch (asked) {
-      case SAME_ZONE -> choice.cost() <= GOOD_COST;
-      case SAME_REGION ->
-          choice.cost() <= POOR_COST || distance(choice.target()) == Distance.OTHER_REGION;
-      case OTHER_REGION -> true;
-    };
+  /** Returns how long to wait for the answers of the targets that are asked. */
+  public Duration askWait(List<TrackedTarget> asked) {
+    boolean far = asked.stream().anyMatch(target -> distance(target) == Distance.OTHER_REGION);
+    return far ? FAR_WAIT : NEAR_WAIT;
+  }
+
+  /** Tells whether it is worth to ask in other regions before a choice is followed. */
+  public boolean poor(Choice choice) {
+    return choice.cost() > POOR_COST && distance(choice.target()) != Distance.OTHER_REGION;
+  }
+
+  private List<TrackedTarget> near(List<TrackedTarget> candidates, long nowNanos) {
+    List<TrackedTarget> sorted = new ArrayList<>(candidates);
+    sorted.removeIf(target -> target.suspended(nowNanos) || target.cold(nowNanos));
+    Collections.shuffle(sorted, random);
+    sorted.sort(Comparator.comparing(this::distance));
+    boolean regional = !sorted.isEmpty() && distance(sorted.getFirst()) != Distance.OTHER_REGION;
+    if (regional) {
+      sorted.removeIf(target -> distance(target) == Distance.OTHER_REGION);
+    }
+    return new ArrayList<>(sorted.subList(0, Math.min(MAX_ASKED, sorted.size())));
   }
 
   /** Tells whether no other answer could better this target much: near, free and quick. */
