Use a target whose entry is missing only while it says that it is well

After the cut the entry kept the missing target for 2.2 s, as it does for entries that lapse in an outage, and sent to it at 16.06 s, when it was in touch again. Change: a target whose entry is missing is used only if it has said within 0.1 s that it is well; a target that says that it isn't loses its last load report. Test: TargetDirectoryTest.missingTargetIsUsedOnlyWhenItHasJustSaidThatItIsWell.

--- a/src/main/java/org/radishpost/placement/Placement.java
+++ b/src/main/java/org/radishpost/placement/Placement.java
@@ -125,7 +125,7 @@
   public Optional<Choice> choose(List<TrackedTarget> candidates, PlacedCall call, long nowNanos) {
     Choice best = null;
     for (TrackedTarget target : candidates) {
-      if (!coldGate.admits(target, nowNanos)) {
+      if (!target.usable(nowNanos) || !coldGate.admits(target, nowNanos)) {
         continue;
       }
       Choice choice = rate(target, call, nowNanos);
--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -16,8 +16,8 @@
  * The targets that have registered themselves.
  *
  * <p>Entries that lapse while the registry can't be reached say nothing about the targets: those
- * are kept until a moment after the registry is back, so that live ones can register anew. Confined
- * to one thread.
+ * are kept until a moment after the registry is back, so that live ones can register anew; until
+ * then they are used only if they have just said that they are well. Confined to one thread.
  */
 public final class TargetDirectory {
   /** How long a target that is missing after the registry's return may take to be back. */
@@ -48,6 +48,7 @@
       emit(EventCode.TARGET_LEAVING, entry);
     }
     known.registered(entry, nowNanos);
+    known.doubtful(false);
   }
 
   /** Takes note that a target's entry is gone. */
@@ -57,6 +58,7 @@
     }
     if (lost || nowNanos - graceUntilNanos < 0) {
       missingUntil.putIfAbsent(id, graceUntilNanos);
+      targets.get(id).doubtful(true);
       return;
     }
     drop(id);
--- a/src/main/java/org/radishpost/placement/TrackedTarget.java
+++ b/src/main/java/org/radishpost/placement/TrackedTarget.java
@@ -12,6 +12,7 @@
   private static final double FAILURE_KEPT_PER_SUCCESS = 0.6;
   private static final double SUSPECT_SCORE = 0.9;
   private static final long FAILURE_HALF_LIFE_NANOS = 2_000_000_000L;
+  private static final long PROOF_OF_LIFE_NANOS = 100_000_000L;
   private static final long FIRST_PAUSE_NANOS = 250_000_000L;
   private static final int MAX_PAUSE_DOUBLINGS = 3;
 
@@ -25,6 +26,7 @@
   private long failureNanos;
   private int unreachableInRow;
   private long pausedUntilNanos;
+  private boolean doubtful;
 
   TrackedTarget(Target target, long nowNanos) {
     this.target = target;
@@ -51,6 +53,19 @@
     coldUntilNanos = Math.max(coldUntilNanos, nowNanos + newer.coldLeft().toNanos());
   }
 
+  /** Sets whether the target's entry is missing and may come back. */
+  void doubtful(boolean value) {
+    doubtful = value;
+  }
+
+  /**
+   * Tells whether the target may be used at all: one whose entry is missing must have said lately
+   * that it is well, as it may have left.
+   */
+  boolean usable(long nowNanos) {
+    return !doubtful || sample(PROOF_OF_LIFE_NANOS, nowNanos).isPresent();
+  }
+
   /** Takes what the target has said of its load just now. */
   public void sampled(LoadSample newest, long nowNanos) {
     sample = Optional.of(newest);
@@ -89,6 +104,7 @@
 
   /** Takes note that the target doesn't answer or says that it isn't well: it gets a pause. */
   public void unreachable(long nowNanos) {
+    sample = Optional.empty();
     int doublings = Math.min(unreachableInRow, MAX_PAUSE_DOUBLINGS);
     unreachableInRow++;
     pausedUntilNanos = nowNanos + (FIRST_PAUSE_NANOS << doublings);
--- a/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
+++ b/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.radishpost.lib.ServiceName;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -74,6 +75,29 @@
     assertEquals(serving(), List.of("a"));
   }
 
+  /** An entry that was cut off comes back and finds that a target has left meanwhile. */
+  @Test
+  public void missingTargetIsUsedOnlyWhenItHasJustSaidThatItIsWell() {
+    directory.registryLost();
+    directory.registryBack(100);
+    directory.replaced(List.of(), 101);
+    Placement placement =
+        new Placement(
+            Targets.ready("a").place(),
+            new WorkTimes(),
+            new ColdGate("e"),
+            new SplittableRandom(1));
+    PlacedCall call = new PlacedCall("r", 250_000_000L, 2_000_000_000L, 1);
+    List<TrackedTarget> kept = directory.serving(SERVICE, Set.of());
+    assertEquals(kept.size(), 2);
+    assertEquals(placement.choose(kept, call, 102).isPresent(), false);
+    TrackedTarget well = directory.find(new TargetId("b")).get();
+    well.sampled(new LoadSample(0, 0, 2, 100), 102);
+    assertEquals(placement.choose(kept, call, 103).get().target(), well);
+    well.unreachable(104);
+    assertEquals(placement.choose(kept, call, 105).isPresent(), false);
+  }
+
   @Test
   public void drainingCountsInAnOutageToo() {
     directory.registryLost();
