Let few entries read the store and the others follow them

Change: the up to three machines that the settings name as seeds read the store and pass on what changes over TCP; the others follow the nearest fresh one and read the store themselves at the first doubt, from the offset that they know. One machine's outage of the store no longer shows at its followers for more than a heartbeat.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -121,7 +121,11 @@
   /** The platform's store answers again for a topic. */
   STORE_REGAINED(8004, Level.INFO),
   /** The records that come next were deleted; the topic is read anew. */
-  STORE_RESYNC(8005, Level.INFO);
+  STORE_RESYNC(8005, Level.INFO),
+  /** Another VM passes on what the store says; this one no longer reads it. */
+  RELAY_FOLLOWED(8006, Level.INFO),
+  /** The VM that passed on what the store says is lost; this one reads the store itself. */
+  RELAY_LEFT(8007, Level.WARN);
 
   /** How much an event matters. */
   public enum Level {
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -0,0 +1,126 @@
+package org.radishpost.feed;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.radishpost.errors.LinkException;
+import org.radishpost.lib.Place;
+
+/** Turns messages of feeds into MessagePack and back; each begins with the number of its kind. */
+public final class FeedCodec {
+  private static final int HELLO = 1;
+  private static final int SUBSCRIBE = 2;
+  private static final int BEAT = 3;
+  private static final int RECORDS = 4;
+
+  private FeedCodec() {}
+
+  /** Returns the bytes of a message. */
+  public static byte[] encode(FeedMessage message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      switch (message) {
+        case FeedMessage.Hello hello -> {
+          packer.packInt(HELLO);
+          packer.packString(hello.place().region().value());
+          packer.packString(hello.place().zone().value());
+        }
+        case FeedMessage.Subscribe subscribe -> {
+          packer.packInt(SUBSCRIBE);
+          pack(packer, subscribe.from());
+        }
+        case FeedMessage.Beat beat -> {
+          packer.packInt(BEAT);
+          packer.packBoolean(beat.fresh());
+          pack(packer, beat.upTo());
+        }
+        case FeedMessage.Records records -> {
+          packer.packInt(RECORDS);
+          packer.packInt(records.feed().ordinal());
+          packer.packArrayHeader(records.records().size());
+          for (KeyedRecord record : records.records()) {
+            pack(packer, record);
+          }
+        }
+      }
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("packing into memory cannot fail", e);
+    }
+  }
+
+  /**
+   * Returns the message that the bytes stand for.
+   *
+   * @throws LinkException if they stand for none
+   */
+  public static FeedMessage decode(byte[] bytes) throws LinkException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int kind = unpacker.unpackInt();
+      return switch (kind) {
+        case HELLO ->
+            new FeedMessage.Hello(Place.of(unpacker.unpackString(), unpacker.unpackString()));
+        case SUBSCRIBE -> new FeedMessage.Subscribe(position(unpacker));
+        case BEAT -> new FeedMessage.Beat(unpacker.unpackBoolean(), position(unpacker));
+        case RECORDS -> records(unpacker);
+        default -> throw corrupt(null);
+      };
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw corrupt(e);
+    }
+  }
+
+  private static void pack(MessageBufferPacker packer, Position position) throws IOException {
+    packer.packLong(position.operators());
+    packer.packLong(position.targets());
+  }
+
+  private static void pack(MessageBufferPacker packer, KeyedRecord record) throws IOException {
+    packer.packLong(record.offset());
+    packer.packString(record.key());
+    if (record.value().isEmpty()) {
+      packer.packNil();
+      return;
+    }
+    byte[] value = record.value().get();
+    packer.packBinaryHeader(value.length);
+    packer.writePayload(value);
+  }
+
+  private static Position position(MessageUnpacker unpacker) throws IOException {
+    return new Position(unpacker.unpackLong(), unpacker.unpackLong());
+  }
+
+  private static FeedMessage.Records records(MessageUnpacker unpacker)
+      throws IOException, LinkException {
+    int feed = unpacker.unpackInt();
+    if (feed < 0 || feed >= Feed.values().length) {
+      throw corrupt(null);
+    }
+    int size = unpacker.unpackArrayHeader();
+    List<KeyedRecord> records = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      records.add(record(unpacker));
+    }
+    return new FeedMessage.Records(Feed.values()[feed], records);
+  }
+
+  private static KeyedRecord record(MessageUnpacker unpacker) throws IOException {
+    long offset = unpacker.unpackLong();
+    String key = unpacker.unpackString();
+    if (unpacker.tryUnpackNil()) {
+      return new KeyedRecord(offset, key, Optional.empty());
+    }
+    byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+    return new KeyedRecord(offset, key, Optional.of(value));
+  }
+
+  private static LinkException corrupt(Exception cause) {
+    return new LinkException(
+        "A message of a feed is corrupt: check that both VMs run the same release.", cause);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -0,0 +1,43 @@
+package org.radishpost.feed;
+
+import java.util.List;
+import org.radishpost.lib.Place;
+
+/** A message between a relay and a VM that follows it. */
+public sealed interface FeedMessage {
+  /**
+   * The relay's first message.
+   *
+   * @param place where the relay runs
+   */
+  record Hello(Place place) implements FeedMessage {}
+
+  /**
+   * Asks the relay for all records from a position on.
+   *
+   * @param from how far the follower knows the feeds
+   */
+  record Subscribe(Position from) implements FeedMessage {}
+
+  /**
+   * The relay's heartbeat.
+   *
+   * @param fresh whether the relay has heard from the store just now
+   * @param upTo how far the relay knows the feeds; all that matters before it has been sent to
+   *     those who subscribed
+   */
+  record Beat(boolean fresh, Position upTo) implements FeedMessage {}
+
+  /**
+   * Records that change something.
+   *
+   * @param feed the feed that they belong to
+   * @param records the records in their order, with gaps where nothing changes
+   */
+  record Records(Feed feed, List<KeyedRecord> records) implements FeedMessage {
+    /** Copies the list. */
+    public Records {
+      records = List.copyOf(records);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/FeedPublisher.java
@@ -0,0 +1,23 @@
+package org.radishpost.feed;
+
+import java.util.List;
+
+/** Takes what a VM reads from the store, so that others can have it too. */
+public interface FeedPublisher {
+  /**
+   * Takes the records that come next.
+   *
+   * @param feed the feed
+   * @param records those among them that change something
+   * @param next the offset of the record that follows them
+   */
+  void published(Feed feed, List<KeyedRecord> records, long next);
+
+  /**
+   * Takes note that the records before an offset were not read one by one.
+   *
+   * @param feed the feed
+   * @param next the offset from which on all records will be published
+   */
+  void restarted(Feed feed, long next);
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/FeedReader.java
@@ -0,0 +1,22 @@
+package org.radishpost.feed;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The reading of the store, as a follower needs it. */
+public interface FeedReader {
+  /** Returns how far the feeds are known, or nothing while one of them has not been read. */
+  Optional<Position> position();
+
+  /** Takes records that a relay has passed on; those that are known already are left out. */
+  void records(Feed feed, List<KeyedRecord> records);
+
+  /** Takes note that nothing is missing before the position, and that the store is reached. */
+  void advance(Position upTo);
+
+  /** Ends reading the store. */
+  void pause();
+
+  /** Begins to read the store again, at once. */
+  void resume();
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -0,0 +1,111 @@
+package org.radishpost.feed;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.radishpost.lib.Place;
+
+/**
+ * Passes the records that this VM reads on to the VMs that follow it.
+ *
+ * <p>It keeps only the newest records: a follower that is further behind reads the store itself
+ * until it has caught up. Confined to one thread.
+ */
+public final class Relay implements FeedPublisher {
+  private static final int RECENT_RECORDS = 4_096;
+
+  private final Place place;
+  private final RecentRecords operators = new RecentRecords(RECENT_RECORDS);
+  private final RecentRecords targets = new RecentRecords(RECENT_RECORDS);
+  private final Set<FeedLink> links = new HashSet<>();
+  private final Set<FeedLink> subscribed = new HashSet<>();
+  private boolean fresh;
+
+  /**
+   * Creates a relay without followers.
+   *
+   * @param place where this VM runs
+   */
+  public Relay(Place place) {
+    this.place = place;
+  }
+
+  /** Takes a new connection of a VM that may follow. */
+  public void connected(FeedLink link) {
+    links.add(link);
+    link.send(new FeedMessage.Hello(place));
+    link.send(beat());
+  }
+
+  /** Takes note that a connection was closed. */
+  public void closed(FeedLink link) {
+    links.remove(link);
+    subscribed.remove(link);
+  }
+
+  /** Takes a message of a VM that may follow. */
+  public void received(FeedLink link, FeedMessage message) {
+    if (message instanceof FeedMessage.Subscribe subscribe) {
+      subscribe(link, subscribe.from());
+    }
+  }
+
+  private void subscribe(FeedLink link, Position from) {
+    Optional<List<KeyedRecord>> operatorsSince = operators.since(from.operators());
+    Optional<List<KeyedRecord>> targetsSince = targets.since(from.targets());
+    if (!fresh || operatorsSince.isEmpty() || targetsSince.isEmpty()) {
+      link.close();
+      return;
+    }
+    subscribed.add(link);
+    sendRecords(link, Feed.OPERATORS, operatorsSince.get());
+    sendRecords(link, Feed.TARGETS, targetsSince.get());
+    link.send(beat());
+  }
+
+  @Override
+  public void published(Feed feed, List<KeyedRecord> records, long next) {
+    recent(feed).add(records, next);
+    List.copyOf(subscribed).forEach(link -> sendRecords(link, feed, records));
+  }
+
+  @Override
+  public void restarted(Feed feed, long next) {
+    recent(feed).restart(next);
+    List.copyOf(subscribed).forEach(FeedLink::close);
+  }
+
+  /**
+   * Lets time pass: sends a heartbeat to every connection.
+   *
+   * @param nowFresh whether this VM has heard from the store just now
+   */
+  public void tick(boolean nowFresh) {
+    fresh = nowFresh;
+    FeedMessage beat = beat();
+    List.copyOf(links).forEach(link -> link.send(beat));
+  }
+
+  /** Returns how many VMs follow. */
+  public int followers() {
+    return subscribed.size();
+  }
+
+  private FeedMessage.Beat beat() {
+    return new FeedMessage.Beat(fresh, new Position(operators.next(), targets.next()));
+  }
+
+  private RecentRecords recent(Feed feed) {
+    return switch (feed) {
+      case OPERATORS -> operators;
+      case TARGETS -> targets;
+    };
+  }
+
+  private static void sendRecords(FeedLink link, Feed feed, List<KeyedRecord> records) {
+    if (!records.isEmpty()) {
+      link.send(new FeedMessage.Records(feed, records));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/radishpost/feed/tcp/TcpFeedLink.java
@@ -0,0 +1,68 @@
+package org.radishpost.feed.tcp;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.radishpost.errors.LinkException;
+import org.radishpost.feed.FeedCodec;
+import org.radishpost.feed.FeedLink;
+import org.radishpost.feed.FeedMessage;
+import org.radishpost.feed.RelayDialer;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
+
+/** One end of a connection, once it is open; thread-safe. */
+final class TcpFeedLink implements FeedLink {
+  private static final Logger LOG = LogManager.getLogger("radishpost");
+  private static final int LENGTH_BYTES = 4;
+  private static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+  private final Connection connection;
+  private final Channel channel;
+
+  TcpFeedLink(Connection connection) {
+    this.connection = connection;
+    this.channel = connection.channel();
+  }
+
+  /** Starts to read; the listener is told on the thread of the clock. */
+  void start(RelayDialer.Listener listener, Scheduler clock) {
+    connection.addHandlerLast(
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    connection
+        .inbound()
+        .receive()
+        .asByteArray()
+        .publishOn(clock)
+        .subscribe(
+            bytes -> received(bytes, listener), error -> listener.closed(), listener::closed);
+  }
+
+  private void received(byte[] bytes, RelayDialer.Listener listener) {
+    try {
+      listener.received(FeedCodec.decode(bytes));
+    } catch (LinkException e) {
+      LOG.warn("The connection to {} is closed: {}", channel.remoteAddress(), e.getMessage());
+      close();
+    }
+  }
+
+  @Override
+  public void send(FeedMessage message) {
+    if (!channel.isWritable()) {
+      close();
+      return;
+    }
+    byte[] body = FeedCodec.encode(message);
+    ByteBuf length = Unpooled.buffer(LENGTH_BYTES).writeInt(body.length);
+    channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(body)));
+  }
+
+  @Override
+  public void close() {
+    connection.dispose();
+  }
+}
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
 import org.radishpost.admin.PrometheusText;
 import org.radishpost.admission.RetryShare;
 import org.radishpost.config.Configuration;
@@ -17,6 +18,10 @@
 import org.radishpost.events.EventField;
 import org.radishpost.events.HybridClock;
 import org.radishpost.events.TimeLine;
+import org.radishpost.feed.Follower;
+import org.radishpost.feed.Relay;
+import org.radishpost.feed.tcp.RelayServer;
+import org.radishpost.feed.tcp.TcpRelayDialer;
 import org.radishpost.http.EdgeServer;
 import org.radishpost.http.HttpSender;
 import org.radishpost.http.PageServer;
@@ -52,7 +57,8 @@
   /** Small enough that what a target bears suffices for all entries. */
   private static final int TARGET_CONNECTIONS = 8;
 
-  private static final Duration TICK = Duration.ofMillis(200);
+  /** Relays send a heartbeat with each tick. */
+  private static final Duration TICK = Duration.ofMillis(250);
 
   /** The balancer asks each second and takes a VM out after two misses. */
   private static final Duration BALANCER_WAIT = Duration.ofMillis(3_000);
@@ -74,6 +80,11 @@
   private final PageServer readinessPages;
   private final PageServer metricsPages;
   private final PlatformFeed feed;
+  private final Relay relay;
+  private final Optional<RelayServer> relayServer;
+  private final Follower follower;
+  private Optional<Endpoint> relayAddress = Optional.empty();
+  private boolean stopping;
   private Endpoint metricsAddress;
   private Endpoint frontAddress;
   private Endpoint readinessAddress;
@@ -108,14 +119,27 @@
                 true),
             clock,
             loops);
+    this.relay = new Relay(settings.place());
     this.feed =
         new PlatformFeed(
             new StoreClient(store, clock, loops),
             () -> this.settings.zones(),
             this::configured,
             directory,
+            this::relaying,
+            relay,
             clock,
             events);
+    this.follower =
+        new Follower(
+            settings.place(),
+            feed,
+            new TcpRelayDialer(clock, loops),
+            () -> clock.now(TimeUnit.NANOSECONDS),
+            random(),
+            events);
+    this.relayServer =
+        settings.relay().map(address -> new RelayServer(address, relay, clock, loops));
     this.edge = edge();
     this.readinessPages =
         new PageServer(
@@ -127,6 +151,14 @@
             loops);
   }
 
+  private RandomGenerator random() {
+    return new SplittableRandom(settings.vm().hashCode() ^ clock.now(TimeUnit.NANOSECONDS));
+  }
+
+  private boolean relaying() {
+    return follower.isRelay();
+  }
+
   private EdgeServer edge() {
     RetryShare retries =
         new RetryShare(() -> settings.bounds().retryRatio() * RETRY_RATIO_USED, RETRY_RESERVE);
@@ -150,7 +182,7 @@
                 retries,
                 PlatformProtocol.REQUEST_ID,
                 clock,
-                new SplittableRandom(settings.vm().hashCode() ^ clock.now(TimeUnit.NANOSECONDS)),
+                random(),
                 events),
             metrics,
             clock),
@@ -166,19 +198,32 @@
     readinessAddress = readinessPages.start();
     frontAddress = edge.start();
     metricsAddress = metricsPages.start();
-    clock.schedule(feed::start);
-    Flux.interval(TICK, clock)
-        .onBackpressureDrop()
-        .subscribe(tick -> directory.tick(clock.now(TimeUnit.NANOSECONDS)));
+    if (relayServer.isPresent()) {
+      relayAddress = Optional.of(relayServer.get().start());
+    }
+    clock.schedule(this::startFeed);
     events.emit(
         EventCode.STARTED,
         EventField.of("edge", settings.front()),
         EventField.of("place", settings.place()));
   }
 
-  /** Takes over settings that have changed: the zones and the bounds; addresses stay. */
+  private void startFeed() {
+    follower.relays(relayAddress, settings.relays());
+    feed.start();
+    Flux.interval(TICK, clock).onBackpressureDrop().subscribe(tick -> tick());
+  }
+
+  private void tick() {
+    directory.tick(clock.now(TimeUnit.NANOSECONDS));
+    relay.tick(!stopping && !follower.following() && feed.fresh());
+    follower.tick();
+  }
+
+  /** Takes over settings that have changed: zones, bounds and relays; own addresses stay. */
   public void reload(EntrySettings newest) {
     settings = newest;
+    clock.schedule(() -> follower.relays(relayAddress, newest.relays()));
     events.emit(
         EventCode.SETTINGS_RELOADED,
         EventField.of("zones", newest.zones().size()),
@@ -190,6 +235,16 @@
     return frontAddress;
   }
 
+  /** Returns the address at which this VM is a relay for others, if it is one for anybody. */
+  public Optional<Endpoint> relayAddress() {
+    return relayAddress;
+  }
+
+  /** Tells whether this VM knows what the store says from a relay. */
+  public boolean followsRelay() {
+    return follower.following();
+  }
+
   /** Returns the address at which metrics are served. */
   public Endpoint metricsAddress() {
     return metricsAddress;
@@ -210,12 +265,18 @@
 
   private Mono<Void> stopNow() {
     events.emit(EventCode.STOPPING);
+    stopping = true;
     readiness.stopping();
     Duration drain = settings.bounds().grace().minus(BALANCER_WAIT).minus(EXIT_RESERVE);
     return Mono.delay(BALANCER_WAIT, clock)
         .then(Mono.fromRunnable(this::refuse))
         .then(edge.inFlight().idle(clock, drain))
-        .then(Mono.fromRunnable(() -> events.emit(EventCode.STOPPED)));
+        .then(Mono.fromRunnable(this::stopped));
+  }
+
+  private void stopped() {
+    relayServer.ifPresent(RelayServer::stop);
+    events.emit(EventCode.STOPPED);
   }
 
   private void refuse() {
--- a/src/main/java/org/radishpost/pgm/TrainCommand.java
+++ b/src/main/java/org/radishpost/pgm/TrainCommand.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.radishpost.errors.RadishpostException;
@@ -62,8 +63,9 @@
     store.put(WireNames.OPERATOR_TOPIC, WireNames.CONFIGURATION_KEY, CONFIGURATION);
     store.put(WireNames.TARGET_TOPIC, "t-1", entry(target));
     Endpoint storeAddress = new KeyedStoreServer(store, ANY_PORT, loops).start();
-    EntryNode node = new EntryNode(settings(), ANY_PORT, storeAddress, new RuntimeClock());
-    node.start();
+    EntryNode relay = started("relay", List.of(), storeAddress);
+    EntryNode node = started("train", List.of(relay.relayAddress().orElseThrow()), storeAddress);
+    Flux.interval(LOOK_INTERVAL).takeUntil(tick -> node.followsRelay()).blockLast(LIMIT);
     HttpClient readiness = client(loops, node.readinessAddress());
     readiness
         .get()
@@ -74,9 +76,17 @@
         .block(LIMIT);
     requests(client(loops, node.frontAddress()));
     node.stop().block(LIMIT);
+    relay.stop().block(LIMIT);
     return ExitCode.OK;
   }
 
+  private static EntryNode started(String name, List<Endpoint> relays, Endpoint store)
+      throws RadishpostException {
+    EntryNode node = new EntryNode(settings(name, relays), ANY_PORT, store, new RuntimeClock());
+    node.start();
+    return node;
+  }
+
   private static void requests(HttpClient client) {
     Flux.range(0, REQUESTS)
         .concatMap(number -> number % 2 == 0 ? read(client, number) : write(client, number))
@@ -119,12 +129,14 @@
         + "\",\"zone\":\"z\",\"concurrency\":2,\"state\":\"ready\",\"sequence\":1}";
   }
 
-  private static EntrySettings settings() {
+  private static EntrySettings settings(String name, List<Endpoint> relays) {
     return new EntrySettings(
-        new VmId("train"),
+        new VmId(name),
         Place.of("r", "z"),
         ANY_PORT,
         ANY_PORT,
+        Optional.of(ANY_PORT),
+        relays,
         Optional.empty(),
         Map.of(new ZoneName("z"), new RegionName("r")),
         new EntryBounds(0.2, 10, Duration.ofSeconds(4), Duration.ofSeconds(1)));
--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -35,20 +35,22 @@
     this.events = events;
   }
 
-  /** Takes a target's newest entry. */
-  public void registered(Target entry, long nowNanos) {
-    missingUntil.remove(entry.id());
+  /** Takes a target's newest entry; tells whether it says anything new. */
+  public boolean registered(Target entry, long nowNanos) {
+    boolean wasMissing = missingUntil.remove(entry.id()) != null;
     TrackedTarget known = targets.get(entry.id());
     if (known == null) {
       targets.put(entry.id(), new TrackedTarget(entry, nowNanos));
       emit(EventCode.TARGET_REGISTERED, entry);
-      return;
+      return true;
     }
+    final boolean changed = wasMissing || !entry.equals(known.target());
     if (entry.draining() && !known.target().draining()) {
       emit(EventCode.TARGET_LEAVING, entry);
     }
     known.registered(entry, nowNanos);
     known.doubtful(false);
+    return changed;
   }
 
   /** Takes note that a target's entry is gone. */
--- a/src/main/java/org/radishpost/platform/KeyedPage.java
+++ b/src/main/java/org/radishpost/platform/KeyedPage.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.radishpost.errors.StoreException;
+import org.radishpost.feed.KeyedRecord;
 
 /**
  * A run of records of a keyed topic.
--- a/src/main/java/org/radishpost/platform/OperatorTopic.java
+++ b/src/main/java/org/radishpost/platform/OperatorTopic.java
@@ -13,6 +13,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
+import org.radishpost.feed.KeyedRecord;
 
 /**
  * Brings what the operators want from the store into the configuration in force.
@@ -38,9 +39,10 @@
   }
 
   @Override
-  public void record(KeyedRecord record) {
+  public boolean record(KeyedRecord record) {
     take(record);
     apply();
+    return true;
   }
 
   private void take(KeyedRecord record) {
--- a/src/main/java/org/radishpost/platform/SettingsFile.java
+++ b/src/main/java/org/radishpost/platform/SettingsFile.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.radishpost.errors.PlatformDocumentException;
@@ -73,6 +74,8 @@
           Place.of(file.text("region"), file.text("zone")),
           Endpoint.parse(listen.text("front")),
           Endpoint.parse(listen.text("readiness")),
+          listen.optionalText("control").filter(text -> !text.isBlank()).map(Endpoint::parse),
+          relays(file),
           store(file),
           zones(file),
           bounds(file));
@@ -81,6 +84,11 @@
     }
   }
 
+  /** The machines that the platform names first serve as relays. */
+  private static List<Endpoint> relays(Document file) throws PlatformDocumentException {
+    return file.textList("seeds").stream().map(Endpoint::parse).toList();
+  }
+
   private static Optional<Endpoint> store(Document file) throws PlatformDocumentException {
     if (!file.has("provider")) {
       return Optional.empty();
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -14,6 +14,7 @@
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.errors.StoreException;
+import org.radishpost.feed.KeyedRecord;
 import org.radishpost.http.SilentPeers;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
--- a/src/main/java/org/radishpost/platform/TargetTopic.java
+++ b/src/main/java/org/radishpost/platform/TargetTopic.java
@@ -10,6 +10,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
+import org.radishpost.feed.KeyedRecord;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.placement.Target;
@@ -43,14 +44,14 @@
   }
 
   @Override
-  public void record(KeyedRecord record) {
+  public boolean record(KeyedRecord record) {
     if (record.value().isEmpty()) {
       if (!record.key().isBlank()) {
         directory.unregistered(new TargetId(record.key()), now());
       }
-      return;
+      return true;
     }
-    decoded(record).ifPresent(target -> directory.registered(target, now()));
+    return decoded(record).map(target -> directory.registered(target, now())).orElse(true);
   }
 
   @Override
--- a/src/main/java/org/radishpost/platform/TopicListener.java
+++ b/src/main/java/org/radishpost/platform/TopicListener.java
@@ -1,14 +1,15 @@
 package org.radishpost.platform;
 
 import java.util.List;
+import org.radishpost.feed.KeyedRecord;
 
 /** Told of what is read from a keyed topic. */
 interface TopicListener {
   /** Takes the newest record of each key: keys without one are dropped. */
   void newest(List<KeyedRecord> records);
 
-  /** Takes the record that comes next. */
-  void record(KeyedRecord record);
+  /** Takes the record that comes next; tells whether it changes anything. */
+  boolean record(KeyedRecord record);
 
   /** Takes note that the store doesn't answer. */
   default void storeLost() {}
--- a/src/main/java/org/radishpost/settings/EntrySettings.java
+++ b/src/main/java/org/radishpost/settings/EntrySettings.java
@@ -1,5 +1,6 @@
 package org.radishpost.settings;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.radishpost.lib.Endpoint;
@@ -15,6 +16,8 @@
  * @param place where the process runs
  * @param front where callers' requests come in
  * @param readiness where the platform's balancer asks for readiness
+ * @param relay where this VM passes on what it reads from the store; absent where it doesn't
+ * @param relays the relays that this VM may follow, as far as the platform knows; some may be gone
  * @param store where the platform's store listens; absent where there is none
  * @param zones the availability zones and their regions
  * @param bounds what the operators want to hold, in the platform's units, by name
@@ -24,11 +27,14 @@
     Place place,
     Endpoint front,
     Endpoint readiness,
+    Optional<Endpoint> relay,
+    List<Endpoint> relays,
     Optional<Endpoint> store,
     Map<ZoneName, RegionName> zones,
     EntryBounds bounds) {
-  /** Copies the map. */
+  /** Copies the collections. */
   public EntrySettings {
+    relays = List.copyOf(relays);
     zones = Map.copyOf(zones);
   }
 }
--- a/src/test/java/org/radishpost/CorePurityTest.java
+++ b/src/test/java/org/radishpost/CorePurityTest.java
@@ -27,7 +27,8 @@
           "admission",
           "claims",
           "suspects",
-          "events");
+          "events",
+          "feed");
   private static final Pattern OUTSIDE =
       Pattern.compile(
           "import (static )?(java\\.net\\.|java\\.nio\\.(file|channels)|java\\.io\\.(File|Socket)"
--- /dev/null
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -0,0 +1,55 @@
+package org.radishpost.feed;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.radishpost.errors.LinkException;
+import org.radishpost.lib.Place;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Messages of feeds are read as they were written, and nothing else is read. */
+public class FeedCodecTest {
+  /** Returns one message of each kind. */
+  @DataProvider
+  public Object[][] messages() {
+    KeyedRecord dropped = new KeyedRecord(1L << 40, "k", Optional.empty());
+    return new Object[][] {
+      {new FeedMessage.Hello(Place.of("r", "z"))},
+      {new FeedMessage.Subscribe(new Position(1, 2))},
+      {new FeedMessage.Beat(true, new Position(1L << 40, 0))},
+      {new FeedMessage.Records(Feed.TARGETS, List.of(dropped))},
+    };
+  }
+
+  @Test(dataProvider = "messages")
+  public void roundTrip(FeedMessage message) throws Exception {
+    assertEquals(FeedCodec.decode(FeedCodec.encode(message)), message);
+  }
+
+  @Test
+  public void valuesComeWhole() throws Exception {
+    byte[] value = {0, 1, (byte) 0xff};
+    FeedMessage message =
+        new FeedMessage.Records(
+            Feed.OPERATORS, List.of(new KeyedRecord(3, "config", Optional.of(value))));
+    FeedMessage.Records read = (FeedMessage.Records) FeedCodec.decode(FeedCodec.encode(message));
+    assertEquals(read.records().getFirst().value().orElseThrow(), value);
+  }
+
+  @Test
+  public void otherBytesAreRefused() {
+    SplittableRandom random = new SplittableRandom(7);
+    for (int i = 0; i < 200; i++) {
+      byte[] bytes = new byte[random.nextInt(12)];
+      random.nextBytes(bytes);
+      if (bytes.length > 0) {
+        bytes[0] = 9;
+      }
+      assertThrows(LinkException.class, () -> FeedCodec.decode(bytes));
+    }
+  }
+}
--- a/src/test/java/org/radishpost/pgm/EntryPathTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryPathTest.java
@@ -73,6 +73,8 @@
             Place.of("k", "k-a"),
             ANY,
             ANY,
+            Optional.of(ANY),
+            List.of(),
             Optional.empty(),
             Map.of(new ZoneName("k-a"), new RegionName("k")),
             new EntryBounds(0.2, 60, Duration.ofSeconds(4), Duration.ofSeconds(1)));
--- a/src/test/java/org/radishpost/platform/KeyedTopicTest.java
+++ b/src/test/java/org/radishpost/platform/KeyedTopicTest.java
@@ -8,7 +8,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.radishpost.feed.Feed;
+import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.Relay;
 import org.radishpost.lib.Endpoint;
+import org.radishpost.lib.Place;
 import org.radishpost.node.RuntimeClock;
 import org.radishpost.standin.KeyedStore;
 import org.radishpost.standin.KeyedStoreServer;
@@ -16,6 +20,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
 /** A topic is followed through all that the store may do. */
@@ -48,10 +53,11 @@
   private KeyedTopic topic(Duration wait) {
     return new KeyedTopic(
         TOPIC,
+        Feed.TARGETS,
         client,
-        wait,
-        Duration.ofMillis(5),
+        () -> new ReadPace(wait, Duration.ofMillis(5)),
         new Heard(),
+        new Relay(Place.of("k", "k-a")),
         clock,
         (code, fields) -> heard.add(code.name()));
   }
@@ -59,7 +65,7 @@
   /** Ends it all. */
   @AfterMethod
   public void stop() {
-    topic.stop();
+    Mono.fromRunnable(topic::pause).subscribeOn(clock).block();
     server.stop().block();
     loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
   }
@@ -163,8 +169,9 @@
     }
 
     @Override
-    public void record(KeyedRecord record) {
+    public boolean record(KeyedRecord record) {
       heard.add(text(record));
+      return true;
     }
 
     @Override
