Start pipelined reads when they come in, and never run a body that broke off

Cause: the HTTP server dispatches the requests of a connection one after the other, so a pipelined read began when the answer before it had been written.

Change: EarlyCalls starts a bodiless, idempotent request when it is decoded, behind other such requests only; answers are still written in turn. EdgeAdmission now holds the decisions on heads.

Finding 2: EdgeRefusalTest failed once beside load: a request whose chunked body breaks off was sent to the target. Cause: after a framing fault the library ends the stream of the body as if it were whole; whether that or the refusal came first was a race.

--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.radishpost.errors.RequestBodyException;
 import org.radishpost.errors.StartException;
 import org.radishpost.lib.CallFacts;
 import org.radishpost.lib.CallId;
@@ -38,16 +39,14 @@
  * <p>Thread-safe after {@link #start()}.
  */
 public final class EdgeServer {
-  /** Another VM may be tried almost at once. */
-  private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(100);
+  private static final byte[] NO_BYTES = new byte[0];
 
   private final Endpoint address;
   private final EdgeDialect dialect;
-  private final RegionName region;
+  private final EdgeAdmission admission;
   private final LimitSettings limits;
   private final Scheduler clock;
   private final LoopResources loops;
-  private final Supplier<RouteTable> routes;
   private final Readiness readiness;
   private final CallHandler handler;
   private final AtomicLong calls;
@@ -82,11 +81,10 @@
       AtomicLong calls) {
     this.address = address;
     this.dialect = dialect;
-    this.region = region;
+    this.admission = new EdgeAdmission(dialect, region, routes, readiness);
     this.limits = limits;
     this.clock = clock;
     this.loops = loops;
-    this.routes = routes;
     this.readiness = readiness;
     this.handler = handler;
     this.calls = calls;
@@ -139,78 +137,95 @@
     channel
         .pipeline()
         .addFirst(new FramingGuard(NettyPipeline.HttpCodec, clock, limits.slowSender()))
-        .addAfter(NettyPipeline.HttpCodec, LibraryAnswers.class.getName(), new LibraryAnswers());
+        .addAfter(NettyPipeline.HttpCodec, LibraryAnswers.class.getName(), new LibraryAnswers())
+        .addAfter(
+            NettyPipeline.HttpCodec, EarlyCalls.class.getName(), new EarlyCalls(this::runEarly));
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    EarlyCalls.Turn turn = EarlyCalls.take(request);
+    if (turn.lastOne()) {
+      response.header("connection", "close");
+    }
     if (request.uri().equals(Readiness.PATH)) {
       return ReplyWriter.write(readiness.reply(), request.method().name(), response);
     }
-    Optional<Problem> fault = RequestCheck.fault(request, dialect);
-    if (fault.isPresent()) {
-      return ReplyWriter.refuseAndClose(fault.get(), response);
-    }
     if (!readiness.keepAlive()) {
       response.header("connection", "close");
     }
-    if (!readiness.mayServe()) {
-      return ReplyWriter.refuseAndClose(notReady(), response);
-    }
-    Optional<RouteMatch> match =
-        RequestCheck.path(request.uri(), dialect)
-            .flatMap(
-                path ->
-                    routes.get().find(RequestCheck.host(request), request.method().name(), path));
-    if (match.isEmpty()) {
-      return ReplyWriter.refuseAndClose(Problems.noRoute(), response);
-    }
-    Optional<Problem> refusal = refusal(request, match.get());
-    if (refusal.isPresent()) {
-      return ReplyWriter.refuseAndClose(refusal.get(), response);
+    if (turn.early().isPresent()) {
+      return turn.early()
+          .get()
+          .flatMap(reply -> Mono.from(ReplyWriter.write(reply, request.method().name(), response)));
     }
-    return serve(request, response, match.get());
+    IncomingHead head = IncomingHead.of(request);
+    return switch (admission.decide(head)) {
+      case EdgeAdmission.Decision.Refused refused ->
+          ReplyWriter.refuseAndClose(refused.reply(), response);
+      case EdgeAdmission.Decision.Taken taken -> serve(request, response, head, taken.match());
+    };
   }
 
-  private Reply notReady() {
-    return Reply.of(Problems.notReady(readiness.why())).withRetryAfter(NOT_READY_RETRY_AFTER);
+  /** Returns the run of a request that is still behind others, if it may begin before its turn. */
+  private Optional<Mono<Reply>> runEarly(IncomingHead head) {
+    if (head.target().equals(Readiness.PATH)
+        || !(admission.decide(head) instanceof EdgeAdmission.Decision.Taken taken)
+        || !taken.match().route().idempotent()) {
+      return Optional.empty();
+    }
+    Call call = call(head, taken.match(), CallBody.whole(NO_BYTES), deadline(head, taken.match()));
+    return Optional.of(handler.handle(call).doFinally(signal -> call.body().drop()));
   }
 
-  private Optional<Problem> refusal(HttpServerRequest request, RouteMatch match) {
-    if (dialect.refusesOutsideHome() && !match.route().allows(region)) {
-      return Optional.of(Problems.outsideHome(match.route().homeRegions()));
-    }
-    if (RequestCheck.bodyBytes(request.requestHeaders()) > match.route().maxBodyBytes()) {
-      return Optional.of(tooLarge(match, Verdict.NOT_RUN));
-    }
-    if (limit(request, match).isZero()) {
-      return Optional.of(Problems.handedBack(HandBackReason.TOO_LATE));
-    }
-    return Optional.empty();
+  private long deadline(IncomingHead head, RouteMatch match) {
+    return clock.now(TimeUnit.NANOSECONDS) + admission.limit(head, match).toNanos();
   }
 
   private Mono<Void> serve(
-      HttpServerRequest request, HttpServerResponse response, RouteMatch match) {
-    Duration limit = limit(request, match);
-    long deadline = clock.now(TimeUnit.NANOSECONDS) + limit.toNanos();
+      HttpServerRequest request, HttpServerResponse response, IncomingHead head, RouteMatch match) {
+    Duration limit = admission.limit(head, match);
+    long deadline = deadline(head, match);
     AtomicBoolean excess = new AtomicBoolean();
     Flux<ByteBuf> bytes =
-        BodyTooLarge.bound(request.receive(), match.route().maxBodyBytes(), () -> excess.set(true));
-    RequestHead head = RequestCheck.onward(request, dialect);
+        BodyTooLarge.bound(
+            wholeBody(request), match.route().maxBodyBytes(), () -> excess.set(true));
     return CallBody.read(bytes, limits.replayBytes())
         .timeout(limit, Mono.error(BodyTooLate::new), clock)
-        .map(body -> call(request.requestHeaders(), head, match, body, deadline))
+        .map(body -> call(head, match, body, deadline))
         .flatMap(call -> run(call, request, response))
         .map(
             reply ->
-                excess.get() && lost(reply) ? Reply.of(tooLarge(match, Verdict.UNKNOWN)) : reply)
+                excess.get() && lost(reply)
+                    ? Reply.of(EdgeAdmission.tooLarge(match, Verdict.UNKNOWN))
+                    : reply)
         .onErrorResume(
-            BodyTooLarge.class, error -> refused(tooLarge(match, Verdict.NOT_RUN), response))
+            BodyTooLarge.class,
+            error -> refused(EdgeAdmission.tooLarge(match, Verdict.NOT_RUN), response))
         .onErrorResume(
             BodyTooLate.class,
             error -> refused(Problems.handedBack(HandBackReason.TOO_LATE), response))
         .flatMap(reply -> Mono.from(ReplyWriter.write(reply, head.method(), response)));
   }
 
+  /** Returns the bytes of the body; an error ends them if they broke off, and not a mere end. */
+  private static Flux<ByteBuf> wholeBody(HttpServerRequest request) {
+    AtomicBoolean broken = new AtomicBoolean();
+    return request
+        .receive()
+        .concatWith(
+            Mono.defer(
+                () -> {
+                  request.withConnection(
+                      connection -> broken.set(FramingGuard.brokenBody(connection.channel())));
+                  return broken.get() ? Mono.error(brokenOff()) : Mono.empty();
+                }));
+  }
+
+  private static RequestBodyException brokenOff() {
+    return new RequestBodyException(
+        "The body broke off: let the caller send it whole, in well-formed chunks.");
+  }
+
   private Mono<Reply> run(Call call, HttpServerRequest request, HttpServerResponse response) {
     mayRun(request, !call.body().isWhole());
     return handler
@@ -243,17 +258,9 @@
     return reply.refusal().filter(verdict -> verdict == Verdict.UNKNOWN).isPresent();
   }
 
-  private static Problem tooLarge(RouteMatch match, Verdict verdict) {
-    return Problems.bodyTooLarge(match.route().maxBodyBytes(), verdict);
-  }
-
-  private Duration limit(HttpServerRequest request, RouteMatch match) {
-    long most = match.route().deadline().toMillis();
-    return Duration.ofMillis(EdgeNumbers.deadlineMillis(request.requestHeaders(), dialect, most));
-  }
-
-  private Call call(
-      HttpHeaders headers, RequestHead head, RouteMatch match, CallBody body, long deadline) {
+  private Call call(IncomingHead incoming, RouteMatch match, CallBody body, long deadline) {
+    HttpHeaders headers = incoming.headers();
+    RequestHead head = RequestCheck.onward(incoming, dialect);
     CallFacts facts =
         new CallFacts(
             new CallId(calls.incrementAndGet()),
--- a/src/main/java/org/radishpost/http/FramingGuard.java
+++ b/src/main/java/org/radishpost/http/FramingGuard.java
@@ -1,6 +1,7 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.Optional;
@@ -26,6 +28,10 @@
  * already run is closed without one. One guard for each connection.
  */
 final class FramingGuard extends ChannelDuplexHandler {
+  /** Set on a connection when the body that was being read can't be read on. */
+  private static final AttributeKey<Boolean> BROKEN_BODY =
+      AttributeKey.valueOf("radishpost-broken-body");
+
   private final FramingScanner scanner = new FramingScanner();
   private final String codecName;
   private final Scheduler clock;
@@ -46,6 +52,11 @@
     this.pace = new SenderPace(slowSender);
   }
 
+  /** Tells whether the body that was being read on the connection broke off. */
+  static boolean brokenBody(Channel channel) {
+    return Boolean.TRUE.equals(channel.attr(BROKEN_BODY).get());
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext context) {
     watch(context, pace.leftNanos(now()));
@@ -118,6 +129,7 @@
   }
 
   private void refuse(ChannelHandlerContext context, FramingScanner.Fault fault) {
+    context.channel().attr(BROKEN_BODY).set(fault.inBody());
     if (fault.inBody() && LibraryAnswers.mayRun(context.channel())) {
       context.close();
       return;
--- a/src/main/java/org/radishpost/http/RequestCheck.java
+++ b/src/main/java/org/radishpost/http/RequestCheck.java
@@ -3,13 +3,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import reactor.netty.http.server.HttpServerRequest;
 
 /** Checks the head of a request and makes the head that is passed on. */
 final class RequestCheck {
@@ -21,21 +19,21 @@
   private RequestCheck() {}
 
   /** Returns what is wrong with the head, if anything. */
-  static Optional<Problem> fault(HttpServerRequest request, EdgeDialect dialect) {
-    HttpHeaders headers = request.requestHeaders();
+  static Optional<Problem> fault(IncomingHead request, EdgeDialect dialect) {
+    HttpHeaders headers = request.headers();
     if (!request.version().equals(HttpVersion.HTTP_1_1)) {
       return bad("Use HTTP/1.1.");
     }
-    if (!METHODS.contains(request.method().name())) {
+    if (!METHODS.contains(request.method())) {
       return bad("Use one of the methods " + String.join(", ", METHODS) + ".");
     }
     if (headers.getAll("host").size() != 1) {
       return bad("Send one Host field.");
     }
-    if (!request.uri().startsWith("/")) {
+    if (!request.target().startsWith("/")) {
       return bad("Send the path in origin form, with the host in the Host field.");
     }
-    if (path(request.uri(), dialect).isEmpty()) {
+    if (path(request.target(), dialect).isEmpty()) {
       return bad("Send a path without empty or dot segments, escaped slashes and bad characters.");
     }
     if (headers.getAll(HeaderNames.IDEMPOTENCY_KEY).size() > 1) {
@@ -44,7 +42,7 @@
     if (EdgeNumbers.malformed(headers, dialect)) {
       return bad("Send the radishpost fields as whole numbers.");
     }
-    if (BODILESS.contains(request.method().name()) && bodyBytes(headers) != 0) {
+    if (bodiless(request) && bodyBytes(headers) != 0) {
       return bad("Send a body with POST, PUT or PATCH.");
     }
     if (headers.contains("content-length") && headers.contains("transfer-encoding")) {
@@ -60,6 +58,11 @@
     return Optional.empty();
   }
 
+  /** Tells whether the request has a method without a body. */
+  static boolean bodiless(IncomingHead request) {
+    return BODILESS.contains(request.method());
+  }
+
   /** Returns the path that routes are matched with, without the query. */
   static Optional<String> path(String target, EdgeDialect dialect) {
     if (dialect.normalizesPath()) {
@@ -70,8 +73,8 @@
   }
 
   /** Returns the host in lower case without the port. */
-  static String host(HttpServerRequest request) {
-    String host = request.requestHeaders().get("host", "").toLowerCase(Locale.ROOT);
+  static String host(IncomingHead request) {
+    String host = request.headers().get("host", "").toLowerCase(Locale.ROOT);
     int colon = host.lastIndexOf(':');
     return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
   }
@@ -85,12 +88,12 @@
   }
 
   /** Returns the head that is passed on. */
-  static RequestHead onward(HttpServerRequest request, EdgeDialect dialect) {
-    HttpHeaders kept = endToEnd(request.requestHeaders());
+  static RequestHead onward(IncomingHead request, EdgeDialect dialect) {
+    HttpHeaders kept = endToEnd(request.headers());
     if (dialect.addsForwardedFields()) {
       forwarded(request, kept);
     }
-    return new RequestHead(request.method().name(), request.uri(), kept);
+    return new RequestHead(request.method(), request.target(), kept);
   }
 
   /** Returns the fields that are passed on. */
@@ -106,12 +109,11 @@
     return kept.remove("trailer");
   }
 
-  private static void forwarded(HttpServerRequest request, HttpHeaders kept) {
-    InetSocketAddress peer = request.remoteAddress();
-    if (peer == null) {
+  private static void forwarded(IncomingHead request, HttpHeaders kept) {
+    if (request.peer().isEmpty()) {
       return;
     }
-    String caller = peer.getAddress().getHostAddress();
+    String caller = request.peer().get().getAddress().getHostAddress();
     append(kept, "x-forwarded-for", caller);
     kept.set("x-forwarded-proto", "http");
     append(kept, "via", "1.1 radishpost");
--- a/src/test/java/org/radishpost/http/EdgeFixture.java
+++ b/src/test/java/org/radishpost/http/EdgeFixture.java
@@ -60,6 +60,16 @@
   }
 
   EdgeFixture(Endpoint target, long maxBodyBytes) throws StartException {
+    this(target, maxBodyBytes, Optional.empty());
+  }
+
+  /** Creates an edge whose calls a handler of the test answers. */
+  EdgeFixture(CallHandler handler) throws StartException {
+    this(ANY, MAX_BODY_BYTES, Optional.of(handler));
+  }
+
+  private EdgeFixture(Endpoint target, long maxBodyBytes, Optional<CallHandler> handler)
+      throws StartException {
     this.target = target;
     server =
         new EdgeServer(
@@ -71,7 +81,7 @@
             loops,
             () -> new OneRoute(maxBodyBytes),
             new Ready(),
-            this::handle,
+            handler.orElse(this::handle),
             new AtomicLong());
     address = server.start();
   }
--- a/src/test/java/org/radishpost/http/EdgeRefusalTest.java
+++ b/src/test/java/org/radishpost/http/EdgeRefusalTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.util.ResourceLeakDetector;
 import java.io.IOException;
@@ -12,16 +13,21 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 /** Requests that the edge refuses, and raw bytes that it has to bear. */
 public class EdgeRefusalTest {
+  private static final int HANG_SECONDS = 20;
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
   private static final String HEAD = " HTTP/1.1\r\nHost: h\r\n";
   private static final String GET = "GET /a" + HEAD;
@@ -111,6 +117,45 @@
     assertEquals(target.heads, List.of());
   }
 
+  /**
+   * Whether the body's end or its fault is seen first depends on the threads, hence the repeats.
+   */
+  @Test(invocationCount = 40)
+  public void requestWhoseBodyBreaksOffIsNotRun() throws Exception {
+    List<String> ran = new CopyOnWriteArrayList<>();
+    CallHandler handler =
+        call -> {
+          ran.add(call.head().method());
+          return Mono.just(Replies.text(200, "ran"));
+        };
+    try (EdgeFixture own = new EdgeFixture(handler)) {
+      own.exchange(POST + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + GET + "\r\n");
+    }
+    assertEquals(ran, List.of());
+  }
+
+  @Test(invocationCount = 10)
+  public void bodyThatBreaksOffOnItsWayDoesNotLookWhole() throws Exception {
+    BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+    CallHandler handler =
+        call ->
+            call.body().stream()
+                .doOnNext(ByteBuf::release)
+                .doOnComplete(() -> ends.add("whole"))
+                .doOnError(error -> ends.add("broken"))
+                .doOnCancel(() -> ends.add("broken"))
+                .then(Mono.just(Replies.text(200, "ran")));
+    try (EdgeFixture own = new EdgeFixture(handler);
+        Socket socket = own.connect()) {
+      String first = "x".repeat(2 * EdgeFixture.REPLAY_BYTES);
+      String chunk = Integer.toHexString(first.length()) + "\r\n" + first + "\r\n";
+      String start = POST + "Transfer-Encoding: chunked\r\n\r\n" + chunk;
+      socket.getOutputStream().write((start + "zz\r\n").getBytes(StandardCharsets.US_ASCII));
+      EdgeFixture.rest(socket);
+      assertEquals(ends.poll(HANG_SECONDS, TimeUnit.SECONDS), "broken");
+    }
+  }
+
   @Test
   public void callerIsToldToContinueWhenItsBodyIsWanted() throws IOException {
     try (Socket caller = edge.connect()) {
