Let one call wait at a target, and look up no names

Waiting: in a burst up to two rounds of calls queued at a target, where none of them can move when another target gets room first. From 4/3 of its slots on a target is full now, and calls wait at the entry. PlacementTest.burstLetsOnlyOneCallWaitAtTarget.

All addresses are IP numbers, so clients have no resolver now.

--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -58,7 +58,7 @@
             .lifo()
             .build();
     this.client =
-        SilentPeers.noticed(HttpClient.create(connections))
+        NumericAddresses.only(SilentPeers.noticed(HttpClient.create(connections)))
             .runOn(loops)
             .disableRetry(true)
             .followRedirect(false)
--- a/src/main/java/org/radishpost/placement/Placement.java
+++ b/src/main/java/org/radishpost/placement/Placement.java
@@ -37,8 +37,12 @@
   private static final double TIE_COST = 0.1;
   private static final double POOR_COST = 0.5;
 
-  /** Calls at a target, as multiples of its slots, from which on it is full. */
-  private static final int FULL_ROUNDS = 2;
+  /**
+   * Calls at a target, as multiples of its slots, from which on it is full: about one may wait
+   * there. In a burst the others wait at the entry, where they can still go to the first target
+   * that has room.
+   */
+  private static final double FULL_ROUNDS = 4 / 3.0;
 
   private static final double BUSY_SHARE = 0.8;
   private static final double BUSY_FACTOR = 1.4;
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -15,6 +15,7 @@
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.errors.StoreException;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.http.NumericAddresses;
 import org.radishpost.http.SilentPeers;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
@@ -49,7 +50,9 @@
   public StoreClient(Endpoint address, Scheduler clock, LoopResources loops) {
     this.clock = clock;
     this.client =
-        SilentPeers.noticed(HttpClient.create(ConnectionProvider.create("store", CONNECTIONS)))
+        NumericAddresses.only(
+                SilentPeers.noticed(
+                    HttpClient.create(ConnectionProvider.create("store", CONNECTIONS))))
             .runOn(loops)
             .disableRetry(true)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
--- /dev/null
+++ b/src/test/java/org/radishpost/http/NumericAddressesTest.java
@@ -0,0 +1,20 @@
+package org.radishpost.http;
+
+import static org.testng.Assert.assertSame;
+
+import io.netty.resolver.NoopAddressResolverGroup;
+import java.time.Duration;
+import org.testng.annotations.Test;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.LoopResources;
+
+/** No client of an entry looks names up. */
+public class NumericAddressesTest {
+  @Test
+  public void threadsDoNotBringTheResolverBack() {
+    LoopResources loops = LoopResources.create("numeric", 1, true);
+    HttpClient client = NumericAddresses.only(HttpClient.newConnection()).runOn(loops);
+    assertSame(client.configuration().resolver(), NoopAddressResolverGroup.INSTANCE);
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+  }
+}
--- a/src/test/java/org/radishpost/placement/PlacementTest.java
+++ b/src/test/java/org/radishpost/placement/PlacementTest.java
@@ -31,6 +31,10 @@
     return new PlacedCall("r", 250 * MILLI, 2_000 * MILLI, kilobytes);
   }
 
+  private Placement.Choice choose(PlacedCall call, TrackedTarget... targets) {
+    return placement.choose(Arrays.asList(targets), call, 1).orElseThrow();
+  }
+
   private String chosen(PlacedCall call, TrackedTarget... targets) {
     return placement
         .choose(Arrays.asList(targets), call, 1)
@@ -50,6 +54,13 @@
         chosen(call(1), target("full", HERE, 2, 100), target("free", NEXT_ZONE, 0, 100)), "free");
   }
 
+  /** In a burst, what waits in the queue of a target can't go to one that has room sooner. */
+  @Test
+  public void burstLetsOnlyOneCallWaitAtTarget() {
+    assertFalse(choose(call(1), target("busy", HERE, 2, 100)).full());
+    assertTrue(choose(call(1), target("queue", HERE, 3, 100)).full());
+  }
+
   @Test
   public void bytesKeepLargeBodiesNear() {
     assertEquals(
