--- a/src/main/java/org/radishpost/admin/AdminServer.java
+++ b/src/main/java/org/radishpost/admin/AdminServer.java
@@ -12,7 +12,7 @@
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
 import org.radishpost.http.BodyTooLarge;
-import org.radishpost.http.ServerStart;
+import org.radishpost.http.Listener;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.manifest.ManifestBounds;
 import org.radishpost.manifest.ManifestCodec;
@@ -22,7 +22,6 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -46,14 +45,13 @@
   private static final AdminAnswer TOO_LARGE =
       AdminAnswer.refused(413, "The body is too large: see docs/ADMIN.md.");
 
-  private final Endpoint address;
+  private final Listener listener;
   private final TokenTable tokens;
   private final FailedTokens failed = new FailedTokens();
   private final AdminRoutes routes;
   private final EventSink events;
   private final Scheduler clock;
   private final LoopResources loops;
-  private DisposableServer server;
 
   /**
    * Creates a server that does not listen yet.
@@ -72,7 +70,7 @@
       EventSink events,
       Scheduler clock,
       LoopResources loops) {
-    this.address = address;
+    this.listener = new Listener(address);
     this.tokens = new TokenTable(tokens);
     this.routes = new AdminRoutes(view, events, new ManifestCodec(), new ManifestValidator());
     this.events = events;
@@ -87,24 +85,18 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    server =
-        ServerStart.bind(
-            HttpServer.create()
-                .host(address.ip())
-                .port(address.port())
-                .protocol(HttpProtocol.HTTP11)
-                .runOn(loops)
-                .idleTimeout(IDLE)
-                .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES))
-                .handle(this::handle),
-            address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(
+        HttpServer.create()
+            .protocol(HttpProtocol.HTTP11)
+            .runOn(loops)
+            .idleTimeout(IDLE)
+            .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEAD_BYTES))
+            .handle(this::handle));
   }
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
--- a/src/main/java/org/radishpost/feed/tcp/RelayServer.java
+++ b/src/main/java/org/radishpost/feed/tcp/RelayServer.java
@@ -6,11 +6,10 @@
 import org.radishpost.feed.FeedMessage;
 import org.radishpost.feed.Relay;
 import org.radishpost.feed.RelayDialer;
+import org.radishpost.http.Listener;
 import org.radishpost.lib.Endpoint;
 import reactor.core.scheduler.Scheduler;
-import reactor.netty.ChannelBindException;
 import reactor.netty.Connection;
-import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
 import reactor.netty.tcp.TcpServer;
 
@@ -19,11 +18,10 @@
   /** What may wait for a follower that doesn't read; more than all records that are kept. */
   private static final int MAX_WAITING_BYTES = 4 * 1024 * 1024;
 
-  private final Endpoint address;
+  private final Listener listener;
   private final Relay relay;
   private final Scheduler clock;
   private final LoopResources loops;
-  private DisposableServer server;
 
   /**
    * Creates a server that does not listen yet.
@@ -34,7 +32,7 @@
    * @param loops the threads
    */
   public RelayServer(Endpoint address, Relay relay, Scheduler clock, LoopResources loops) {
-    this.address = address;
+    this.listener = new Listener(address);
     this.relay = relay;
     this.clock = clock;
     this.loops = loops;
@@ -47,28 +45,19 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    try {
-      server =
-          TcpServer.create()
-              .runOn(loops)
-              .host(address.ip())
-              .port(address.port())
-              .childOption(ChannelOption.TCP_NODELAY, true)
-              .childOption(
-                  ChannelOption.WRITE_BUFFER_WATER_MARK,
-                  new WriteBufferWaterMark(MAX_WAITING_BYTES / 2, MAX_WAITING_BYTES))
-              .doOnConnection(this::accept)
-              .bindNow();
-    } catch (ChannelBindException e) {
-      throw new StartException(
-          "Cannot listen on " + address + ": free the port or change it in the settings.", e);
-    }
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(
+        TcpServer.create()
+            .runOn(loops)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(MAX_WAITING_BYTES / 2, MAX_WAITING_BYTES))
+            .doOnConnection(this::accept));
   }
 
-  /** Stops listening; connections end with the process. */
+  /** Stops listening; connections end with their ends. */
   public void stop() {
-    server.dispose();
+    listener.refuse();
   }
 
   private void accept(Connection connection) {
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -25,7 +25,6 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.netty.DisposableServer;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
@@ -41,7 +40,7 @@
 public final class EdgeServer {
   private static final byte[] NO_BYTES = new byte[0];
 
-  private final Endpoint address;
+  private final Listener listener;
   private final EdgeDialect dialect;
   private final EdgeAdmission admission;
   private final LimitSettings limits;
@@ -52,7 +51,6 @@
   private final AtomicLong calls;
   private final ConnectionLimit connections;
   private final InFlight inFlight = new InFlight();
-  private DisposableServer server;
 
   /**
    * Creates a server.
@@ -79,7 +77,7 @@
       Readiness readiness,
       CallHandler handler,
       AtomicLong calls) {
-    this.address = address;
+    this.listener = new Listener(address);
     this.dialect = dialect;
     this.admission = new EdgeAdmission(dialect, region, routes, readiness);
     this.limits = limits;
@@ -98,24 +96,19 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    server =
-        ServerStart.bind(
-            HttpServer.create()
-                .host(address.ip())
-                .port(address.port())
-                .protocol(HttpProtocol.HTTP11)
-                .runOn(loops)
-                .idleTimeout(limits.slowSender())
-                .doOnChannelInit((observer, channel, remote) -> guard(channel))
-                .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headerBytes()))
-                .handle((request, response) -> inFlight.counted(handle(request, response))),
-            address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(
+        HttpServer.create()
+            .protocol(HttpProtocol.HTTP11)
+            .runOn(loops)
+            .idleTimeout(limits.slowSender())
+            .doOnChannelInit((observer, channel, remote) -> guard(channel))
+            .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headerBytes()))
+            .handle((request, response) -> inFlight.counted(handle(request, response))));
   }
 
   /** Stops listening; connections that are open stay so until {@link #stop()}. */
   public void refuseConnections() {
-    server.channel().close();
+    listener.refuse();
   }
 
   /** Returns the counter of the requests that are worked on. */
@@ -125,8 +118,7 @@
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private void guard(Channel channel) {
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -24,7 +24,6 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.netty.DisposableServer;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
@@ -47,7 +46,7 @@
           "Use an entry's address.",
           Verdict.NOT_RUN);
 
-  private final Endpoint address;
+  private final Listener listener;
   private final LimitSettings limits;
   private final Scheduler clock;
   private final LoopResources loops;
@@ -57,7 +56,6 @@
   private final AtomicLong calls;
   private final HopStamps stamps;
   private final InFlight inFlight = new InFlight();
-  private DisposableServer server;
 
   /**
    * Creates a server.
@@ -82,7 +80,7 @@
       HopHandler handler,
       AtomicLong calls,
       HybridClock stamps) {
-    this.address = address;
+    this.listener = new Listener(address);
     this.limits = limits;
     this.clock = clock;
     this.loops = loops;
@@ -100,25 +98,20 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    server =
-        ServerStart.bind(
-            HttpServer.create()
-                .host(address.ip())
-                .port(address.port())
-                .protocol(HttpProtocol.HTTP11)
-                .runOn(loops)
-                .doOnChannelInit(
-                    (observer, channel, remote) ->
-                        channel
-                            .pipeline()
-                            .addAfter(
-                                NettyPipeline.HttpCodec,
-                                LibraryAnswers.class.getName(),
-                                new LibraryAnswers()))
-                .httpRequestDecoder(spec -> spec.maxHeaderSize(2 * limits.headerBytes()))
-                .handle((request, response) -> inFlight.counted(handle(request, response))),
-            address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(
+        HttpServer.create()
+            .protocol(HttpProtocol.HTTP11)
+            .runOn(loops)
+            .doOnChannelInit(
+                (observer, channel, remote) ->
+                    channel
+                        .pipeline()
+                        .addAfter(
+                            NettyPipeline.HttpCodec,
+                            LibraryAnswers.class.getName(),
+                            new LibraryAnswers()))
+            .httpRequestDecoder(spec -> spec.maxHeaderSize(2 * limits.headerBytes()))
+            .handle((request, response) -> inFlight.counted(handle(request, response))));
   }
 
   /** Returns the counter of the requests that are worked on. */
@@ -128,8 +121,7 @@
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
--- a/src/main/java/org/radishpost/http/PageServer.java
+++ b/src/main/java/org/radishpost/http/PageServer.java
@@ -5,7 +5,6 @@
 import org.radishpost.errors.StartException;
 import org.radishpost.lib.Endpoint;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
@@ -17,10 +16,9 @@
 public final class PageServer {
   private static final int NOT_FOUND = 404;
 
-  private final Endpoint address;
+  private final Listener listener;
   private final Map<String, Supplier<Reply>> pages;
   private final LoopResources loops;
-  private DisposableServer server;
 
   /**
    * Creates a server that does not listen yet.
@@ -30,7 +28,7 @@
    * @param loops the threads
    */
   public PageServer(Endpoint address, Map<String, Supplier<Reply>> pages, LoopResources loops) {
-    this.address = address;
+    this.listener = new Listener(address);
     this.pages = Map.copyOf(pages);
     this.loops = loops;
   }
@@ -44,20 +42,16 @@
   public Endpoint start() throws StartException {
     HttpServer http =
         HttpServer.create()
-            .host(address.ip())
-            .port(address.port())
             .runOn(loops)
             .handle(
                 (request, response) ->
                     ReplyWriter.write(page(request.uri()), request.method().name(), response));
-    server = ServerStart.bind(http, address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(http);
   }
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private Reply page(String uri) {
--- a/src/main/java/org/radishpost/standin/KeyedStoreServer.java
+++ b/src/main/java/org/radishpost/standin/KeyedStoreServer.java
@@ -10,13 +10,12 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.radishpost.errors.StartException;
-import org.radishpost.http.ServerStart;
+import org.radishpost.http.Listener;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.platform.WireNames;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -36,11 +35,10 @@
   private static final Duration LOOK_INTERVAL = Duration.ofMillis(5);
 
   private final KeyedStore store;
-  private final Endpoint address;
+  private final Listener listener;
   private final LoopResources loops;
   private final AtomicInteger calls = new AtomicInteger();
   private volatile StoreFault fault = new StoreFault.None();
-  private DisposableServer server;
 
   /**
    * Creates a server that does not listen yet.
@@ -51,7 +49,7 @@
    */
   public KeyedStoreServer(KeyedStore store, Endpoint address, LoopResources loops) {
     this.store = store;
-    this.address = address;
+    this.listener = new Listener(address);
     this.loops = loops;
   }
 
@@ -62,15 +60,7 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    server =
-        ServerStart.bind(
-            HttpServer.create()
-                .host(address.ip())
-                .port(address.port())
-                .runOn(loops)
-                .handle(this::handle),
-            address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(HttpServer.create().runOn(loops).handle(this::handle));
   }
 
   /** Sets what is wrong from now on. */
@@ -85,8 +75,7 @@
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
--- a/src/main/java/org/radishpost/standin/PlatformTargetServer.java
+++ b/src/main/java/org/radishpost/standin/PlatformTargetServer.java
@@ -3,12 +3,11 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.radishpost.errors.StartException;
-import org.radishpost.http.ServerStart;
+import org.radishpost.http.Listener;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.platform.WireNames;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -26,11 +25,10 @@
   private static final int MISDIRECTED = 421;
 
   private final String id;
-  private final Endpoint address;
+  private final Listener listener;
   private final LoopResources loops;
   private final List<String> ran = new CopyOnWriteArrayList<>();
   private volatile Answer answer = new Answer(200, false, "0,0,2,100");
-  private DisposableServer server;
 
   /**
    * Creates a target that does not listen yet.
@@ -41,7 +39,7 @@
    */
   public PlatformTargetServer(String id, Endpoint address, LoopResources loops) {
     this.id = id;
-    this.address = address;
+    this.listener = new Listener(address);
     this.loops = loops;
   }
 
@@ -52,15 +50,7 @@
    * @throws StartException if the address is taken
    */
   public Endpoint start() throws StartException {
-    server =
-        ServerStart.bind(
-            HttpServer.create()
-                .host(address.ip())
-                .port(address.port())
-                .runOn(loops)
-                .handle(this::handle),
-            address);
-    return new Endpoint(address.ip(), server.port());
+    return listener.start(HttpServer.create().runOn(loops).handle(this::handle));
   }
 
   /** Sets what it answers from now on. */
@@ -75,8 +65,7 @@
 
   /** Closes everything; ends when it is closed. */
   public Mono<Void> stop() {
-    server.dispose();
-    return server.onDispose();
+    return listener.stop();
   }
 
   private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
