Keep a connection open for reads that have begun early

The users count that as a request cut off.

Change: while a request behind one runs, the answer doesn't close the connection, also at a shutdown; nothing begins early once the shutdown has begun, nor behind a request that will be refused. Two tests in EarlyCallsTest.

--- a/src/main/java/org/radishpost/http/EarlyCalls.java
+++ b/src/main/java/org/radishpost/http/EarlyCalls.java
@@ -68,7 +68,8 @@
       cancelAll();
       return Turn.UNKNOWN;
     }
-    return new Turn(next.run.map(Run::answer), next.lastOne);
+    boolean followed = waiting.stream().anyMatch(entry -> entry.run.isPresent());
+    return new Turn(next.run.map(Run::answer), next.lastOne, followed);
   }
 
   @Override
@@ -109,10 +110,14 @@
     return new Waiting(head.method(), head.target(), run, lastOne);
   }
 
-  /** Reads may overtake reads, but nothing overtakes a request that may change something. */
+  /**
+   * Reads may overtake reads, but nothing overtakes a request that may change something, or one
+   * that will be refused, as the connection closes after a refusal.
+   */
   private boolean mayStart(IncomingHead head) {
     return !unansweredBodiless.isEmpty()
         && !unansweredBodiless.contains(false)
+        && waiting.stream().allMatch(entry -> entry.run.isPresent())
         && waiting.size() < MAX_EARLY
         && RequestCheck.bodiless(head);
   }
@@ -147,9 +152,10 @@
    *
    * @param early its answer, if it was started before
    * @param lastOne whether the caller wants the connection closed after it
+   * @param followed whether a request behind it runs already, so that the connection must stay
    */
-  record Turn(Optional<Mono<Reply>> early, boolean lastOne) {
-    private static final Turn UNKNOWN = new Turn(Optional.empty(), false);
+  record Turn(Optional<Mono<Reply>> early, boolean lastOne, boolean followed) {
+    private static final Turn UNKNOWN = new Turn(Optional.empty(), false, false);
   }
 
   /** A call that was started early. */
--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -142,7 +142,7 @@
     if (request.uri().equals(Readiness.PATH)) {
       return ReplyWriter.write(readiness.reply(), request.method().name(), response);
     }
-    if (!readiness.keepAlive()) {
+    if (!readiness.keepAlive() && !turn.followed()) {
       response.header("connection", "close");
     }
     if (turn.early().isPresent()) {
@@ -161,6 +161,7 @@
   /** Returns the run of a request that is still behind others, if it may begin before its turn. */
   private Optional<Mono<Reply>> runEarly(IncomingHead head) {
     if (head.target().equals(Readiness.PATH)
+        || !readiness.keepAlive()
         || !(admission.decide(head) instanceof EdgeAdmission.Decision.Taken taken)
         || !taken.match().route().idempotent()) {
       return Optional.empty();
--- a/src/test/java/org/radishpost/http/EarlyCallsTest.java
+++ b/src/test/java/org/radishpost/http/EarlyCallsTest.java
@@ -98,6 +98,47 @@
     }
   }
 
+  /** A graceful shutdown closes connections between requests, but not on one that runs already. */
+  @Test
+  public void connectionStaysOpenForRequestsThatRun() throws Exception {
+    Sinks.One<Reply> first = Sinks.one();
+    CallHandler handler =
+        call -> {
+          heard.add(call.head().target());
+          return call.head().target().equals("/1")
+              ? first.asMono()
+              : Mono.just(Replies.text(200, "<2>"));
+        };
+    try (EdgeFixture edge = new EdgeFixture(handler);
+        Socket socket = edge.connect()) {
+      send(socket, "GET /1" + OTHER + "GET /2" + OTHER);
+      assertEquals(List.of(next(), next()), List.of("/1", "/2"));
+      edge.keepAlive = false;
+      first.tryEmitValue(Replies.text(200, "<1>"));
+      String answers = EdgeFixture.rest(socket);
+      assertTrue(answers.contains("<1>") && answers.contains("<2>"), answers);
+      assertTrue(answers.indexOf("connection: close") > answers.indexOf("<1>"), answers);
+    }
+  }
+
+  @Test
+  public void nothingBeginsBehindRequestThatWillBeRefused() throws Exception {
+    Sinks.One<Reply> first = Sinks.one();
+    CallHandler handler =
+        call -> {
+          heard.add(call.head().target());
+          return first.asMono();
+        };
+    try (EdgeFixture edge = new EdgeFixture(handler);
+        Socket socket = edge.connect()) {
+      send(socket, "GET /1" + OTHER + "GET /home" + OTHER + "GET /3" + OTHER);
+      assertEquals(next(), "/1");
+      first.tryEmitValue(Replies.text(200, "<1>"));
+      EdgeFixture.rest(socket);
+      assertTrue(heard.isEmpty(), heard.toString());
+    }
+  }
+
   private static void send(Socket socket, String text) throws Exception {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
--- a/src/test/java/org/radishpost/http/EdgeFixture.java
+++ b/src/test/java/org/radishpost/http/EdgeFixture.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.radishpost.config.Configuration;
 import org.radishpost.config.VersionedManifest;
 import org.radishpost.errors.NotConnectedException;
@@ -50,6 +51,7 @@
   final HttpSender sender =
       new HttpSender(
           SenderOptions.own("test", 8, Duration.ofSeconds(5), Duration.ofSeconds(1)), clock, loops);
+  volatile boolean keepAlive = true;
   final List<Long> leftMillis = new CopyOnWriteArrayList<>();
   private final Endpoint target;
   private final EdgeServer server;
@@ -80,7 +82,7 @@
             clock,
             loops,
             () -> new OneRoute(maxBodyBytes),
-            new Ready(),
+            new Ready(() -> keepAlive),
             handler.orElse(this::handle),
             new AtomicLong());
     address = server.start();
@@ -202,7 +204,7 @@
     }
   }
 
-  private record Ready() implements Readiness {
+  private record Ready(BooleanSupplier open) implements Readiness {
     @Override
     public boolean ready() {
       return true;
@@ -215,7 +217,7 @@
 
     @Override
     public boolean keepAlive() {
-      return true;
+      return open.getAsBoolean();
     }
 
     @Override
