Test that a shutdown keeps a connection for reads that run

The test before passed without the change that it is for, as the first request was dispatched before the shutdown began.

--- a/src/test/java/org/radishpost/http/EarlyCallsTest.java
+++ b/src/test/java/org/radishpost/http/EarlyCallsTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -21,6 +22,12 @@
 
   private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
+  /** Forgets what earlier tests heard. */
+  @BeforeMethod
+  public void forget() {
+    heard.clear();
+  }
+
   @Test
   public void laterRequestRunsWhileTheFirstIsNotAnswered() throws Exception {
     Sinks.One<Reply> first = Sinks.one();
@@ -107,17 +114,17 @@
           heard.add(call.head().target());
           return call.head().target().equals("/1")
               ? first.asMono()
-              : Mono.just(Replies.text(200, "<2>"));
+              : Mono.just(Replies.text(200, "<" + call.head().target().substring(1) + ">"));
         };
     try (EdgeFixture edge = new EdgeFixture(handler);
         Socket socket = edge.connect()) {
-      send(socket, "GET /1" + OTHER + "GET /2" + OTHER);
-      assertEquals(List.of(next(), next()), List.of("/1", "/2"));
+      send(socket, "GET /1" + OTHER + "GET /2" + OTHER + "GET /3" + OTHER);
+      assertEquals(List.of(next(), next(), next()), List.of("/1", "/2", "/3"));
       edge.keepAlive = false;
       first.tryEmitValue(Replies.text(200, "<1>"));
       String answers = EdgeFixture.rest(socket);
-      assertTrue(answers.contains("<1>") && answers.contains("<2>"), answers);
-      assertTrue(answers.indexOf("connection: close") > answers.indexOf("<1>"), answers);
+      assertTrue(answers.contains("<1>") && answers.contains("<3>"), answers);
+      assertTrue(answers.indexOf("connection: close") > answers.indexOf("<2>"), answers);
     }
   }
 
