Return from the demo's start once every VM serves calls

Cause: start returned when the configuration was in force at every VM. The pools get their owners a moment later (in the time line of a run: CONFIG_APPLIED at 01.241 s, POOL_TAKEN at 01.258 s and 01.262 s, the last VM ready at 01.270 s). A caller that is quick enough comes into that gap. A JVM that has run 600 tests is; a fresh one mostly isn't.

Test: DemoSystemTest calls each VM by a plain socket straight after the start.

Not mended: with 40 such JVMs at once on 8 processors the demo's VMs lose their leases and links, and calls are refused or time out; that starves real-time leases and is no state that the test promises.

--- a/src/main/java/org/radishpost/pgm/DemoSystem.java
+++ b/src/main/java/org/radishpost/pgm/DemoSystem.java
@@ -1,5 +1,6 @@
 package org.radishpost.pgm;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,7 @@
 import org.radishpost.standin.TargetServer;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
 
 /** The parts of the demo: stand-ins, three entry VMs and a published manifest. */
 final class DemoSystem {
@@ -33,6 +35,8 @@
   private static final Duration RETENTION = Duration.ofDays(1);
   private static final Duration SERVICE_TIME = Duration.ofMillis(5);
   private static final Duration PUBLISH_LIMIT = Duration.ofSeconds(10);
+  private static final Duration FIRST_CALL_PAUSE = Duration.ofMillis(5);
+  private static final String EXAMPLE_PATH = "/archive/2026";
   private static final int TARGETS_PER_ZONE = 2;
   private static final int KEY_BYTES = 32;
   private static final List<Place> PLACES =
@@ -73,13 +77,14 @@
       nodes.add(node);
     }
     publish();
+    awaitFirstCalls();
   }
 
   /** Returns commands that a user can paste. */
   List<String> examples() {
     List<String> lines = new ArrayList<>();
     for (Node node : nodes) {
-      lines.add("curl -i http://" + node.edge() + "/archive/2026");
+      lines.add("curl -i http://" + node.edge() + EXAMPLE_PATH);
     }
     Endpoint first = nodes.getFirst().edge();
     lines.add(
@@ -152,6 +157,33 @@
                 .blockFirst(PUBLISH_LIMIT));
   }
 
+  /**
+   * Waits until each VM serves a call: a manifest is in force a moment before its pools have owners
+   * that every VM has heard of.
+   */
+  private void awaitFirstCalls() throws StartException {
+    HttpClient client = HttpClient.create();
+    for (Node node : nodes) {
+      if (!isServed(client, "http://" + node.edge() + EXAMPLE_PATH)) {
+        throw new StartException(
+            node.edge() + " served no call within " + PUBLISH_LIMIT + ": look at its log lines.");
+      }
+    }
+  }
+
+  private static boolean isServed(HttpClient client, String uri) {
+    return client
+        .get()
+        .uri(uri)
+        .response()
+        .map(response -> response.status().code())
+        .filter(status -> status == HttpResponseStatus.OK.code())
+        .repeatWhenEmpty(times -> times.delayElements(FIRST_CALL_PAUSE))
+        .timeout(PUBLISH_LIMIT, Mono.empty())
+        .blockOptional()
+        .isPresent();
+  }
+
   private NodeSecrets secrets() {
     byte[] link = new byte[KEY_BYTES];
     byte[] home = new byte[KEY_BYTES];
--- /dev/null
+++ b/src/test/java/org/radishpost/pgm/DemoSystemTest.java
@@ -0,0 +1,45 @@
+package org.radishpost.pgm;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.radishpost.lib.Endpoint;
+import org.radishpost.node.RuntimeClock;
+import org.testng.annotations.Test;
+
+/** The demo's start. */
+public class DemoSystemTest {
+  private static final int STARTS = 8;
+  private static final byte[] FIRST_CALL =
+      "GET /archive/2026 HTTP/1.1\r\nHost: demo\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  @Test
+  public void firstCallsAfterTheStartAreServed() throws Exception {
+    for (int seed = 0; seed < STARTS; seed++) {
+      DemoSystem demo = new DemoSystem(new RuntimeClock(), new Random(seed));
+      try {
+        demo.start(0);
+        for (Endpoint edge : demo.edges()) {
+          assertEquals(firstStatusLine(edge), "HTTP/1.1 200 OK", "start " + seed + ", " + edge);
+        }
+      } finally {
+        demo.stop().block();
+      }
+    }
+  }
+
+  /** Calls by a plain socket, as a client that must warm up would come too late to see a gap. */
+  private static String firstStatusLine(Endpoint edge) throws IOException {
+    try (Socket socket = new Socket(edge.ip(), edge.port())) {
+      socket.getOutputStream().write(FIRST_CALL);
+      return new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+          .readLine();
+    }
+  }
+}
