Number the event of settings that can't be read again

Finding: the warning about changed settings that can't be read had no event number, and repeated each second while the file was missing.

Cause: SettingsReload logged by itself, at each look.

Change: event 1007 SETTINGS_UNREADABLE, told once for each reason. The test of unreadable files counts the events; before, it had none to count.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -20,6 +20,8 @@
   STOPPED(1005, Level.INFO),
   /** The settings file was read again. */
   SETTINGS_RELOADED(1006, Level.INFO),
+  /** The settings file could not be read again; the settings before stay in force. */
+  SETTINGS_UNREADABLE(1007, Level.WARN),
 
   /** A newer configuration is in force on this VM. */
   CONFIG_APPLIED(2001, Level.INFO),
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -13,6 +13,7 @@
 import org.radishpost.admission.RetryShare;
 import org.radishpost.config.Configuration;
 import org.radishpost.direct.DirectParts;
+import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.StartException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
@@ -230,6 +231,11 @@
         EventField.of("grace", newest.bounds().grace()));
   }
 
+  /** Takes note that changed settings can't be read; those before stay in force. */
+  public void settingsUnreadable(PlatformDocumentException why) {
+    events.emit(EventCode.SETTINGS_UNREADABLE, EventField.of("why", why.getMessage()));
+  }
+
   /** Returns the address at which callers are served. */
   public Endpoint frontAddress() {
     return frontAddress;
--- a/src/main/java/org/radishpost/pgm/SettingsReload.java
+++ b/src/main/java/org/radishpost/pgm/SettingsReload.java
@@ -1,9 +1,8 @@
 package org.radishpost.pgm;
 
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.platform.SettingsFile;
 import org.radishpost.settings.EntrySettings;
@@ -15,11 +14,11 @@
  * <p>A file that can't be read changes nothing. Used by one thread.
  */
 final class SettingsReload {
-  private static final Logger LOG = LogManager.getLogger("radishpost");
-
   private final SettingsFile file;
   private final Consumer<EntrySettings> reloaded;
+  private final Consumer<PlatformDocumentException> unreadable;
   private byte[] last;
+  private Optional<String> fault = Optional.empty();
   private volatile boolean asked;
 
   /**
@@ -28,11 +27,17 @@
    * @param file the settings file
    * @param last its bytes that are in force
    * @param reloaded takes new settings
+   * @param unreadable takes the reason when the file can't be read
    */
-  SettingsReload(SettingsFile file, byte[] last, Consumer<EntrySettings> reloaded) {
+  SettingsReload(
+      SettingsFile file,
+      byte[] last,
+      Consumer<EntrySettings> reloaded,
+      Consumer<PlatformDocumentException> unreadable) {
     this.file = file;
     this.last = last.clone();
     this.reloaded = reloaded;
+    this.unreadable = unreadable;
     Signal.handle(new Signal("HUP"), signal -> asked = true);
   }
 
@@ -46,8 +51,17 @@
       asked = false;
       last = bytes;
       reloaded.accept(SettingsFile.decode(bytes));
+      fault = Optional.empty();
     } catch (PlatformDocumentException e) {
-      LOG.warn("The settings were not reloaded, those before stay in force: {}", e.getMessage());
+      tellOnce(e);
+    }
+  }
+
+  private void tellOnce(PlatformDocumentException why) {
+    Optional<String> newest = Optional.of(String.valueOf(why.getMessage()));
+    if (!newest.equals(fault)) {
+      unreadable.accept(why);
     }
+    fault = newest;
   }
 }
--- a/src/test/java/org/radishpost/pgm/SettingsReloadTest.java
+++ b/src/test/java/org/radishpost/pgm/SettingsReloadTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.platform.SettingsFile;
 import org.radishpost.settings.EntrySettings;
 import org.testng.annotations.AfterMethod;
@@ -23,6 +24,7 @@
       """;
 
   private final List<EntrySettings> reloaded = new ArrayList<>();
+  private final List<PlatformDocumentException> unreadable = new ArrayList<>();
   private Path path;
   private SettingsReload reload;
 
@@ -30,10 +32,11 @@
   @BeforeMethod
   public void start() throws IOException {
     reloaded.clear();
+    unreadable.clear();
     path = Files.createTempFile("settings", ".json");
     write("first");
     SettingsFile file = new SettingsFile(path);
-    reload = new SettingsReload(file, Files.readAllBytes(path), reloaded::add);
+    reload = new SettingsReload(file, Files.readAllBytes(path), reloaded::add, unreadable::add);
   }
 
   /** Removes the file. */
@@ -70,8 +73,12 @@
   public void unreadableFileChangesNothing() throws IOException {
     Files.writeString(path, "{");
     reload.look();
+    reload.look();
+    assertEquals(unreadable.size(), 1);
     Files.delete(path);
     reload.look();
+    reload.look();
+    assertEquals(unreadable.size(), 2);
     assertEquals(reloaded.size(), 0);
     write("third");
     reload.look();
