Skip no records when heartbeats cross a subscription

Finding, by reading Follower: a VM that subscribes to a relay took the relay's next heartbeat as "nothing is missing before this position", also one that the relay had sent before it knew of the subscription. A VM that was frozen, or a slow one, takes several heartbeats in one go: it answers the first and believes the second. The records between the two are then left out for good: a draining target goes on getting requests, a new version is missed.

Change: a heartbeat says whether all before its position was sent on this connection; only such a one advances the follower.

Test: FollowerTest.heartbeatsFromBeforeTheSubscriptionSkipNoRecords; with the old condition it is red (position 25 in place of 20).

--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -37,6 +37,7 @@
           packer.packInt(BEAT);
           packer.packBoolean(beat.fresh());
           pack(packer, beat.upTo());
+          packer.packBoolean(beat.complete());
         }
         case FeedMessage.Records records -> {
           packer.packInt(RECORDS);
@@ -65,7 +66,9 @@
         case HELLO ->
             new FeedMessage.Hello(Place.of(unpacker.unpackString(), unpacker.unpackString()));
         case SUBSCRIBE -> new FeedMessage.Subscribe(position(unpacker));
-        case BEAT -> new FeedMessage.Beat(unpacker.unpackBoolean(), position(unpacker));
+        case BEAT ->
+            new FeedMessage.Beat(
+                unpacker.unpackBoolean(), position(unpacker), unpacker.unpackBoolean());
         case RECORDS -> records(unpacker);
         default -> throw corrupt(null);
       };
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -23,10 +23,11 @@
    * The relay's heartbeat.
    *
    * @param fresh whether the relay has heard from the store just now
-   * @param upTo how far the relay knows the feeds; all that matters before it has been sent to
-   *     those who subscribed
+   * @param upTo how far the relay knows the feeds
+   * @param complete whether all that matters before that position was sent on this connection; not
+   *     so before the relay has taken the subscription
    */
-  record Beat(boolean fresh, Position upTo) implements FeedMessage {}
+  record Beat(boolean fresh, Position upTo, boolean complete) implements FeedMessage {}
 
   /**
    * Records that change something.
--- a/src/main/java/org/radishpost/feed/Follower.java
+++ b/src/main/java/org/radishpost/feed/Follower.java
@@ -159,10 +159,10 @@
     }
     if (!beat.fresh()) {
       leave("the relay does not hear from the store");
-    } else if (relay.subscribed) {
+    } else if (beat.complete()) {
       reader.advance(beat.upTo());
       follow(relay);
-    } else if (reader.position().filter(beat.upTo()::covers).isPresent()) {
+    } else if (!relay.subscribed && reader.position().filter(beat.upTo()::covers).isPresent()) {
       relay.subscribed = true;
       relay.link.send(new FeedMessage.Subscribe(reader.position().get()));
     }
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -35,7 +35,7 @@
   public void connected(FeedLink link) {
     links.add(link);
     link.send(new FeedMessage.Hello(place));
-    link.send(beat());
+    beat(link);
   }
 
   /** Takes note that a connection was closed. */
@@ -61,7 +61,7 @@
     subscribed.add(link);
     sendRecords(link, Feed.OPERATORS, operatorsSince.get());
     sendRecords(link, Feed.TARGETS, targetsSince.get());
-    link.send(beat());
+    beat(link);
   }
 
   @Override
@@ -83,8 +83,7 @@
    */
   public void tick(boolean nowFresh) {
     fresh = nowFresh;
-    FeedMessage beat = beat();
-    List.copyOf(links).forEach(link -> link.send(beat));
+    List.copyOf(links).forEach(this::beat);
   }
 
   /** Returns how many VMs follow. */
@@ -92,8 +91,9 @@
     return subscribed.size();
   }
 
-  private FeedMessage.Beat beat() {
-    return new FeedMessage.Beat(fresh, new Position(operators.next(), targets.next()));
+  private void beat(FeedLink link) {
+    Position upTo = new Position(operators.next(), targets.next());
+    link.send(new FeedMessage.Beat(fresh, upTo, subscribed.contains(link)));
   }
 
   private RecentRecords recent(Feed feed) {
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -20,7 +20,7 @@
     return new Object[][] {
       {new FeedMessage.Hello(Place.of("r", "z"))},
       {new FeedMessage.Subscribe(new Position(1, 2))},
-      {new FeedMessage.Beat(true, new Position(1L << 40, 0))},
+      {new FeedMessage.Beat(true, new Position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(dropped))},
     };
   }
--- a/src/test/java/org/radishpost/feed/FollowerTest.java
+++ b/src/test/java/org/radishpost/feed/FollowerTest.java
@@ -71,6 +71,24 @@
     assertFalse(follower.following());
   }
 
+  /**
+   * A VM that was frozen takes in one go what the relay sent before it knew of the subscription.
+   */
+  @Test
+  public void heartbeatsFromBeforeTheSubscriptionSkipNoRecords() {
+    tick();
+    hello(NEAR, "near");
+    beat(NEAR, true, new Position(10, 20));
+    tick();
+    beat(NEAR, true, new Position(10, 20));
+    beat(NEAR, true, new Position(10, 25));
+    assertEquals(reader.position, Optional.of(new Position(10, 20)));
+    assertFalse(follower.following());
+    completeBeat(NEAR, new Position(10, 25));
+    assertEquals(reader.position, Optional.of(new Position(10, 25)));
+    assertTrue(follower.following());
+  }
+
   @Test
   public void silentRelayIsLeftAtOnce() {
     followNear();
@@ -109,7 +127,7 @@
     followNear();
     RelayDialer.Listener old = dialer.open.get(NEAR).listener;
     beat(NEAR, false, new Position(10, 20));
-    old.received(new FeedMessage.Beat(true, new Position(99, 99)));
+    old.received(new FeedMessage.Beat(true, new Position(99, 99), true));
     KeyedRecord record = new KeyedRecord(21, "t-1", Optional.empty());
     old.received(new FeedMessage.Records(Feed.TARGETS, List.of(record)));
     assertEquals(reader.done.getLast(), "resume");
@@ -168,7 +186,7 @@
     beat(FAR, true, new Position(10, 20));
     tick();
     beat(NEAR, true, new Position(10, 20));
-    beat(NEAR, true, new Position(10, 20));
+    completeBeat(NEAR, new Position(10, 20));
     assertTrue(follower.following());
   }
 
@@ -186,6 +204,10 @@
   }
 
   private void beat(Endpoint relay, boolean fresh, Position upTo) {
-    dialer.open.get(relay).listener.received(new FeedMessage.Beat(fresh, upTo));
+    dialer.open.get(relay).listener.received(new FeedMessage.Beat(fresh, upTo, false));
+  }
+
+  private void completeBeat(Endpoint relay, Position upTo) {
+    dialer.open.get(relay).listener.received(new FeedMessage.Beat(true, upTo, true));
   }
 }
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -32,7 +32,7 @@
         follower.sent,
         List.of(
             new FeedMessage.Hello(Place.of("k", "k-a")),
-            new FeedMessage.Beat(true, new Position(10, 20))));
+            new FeedMessage.Beat(true, new Position(10, 20), false)));
   }
 
   @Test
@@ -45,7 +45,7 @@
         follower.sent.subList(2, 5),
         List.of(
             new FeedMessage.Records(Feed.TARGETS, List.of(record(22))),
-            new FeedMessage.Beat(true, new Position(10, 25)),
+            new FeedMessage.Beat(true, new Position(10, 25), true),
             new FeedMessage.Records(Feed.TARGETS, List.of(record(25)))));
   }
 
@@ -69,7 +69,7 @@
   public void relayThatDoesNotHearFromTheStoreSaysSo() {
     relay.connected(follower);
     relay.tick(false);
-    assertEquals(follower.sent.getLast(), new FeedMessage.Beat(false, new Position(10, 20)));
+    assertEquals(follower.sent.getLast(), new FeedMessage.Beat(false, new Position(10, 20), false));
     relay.received(follower, new FeedMessage.Subscribe(new Position(10, 20)));
     assertTrue(follower.closed);
   }
