Start with what a relay knows

Finding: each VM that starts reads the store for itself. A VM that starts while the store turns it away serves nothing.

Change: a VM that has just started asks the relays for a second before it reads the store. A fresh relay gives it the newest record of each key, if it has read all of them one after the other; else it turns the VM away. While it knows nothing, a VM goes on asking relays beside the store.

Ruled out: longer patience when all machines start at once (a machine without relays would serve later by it); handing over only what changed (the time for which a target stays cold stands in its renewals).

--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -17,6 +17,8 @@
   private static final int SUBSCRIBE = 2;
   private static final int BEAT = 3;
   private static final int RECORDS = 4;
+  private static final int SUBSCRIBE_ANEW = 5;
+  private static final int NEWEST = 6;
 
   private FeedCodec() {}
 
@@ -42,10 +44,14 @@
         case FeedMessage.Records records -> {
           packer.packInt(RECORDS);
           packer.packInt(records.feed().ordinal());
-          packer.packArrayHeader(records.records().size());
-          for (KeyedRecord record : records.records()) {
-            pack(packer, record);
-          }
+          pack(packer, records.records());
+        }
+        case FeedMessage.SubscribeAnew anew -> packer.packInt(SUBSCRIBE_ANEW);
+        case FeedMessage.Newest newest -> {
+          packer.packInt(NEWEST);
+          packer.packInt(newest.feed().ordinal());
+          pack(packer, newest.records());
+          packer.packLong(newest.next());
         }
       }
       return packer.toByteArray();
@@ -69,7 +75,10 @@
         case BEAT ->
             new FeedMessage.Beat(
                 unpacker.unpackBoolean(), position(unpacker), unpacker.unpackBoolean());
-        case RECORDS -> records(unpacker);
+        case RECORDS -> new FeedMessage.Records(feed(unpacker), records(unpacker));
+        case SUBSCRIBE_ANEW -> new FeedMessage.SubscribeAnew();
+        case NEWEST ->
+            new FeedMessage.Newest(feed(unpacker), records(unpacker), unpacker.unpackLong());
         default -> throw corrupt(null);
       };
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
@@ -82,6 +91,14 @@
     packer.packLong(position.targets());
   }
 
+  private static void pack(MessageBufferPacker packer, List<KeyedRecord> records)
+      throws IOException {
+    packer.packArrayHeader(records.size());
+    for (KeyedRecord record : records) {
+      pack(packer, record);
+    }
+  }
+
   private static void pack(MessageBufferPacker packer, KeyedRecord record) throws IOException {
     packer.packLong(record.offset());
     packer.packString(record.key());
@@ -98,18 +115,21 @@
     return new Position(unpacker.unpackLong(), unpacker.unpackLong());
   }
 
-  private static FeedMessage.Records records(MessageUnpacker unpacker)
-      throws IOException, LinkException {
+  private static Feed feed(MessageUnpacker unpacker) throws IOException, LinkException {
     int feed = unpacker.unpackInt();
     if (feed < 0 || feed >= Feed.values().length) {
       throw corrupt(null);
     }
+    return Feed.values()[feed];
+  }
+
+  private static List<KeyedRecord> records(MessageUnpacker unpacker) throws IOException {
     int size = unpacker.unpackArrayHeader();
     List<KeyedRecord> records = new ArrayList<>();
     for (int i = 0; i < size; i++) {
       records.add(record(unpacker));
     }
-    return new FeedMessage.Records(Feed.values()[feed], records);
+    return records;
   }
 
   private static KeyedRecord record(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -19,6 +19,23 @@
    */
   record Subscribe(Position from) implements FeedMessage {}
 
+  /** Asks the relay for all that it knows; the follower knows nothing yet. */
+  record SubscribeAnew() implements FeedMessage {}
+
+  /**
+   * The newest record of each key of a feed.
+   *
+   * @param feed the feed
+   * @param records the records, in no order
+   * @param next the offset from which on records follow one by one
+   */
+  record Newest(Feed feed, List<KeyedRecord> records, long next) implements FeedMessage {
+    /** Copies the list. */
+    public Newest {
+      records = List.copyOf(records);
+    }
+  }
+
   /**
    * The relay's heartbeat.
    *
--- a/src/main/java/org/radishpost/feed/FeedPublisher.java
+++ b/src/main/java/org/radishpost/feed/FeedPublisher.java
@@ -8,10 +8,20 @@
    * Takes the records that come next.
    *
    * @param feed the feed
-   * @param records those among them that change something
+   * @param records all that came
+   * @param changes those among them that change something
    * @param next the offset of the record that follows them
    */
-  void published(Feed feed, List<KeyedRecord> records, long next);
+  void published(Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, long next);
+
+  /**
+   * Takes the newest record of each key.
+   *
+   * @param feed the feed
+   * @param newest the records
+   * @param next the offset from which on all records will be published
+   */
+  void began(Feed feed, List<KeyedRecord> newest, long next);
 
   /**
    * Takes note that the records before an offset were not read one by one.
--- a/src/main/java/org/radishpost/feed/FeedReader.java
+++ b/src/main/java/org/radishpost/feed/FeedReader.java
@@ -8,6 +8,12 @@
   /** Returns how far the feeds are known, or nothing while one of them has not been read. */
   Optional<Position> position();
 
+  /**
+   * Takes the newest record of each key of a feed from a relay, in place of the store's; left out
+   * if more is known already.
+   */
+  void newest(Feed feed, List<KeyedRecord> records, long next);
+
   /** Takes records that a relay has passed on; those that are known already are left out. */
   void records(Feed feed, List<KeyedRecord> records);
 
--- a/src/main/java/org/radishpost/feed/Follower.java
+++ b/src/main/java/org/radishpost/feed/Follower.java
@@ -29,6 +29,9 @@
   /** How long relays have to say where they are before one is chosen. */
   private static final long CHOICE_WAIT_NANOS = 250_000_000L;
 
+  /** How long a VM that has just started asks for a relay before it reads the store. */
+  private static final long START_PATIENCE_NANOS = 1_000_000_000L;
+
   private static final long RETRY_NANOS = 1_000_000_000L;
   private static final long RETRY_SPREAD_NANOS = 500_000_000L;
 
@@ -43,6 +46,8 @@
   private List<Endpoint> relays = List.of();
   private Optional<Candidate> chosen = Optional.empty();
   private volatile boolean following;
+  private boolean starting;
+  private long startEndsNanos;
   private long chooseNanos;
   private long retryNanos;
 
@@ -86,6 +91,20 @@
     }
   }
 
+  /**
+   * Begins: asks a relay for all that it knows, and reads the store if none answers soon or this VM
+   * is a relay itself.
+   */
+  public void start() {
+    if (isRelay() || relays.isEmpty()) {
+      reader.resume();
+      return;
+    }
+    starting = true;
+    startEndsNanos = nowNanos.getAsLong() + START_PATIENCE_NANOS;
+    dial(nowNanos.getAsLong());
+  }
+
   /** Tells whether a relay is followed, so that the store isn't read; from any thread. */
   public boolean following() {
     return following;
@@ -107,12 +126,35 @@
       if (now - chooseNanos >= 0) {
         choose();
       }
-    } else if (now - retryNanos >= 0 && !isRelay() && reader.position().isPresent()) {
-      chooseNanos = now + CHOICE_WAIT_NANOS;
-      retryLater();
-      relays.forEach(relay -> candidates.put(relay, new Candidate(relay, now)));
-      List.copyOf(candidates.values()).forEach(Candidate::dial);
+    } else if ((starting || now - retryNanos >= 0) && !isRelay()) {
+      dial(now);
     }
+    if (starting && now - startEndsNanos >= 0) {
+      giveUpStart();
+    }
+  }
+
+  private void dial(long now) {
+    chooseNanos = starting ? now : now + CHOICE_WAIT_NANOS;
+    retryLater();
+    relays.forEach(relay -> candidates.put(relay, new Candidate(relay, now)));
+    List.copyOf(candidates.values()).forEach(Candidate::dial);
+  }
+
+  /** No relay has told what it knows in time. */
+  private void giveUpStart() {
+    List<Candidate> asked = new ArrayList<>(candidates.values());
+    chosen.ifPresent(asked::add);
+    chosen = Optional.empty();
+    candidates.clear();
+    asked.forEach(Candidate::close);
+    retryLater();
+    readStore();
+  }
+
+  private void readStore() {
+    starting = false;
+    reader.resume();
   }
 
   private void choose() {
@@ -126,6 +168,8 @@
     others.forEach(Candidate::close);
     if (chosen.isEmpty()) {
       retryLater();
+    } else if (reader.position().isEmpty()) {
+      chosen.get().subscribe(new FeedMessage.SubscribeAnew());
     }
   }
 
@@ -134,6 +178,9 @@
     chosen = Optional.empty();
     left.close();
     retryLater();
+    if (starting) {
+      readStore();
+    }
     if (!following) {
       return;
     }
@@ -163,8 +210,14 @@
       reader.advance(beat.upTo());
       follow(relay);
     } else if (!relay.subscribed && reader.position().filter(beat.upTo()::covers).isPresent()) {
-      relay.subscribed = true;
-      relay.link.send(new FeedMessage.Subscribe(reader.position().get()));
+      relay.subscribe(new FeedMessage.Subscribe(reader.position().get()));
+    }
+  }
+
+  private void newest(Candidate relay, FeedMessage.Newest newest) {
+    if (isChosen(relay)) {
+      follow(relay);
+      reader.newest(newest.feed(), newest.records(), newest.next());
     }
   }
 
@@ -173,6 +226,7 @@
       return;
     }
     following = true;
+    starting = false;
     reader.pause();
     events.emit(
         EventCode.RELAY_FOLLOWED,
@@ -203,6 +257,11 @@
       link = dialer.dial(relay, this);
     }
 
+    private void subscribe(FeedMessage message) {
+      subscribed = true;
+      link.send(message);
+    }
+
     private void close() {
       over = true;
       link.close();
@@ -220,7 +279,12 @@
           heardNanos = nowNanos.getAsLong();
           reader.records(records.feed(), records.records());
         }
-        case FeedMessage.Subscribe subscribe -> close();
+        case FeedMessage.Newest newest -> {
+          heardNanos = nowNanos.getAsLong();
+          newest(this, newest);
+        }
+        case FeedMessage.Subscribe unasked -> close();
+        case FeedMessage.SubscribeAnew unasked -> close();
       }
     }
 
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -9,8 +9,9 @@
 /**
  * Passes the records that this VM reads on to the VMs that follow it.
  *
- * <p>It keeps only the newest records: a follower that is further behind reads the store itself
- * until it has caught up. Confined to one thread.
+ * <p>It keeps the newest record of each key, for a VM that has just started, and the records of
+ * late: a follower that is further behind reads the store itself until it has caught up. Confined
+ * to one thread.
  */
 public final class Relay implements FeedPublisher {
   private static final int RECENT_RECORDS = 4_096;
@@ -18,6 +19,8 @@
   private final Place place;
   private final RecentRecords operators = new RecentRecords(RECENT_RECORDS);
   private final RecentRecords targets = new RecentRecords(RECENT_RECORDS);
+  private final NewestRecords newestOperators = new NewestRecords();
+  private final NewestRecords newestTargets = new NewestRecords();
   private final Set<FeedLink> links = new HashSet<>();
   private final Set<FeedLink> subscribed = new HashSet<>();
   private boolean fresh;
@@ -46,11 +49,29 @@
 
   /** Takes a message of a VM that may follow. */
   public void received(FeedLink link, FeedMessage message) {
-    if (message instanceof FeedMessage.Subscribe subscribe) {
-      subscribe(link, subscribe.from());
+    switch (message) {
+      case FeedMessage.Subscribe subscribe -> subscribe(link, subscribe.from());
+      case FeedMessage.SubscribeAnew anew -> subscribeAnew(link);
+      case FeedMessage.Hello unasked -> link.close();
+      case FeedMessage.Beat unasked -> link.close();
+      case FeedMessage.Records unasked -> link.close();
+      case FeedMessage.Newest unasked -> link.close();
     }
   }
 
+  private void subscribeAnew(FeedLink link) {
+    Optional<List<KeyedRecord>> allOperators = newestOperators.all();
+    Optional<List<KeyedRecord>> allTargets = newestTargets.all();
+    if (!fresh || allOperators.isEmpty() || allTargets.isEmpty()) {
+      link.close();
+      return;
+    }
+    subscribed.add(link);
+    link.send(new FeedMessage.Newest(Feed.OPERATORS, allOperators.get(), operators.next()));
+    link.send(new FeedMessage.Newest(Feed.TARGETS, allTargets.get(), targets.next()));
+    beat(link);
+  }
+
   private void subscribe(FeedLink link, Position from) {
     Optional<List<KeyedRecord>> operatorsSince = operators.since(from.operators());
     Optional<List<KeyedRecord>> targetsSince = targets.since(from.targets());
@@ -65,14 +86,23 @@
   }
 
   @Override
-  public void published(Feed feed, List<KeyedRecord> records, long next) {
-    recent(feed).add(records, next);
-    List.copyOf(subscribed).forEach(link -> sendRecords(link, feed, records));
+  public void published(
+      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, long next) {
+    recent(feed).add(changes, next);
+    newest(feed).add(records);
+    List.copyOf(subscribed).forEach(link -> sendRecords(link, feed, changes));
+  }
+
+  @Override
+  public void began(Feed feed, List<KeyedRecord> newest, long next) {
+    restarted(feed, next);
+    newest(feed).begin(newest);
   }
 
   @Override
   public void restarted(Feed feed, long next) {
     recent(feed).restart(next);
+    newest(feed).forget();
     List.copyOf(subscribed).forEach(FeedLink::close);
   }
 
@@ -103,6 +133,13 @@
     };
   }
 
+  private NewestRecords newest(Feed feed) {
+    return switch (feed) {
+      case OPERATORS -> newestOperators;
+      case TARGETS -> newestTargets;
+    };
+  }
+
   private static void sendRecords(FeedLink link, Feed feed, List<KeyedRecord> records) {
     if (!records.isEmpty()) {
       link.send(new FeedMessage.Records(feed, records));
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -211,7 +211,7 @@
 
   private void startFeed() {
     follower.relays(relayAddress, settings.relays());
-    feed.start();
+    follower.start();
     Flux.interval(TICK, clock).onBackpressureDrop().subscribe(tick -> tick());
   }
 
--- a/src/main/java/org/radishpost/platform/KeyedTopic.java
+++ b/src/main/java/org/radishpost/platform/KeyedTopic.java
@@ -74,11 +74,7 @@
     this.publisher = publisher;
     this.clock = clock;
     this.events = events;
-  }
-
-  void start() {
-    heardNanos = clock.now(TimeUnit.NANOSECONDS);
-    turn(Duration.ZERO);
+    this.heardNanos = clock.now(TimeUnit.NANOSECONDS);
   }
 
   /** Ends reading; what was asked for and has not come is left out. */
@@ -86,7 +82,7 @@
     running.update(Disposables.disposed());
   }
 
-  /** Reads on at once from what is known. */
+  /** Reads on at once from what is known; from the start if nothing is. */
   void resume() {
     if (known) {
       publisher.restarted(feed, next);
@@ -104,6 +100,21 @@
     return known && !lost && clock.now(TimeUnit.NANOSECONDS) - heardNanos <= age.toNanos();
   }
 
+  /** Takes the newest record of each key from another VM, unless more is known already. */
+  void newestPassedOn(List<KeyedRecord> records, long newNext) {
+    if (!known || newNext >= next) {
+      begin(records, newNext);
+      publisher.restarted(feed, next);
+    }
+  }
+
+  private void begin(List<KeyedRecord> records, long newNext) {
+    heard();
+    listener.newest(records);
+    known = true;
+    next = newNext;
+  }
+
   /** Takes records that another VM has read. */
   void passedOn(List<KeyedRecord> records) {
     if (known) {
@@ -130,16 +141,14 @@
   }
 
   private void came(KeyedPage page) {
-    heard();
     if (known) {
+      heard();
       List<KeyedRecord> changes = take(page.records());
       next = Math.max(next, page.next());
-      publisher.published(feed, changes, next);
+      publisher.published(feed, page.records(), changes, next);
     } else {
-      listener.newest(page.records());
-      known = true;
-      next = page.next();
-      publisher.restarted(feed, next);
+      begin(page.records(), page.next());
+      publisher.began(feed, page.records(), next);
     }
     turn(pace.get().pause());
   }
--- a/src/main/java/org/radishpost/platform/PlatformFeed.java
+++ b/src/main/java/org/radishpost/platform/PlatformFeed.java
@@ -22,7 +22,7 @@
 /**
  * Keeps the configuration and the directory of targets as new as the platform's store.
  *
- * <p>Create it and {@link #start()} it once. Confined to the clock's thread.
+ * <p>Reads nothing before {@link #resume()}. Confined to the clock's thread.
  */
 public final class PlatformFeed implements FeedReader {
   /**
@@ -91,12 +91,6 @@
             events);
   }
 
-  /** Begins to read. */
-  public void start() {
-    operators.start();
-    targets.start();
-  }
-
   /** Tells whether the store has answered just now for all that is read. */
   public boolean fresh() {
     return operators.heardWithin(FRESH) && targets.heardWithin(FRESH);
@@ -110,6 +104,11 @@
     return Optional.of(new Position(operators.next().getAsLong(), targets.next().getAsLong()));
   }
 
+  @Override
+  public void newest(Feed feed, List<KeyedRecord> records, long next) {
+    topic(feed).newestPassedOn(records, next);
+  }
+
   @Override
   public void records(Feed feed, List<KeyedRecord> records) {
     topic(feed).passedOn(records);
--- a/src/test/java/org/radishpost/feed/FakeReader.java
+++ b/src/test/java/org/radishpost/feed/FakeReader.java
@@ -14,6 +14,11 @@
     return position;
   }
 
+  @Override
+  public void newest(Feed feed, List<KeyedRecord> records, long next) {
+    done.add("newest " + feed + " " + records.size() + " before " + next);
+  }
+
   @Override
   public void records(Feed feed, List<KeyedRecord> records) {
     records.forEach(record -> done.add(feed + " " + record.key()));
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -20,6 +20,11 @@
     return new Object[][] {
       {new FeedMessage.Hello(Place.of("r", "z"))},
       {new FeedMessage.Subscribe(new Position(1, 2))},
+      {new FeedMessage.SubscribeAnew()},
+      {
+        new FeedMessage.Newest(
+            Feed.TARGETS, List.of(new KeyedRecord(4, "t", Optional.empty())), 1L << 33)
+      },
       {new FeedMessage.Beat(true, new Position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(dropped))},
     };
