--- a/src/test/java/org/radishpost/link/TcpLinksTest.java
+++ b/src/test/java/org/radishpost/link/TcpLinksTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.VmId;
+import org.radishpost.soak.FaultyLink;
 import org.testng.annotations.Test;
 
 /** Links between two ends over loopback. */
@@ -49,11 +50,11 @@
   public void linkThatGoesSilentIsReplacedByNewConnection() throws Exception {
     try (LinkFixture one = new LinkFixture("one");
         LinkFixture two = new LinkFixture("two");
-        Relay relay = new Relay(two.entry)) {
-      one.keep(relay.entry());
+        FaultyLink link = new FaultyLink(two.entry.link())) {
+      one.keep(LinkFixture.entry(two.id().value(), link.address().port()));
       one.await(new PeerEvent.Up(two.entry));
       final String lost = one.links.session(two.id()).orElseThrow().id();
-      relay.loseOpenConnections();
+      link.fault(FaultyLink.Fault.SILENT_OPEN, true);
       one.await(new PeerEvent.Down(two.id()));
       one.seen.filter(new PeerEvent.Up(two.entry)::equals).skip(1).blockFirst(LinkFixture.LIMIT);
       assertFalse(one.links.session(two.id()).filter(s -> s.id().equals(lost)).isPresent());
--- a/src/test/java/org/radishpost/soak/FaultyLink.java
+++ b/src/test/java/org/radishpost/soak/FaultyLink.java
@@ -12,24 +12,35 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.radishpost.lib.Endpoint;
 
 /**
  * A TCP proxy on loopback whose connections can be delayed, reset, silenced or cut one way.
  *
- * <p>A fault holds for each second connection, or for all, until the next one is set. Bytes that
- * come into a silenced direction are lost for good, as the connection never passes any again.
+ * <p>A fault holds for each second connection, or for all, until the next one is set; resets and
+ * the silence of open connections happen at once. Bytes that come into a silenced direction are
+ * lost for good, as the connection never passes any again. Thread-safe.
  */
-final class FaultyLink implements AutoCloseable {
+public final class FaultyLink implements AutoCloseable {
   /** What can be wrong with the connections. */
-  enum Fault {
+  public enum Fault {
+    /** All bytes pass. */
     NONE,
+    /** Bytes pass later. */
     DELAYED,
+    /** Open connections are reset now. */
     RESET,
+    /** New connections are reset. */
     REFUSED,
+    /** Connections that carry bytes meanwhile fall silent both ways. */
     SILENT,
+    /** Connections that carry bytes to the other end meanwhile fall silent that way. */
     SILENT_FORTH,
-    SILENT_BACK
+    /** Connections that carry bytes back meanwhile fall silent that way. */
+    SILENT_BACK,
+    /** Open connections fall silent now, both ways; new ones work. */
+    SILENT_OPEN
   }
 
   private static final Duration DELAY = Duration.ofMillis(150);
@@ -43,27 +54,40 @@
   private volatile Fault fault = Fault.NONE;
   private volatile boolean all = true;
 
-  FaultyLink(Endpoint target) throws IOException {
+  /**
+   * Starts to pass connections on.
+   *
+   * @param target the other end
+   */
+  public FaultyLink(Endpoint target) throws IOException {
     this.target = target;
     this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     Thread.ofVirtual().start(this::accept);
   }
 
   /** Returns the address that leads to the other end. */
-  Endpoint address() {
+  public Endpoint address() {
     return new Endpoint(server.getInetAddress().getHostAddress(), server.getLocalPort());
   }
 
   /** Sets what is wrong from now on, with all connections or with each second one. */
-  void fault(Fault newest, boolean withAll) {
+  public void fault(Fault newest, boolean withAll) {
     all = withAll;
     fault = newest;
-    if (newest == Fault.RESET) {
-      pairs.stream().filter(pair -> pair.hit(newest)).forEach(Pair::reset);
-      fault = Fault.NONE;
+    switch (newest) {
+      case RESET -> atOnce(Pair::reset);
+      case SILENT_OPEN -> atOnce(Pair::silence);
+      default -> {
+        // It holds from now on.
+      }
     }
   }
 
+  private void atOnce(Consumer<Pair> change) {
+    pairs.stream().filter(pair -> pair.hit(fault)).forEach(change);
+    fault = Fault.NONE;
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
@@ -152,6 +176,11 @@
       return forth ? silencedForth : silencedBack;
     }
 
+    void silence() {
+      silencedForth = true;
+      silencedBack = true;
+    }
+
     void reset() {
       pairs.remove(this);
       reset(near);
