Count calls apart from probes on the platform, and log the load

Operators saw target.sends;what=call stay at 0 and every call counted as a probe: the sender told them apart by the deadline field of radishpost's own protocol, which the platform spells otherwise.

Change: the name of the deadline field is given to MeteredSender.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -73,6 +73,8 @@
   CALL_ANSWERED(4209, Level.INFO),
   /** Log lines about calls were suppressed to limit the size of the log. */
   CALL_LINES_LEFT_OUT(4210, Level.INFO),
+  /** The calls and probes of the last seconds, and how late this VM processed its timers. */
+  LOAD_SUMMARY(4211, Level.INFO),
 
   /** This VM became the owner of a pool. */
   POOL_TAKEN(5001, Level.INFO),
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -79,6 +79,7 @@
   private final NodeMetrics metrics = new NodeMetrics(new MetricRegistry());
   private final TargetDirectory directory;
   private final EntryReadiness readiness;
+  private final LoadSummary loadSummary;
   private final HttpSender sender;
   private final EdgeServer edgeServer;
   private final PageServer readinessServer;
@@ -112,6 +113,7 @@
     this.events =
         new EventLog(settings.vm(), hybridClock, new Timeline(MAX_TIMELINE_EVENTS), metrics);
     this.directory = new TargetDirectory(events);
+    this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
     this.sender =
         new HttpSender(
@@ -184,7 +186,7 @@
                 () -> configuration,
                 directory,
                 new PlatformTargetProtocol(this::probePath),
-                new MeteredSender(sender, metrics, clock),
+                new MeteredSender(sender, metrics, PlatformProtocol.DEADLINE_MILLIS, clock),
                 retryBudget,
                 PlatformProtocol.REQUEST_ID,
                 clock,
@@ -221,6 +223,7 @@
   }
 
   private void tick() {
+    loadSummary.tick(clock.now(TimeUnit.NANOSECONDS));
     directory.removeExpired(clock.now(TimeUnit.NANOSECONDS));
     relay.tick(!stopping && !follower.isFollowing() && platformFeed.isStoreReachable());
     follower.tick();
--- a/src/main/java/org/radishpost/node/MeteredSender.java
+++ b/src/main/java/org/radishpost/node/MeteredSender.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallSender;
-import org.radishpost.http.HeaderNames;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
 import org.radishpost.lib.Endpoint;
@@ -17,13 +16,14 @@
  *
  * @param sender sends the calls and probes
  * @param metrics records the counts and times
+ * @param deadlineField the header field that calls carry and probes don't
  * @param clock provides the time
  */
-record MeteredSender(CallSender sender, NodeMetrics metrics, Scheduler clock)
+record MeteredSender(CallSender sender, NodeMetrics metrics, String deadlineField, Scheduler clock)
     implements CallSender {
   @Override
   public Mono<Response> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
-    boolean probe = !head.headers().contains(HeaderNames.DEADLINE_MILLIS);
+    boolean probe = !head.headers().contains(deadlineField);
     metrics.countSend(probe);
     Mono<Response> result = sender.send(address, head, body, limit);
     if (probe) {
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -14,6 +14,7 @@
 import org.radishpost.events.Timeline;
 import org.radishpost.http.EdgeProtocol;
 import org.radishpost.http.EdgeServer;
+import org.radishpost.http.HeaderNames;
 import org.radishpost.http.HopClient;
 import org.radishpost.http.HopServer;
 import org.radishpost.http.HttpSender;
@@ -174,7 +175,7 @@
             vmList,
             links,
             links::setPersistentPeers,
-            new MeteredSender(targetSender, metrics, clock),
+            new MeteredSender(targetSender, metrics, HeaderNames.DEADLINE_MILLIS, clock),
             new MeteredHops(
                 new HopClient(self.id(), hopSender, links, clock, hybridClock), metrics, clock),
             clock,
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -110,6 +110,26 @@
     (probe ? targetProbes : targetCalls).inc();
   }
 
+  /** Returns the number of callers' calls that have ended. */
+  long callCount() {
+    return answeredCalls.getCount() + unknownCalls.getCount() + notRunCount();
+  }
+
+  /** Returns the number of callers' calls that were refused. */
+  long notRunCount() {
+    return notRunCalls.values().stream().mapToLong(Counter::getCount).sum();
+  }
+
+  /** Returns the number of calls that were sent to targets. */
+  long targetCallCount() {
+    return targetCalls.getCount();
+  }
+
+  /** Returns the number of load probes that were sent to targets. */
+  long targetProbeCount() {
+    return targetProbes.getCount();
+  }
+
   void recordTargetResponse(long durationNanos) {
     targetMicros.update(TimeUnit.NANOSECONDS.toMicros(durationNanos));
   }
--- a/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
@@ -1,6 +1,7 @@
 package org.radishpost.pgm;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -145,6 +146,16 @@
     assertEquals(get(node.frontAddress(), "/elsewhere/").statusCode(), 404);
   }
 
+  /** The probe is recognized by its missing deadline, whose header field has a platform name. */
+  @Test
+  public void callIsNotCountedAsProbe() throws Exception {
+    publish(1, "");
+    awaitReady();
+    assertEquals(get(node.frontAddress(), "/reads/x").statusCode(), 200);
+    String metrics = get(node.metricsAddress(), "/metrics").body();
+    assertTrue(metrics.contains("radishpost_target_sends_total{what=\"call\"} 1\n"), metrics);
+  }
+
   @Test
   public void respondsNotReadyBeforeTheConfigurationIsKnown() throws Exception {
     HttpResponse<String> response = get(node.frontAddress(), "/reads/x");
