--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -11,37 +11,25 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import org.radishpost.admission.ServiceRetryBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.config.Scope;
-import org.radishpost.config.VersionedManifest;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.http.Call;
-import org.radishpost.http.CallBody;
 import org.radishpost.http.CallHandler;
-import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
-import org.radishpost.lib.CallId;
-import org.radishpost.lib.CallInfo;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.RegionName;
-import org.radishpost.lib.RequestKind;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.TenantName;
 import org.radishpost.lib.Verdict;
 import org.radishpost.lib.VmId;
-import org.radishpost.manifest.DuplicateGuard;
-import org.radishpost.manifest.Manifest;
-import org.radishpost.manifest.RoutePolicy;
-import org.radishpost.manifest.RouteSpec;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TestTargets;
-import org.radishpost.routing.RouteMatch;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
@@ -94,44 +82,8 @@
   }
 
   private Call call(boolean idempotent, Set<RegionName> homes) {
-    RouteSpec route =
-        new RouteSpec(
-            "r",
-            "h",
-            Set.of("GET"),
-            "/",
-            SERVICE,
-            idempotent ? RequestKind.READ : RequestKind.COMMIT,
-            1,
-            idempotent,
-            Duration.ofSeconds(1),
-            1_000,
-            homes,
-            DuplicateGuard.NONE,
-            new RoutePolicy(Optional.of(Duration.ofMillis(250)), 2, 1, List.of()));
-    Manifest manifest = new Manifest(GATEWAY, TENANT, 0, List.of(), List.of(route));
-    CallInfo info =
-        new CallInfo(
-            new CallId(1),
-            GATEWAY,
-            "r",
-            SERVICE,
-            TENANT,
-            route.kind(),
-            1,
-            idempotent,
-            clock.now(TimeUnit.NANOSECONDS) + Duration.ofSeconds(1).toNanos(),
-            0,
-            homes,
-            Optional.empty(),
-            0);
-    return new Call(
-        info,
-        new RouteMatch(new VersionedManifest(1, manifest), route, null),
-        RequestHead.get("/x"),
-        CallBody.buffered(new byte[0]),
-        Optional.empty(),
-        0);
+    return TestCalls.create(
+        idempotent, homes, Duration.ofMillis(250), Duration.ofSeconds(1), clock);
   }
 
   private Response handle(Call call) {
