Limit the load probes to three per call

A call probed 6 targets, 4 more in other regions when these were busy, and again each 20 to 50 ms while it was held. The class of fault: work that grows with overload (amplification).

Change: a call probes 3 targets, and 2 in other regions; a token bucket for each service allows 3 probes per call over all, holds included. ServiceRetryBudget, the bucket of the retries, serves both and is now ServiceBudget. Ruled out: longer and longer pauses between probes of a held call (no difference beyond the bucket's, and a held call met a free target later).

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.radishpost.admission.ServiceRetryBudget;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.ResponseTimeoutException;
@@ -66,7 +66,7 @@
   private final LoadProber prober;
   private final TargetProtocol protocol;
   private final CallSender sender;
-  private final ServiceRetryBudget retryBudget;
+  private final ServiceBudget retryBudget;
   private final CallLog log;
   private final Scheduler clock;
   private final RandomGenerator random;
@@ -96,7 +96,7 @@
       LoadProber prober,
       TargetProtocol protocol,
       CallSender sender,
-      ServiceRetryBudget retryBudget,
+      ServiceBudget retryBudget,
       CallLog log,
       Scheduler clock,
       RandomGenerator random) {
@@ -121,6 +121,7 @@
         () -> {
           ServiceName service = splitter.next(call.match().route());
           retryBudget.recordCall(service);
+          prober.recordCall(service);
           long holdNanos = (long) (MAX_HOLD_FRACTION * remaining(call).toNanos());
           CallAttempts attempts =
               new CallAttempts(call, service, placementRequest(call), now() + holdNanos);
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import org.radishpost.admission.ServiceRetryBudget;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.events.EventSink;
 import org.radishpost.http.CallHandler;
@@ -17,6 +17,11 @@
 
 /** Creates the router that sends calls directly to targets; call it once per process. */
 public final class DirectRouterFactory {
+  private static final double PROBES_PER_CALL = 3;
+
+  /** Lets a held call look for a free target for some time while there are few other calls. */
+  private static final double PROBE_BUDGET_CAPACITY = 18;
+
   private DirectRouterFactory() {}
 
   /**
@@ -41,7 +46,7 @@
       TargetDirectory directory,
       TargetProtocol protocol,
       CallSender sender,
-      ServiceRetryBudget retryBudget,
+      ServiceBudget retryBudget,
       String requestIdField,
       Scheduler clock,
       RandomGenerator random,
@@ -54,7 +59,12 @@
         new TargetSelector(localPlace, serviceTimes, coldTargetLimiter, random),
         coldTargetLimiter,
         serviceTimes,
-        new LoadProber(sender, protocol, clock, events),
+        new LoadProber(
+            sender,
+            protocol,
+            clock,
+            new ServiceBudget(() -> PROBES_PER_CALL, PROBE_BUDGET_CAPACITY),
+            events),
         protocol,
         sender,
         retryBudget,
--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallSender;
 import org.radishpost.http.Response;
+import org.radishpost.lib.ServiceName;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetId;
 import org.radishpost.placement.TrackedTarget;
@@ -24,7 +26,9 @@
 /**
  * Probes targets for their load.
  *
- * <p>Concurrent calls share one pending probe per target. Confined to one thread.
+ * <p>Concurrent calls share one pending probe per target. The number of probes per call is limited,
+ * because a probe takes time of its target: a full target must not receive more of them. Confined
+ * to one thread.
  */
 public final class LoadProber {
   private static final int OK = 200;
@@ -34,6 +38,7 @@
   private final CallSender sender;
   private final TargetProtocol protocol;
   private final Scheduler clock;
+  private final ServiceBudget budget;
   private final EventSink events;
   private final Map<TargetId, Sinks.One<TrackedTarget>> pendingProbes = new HashMap<>();
 
@@ -43,17 +48,29 @@
    * @param sender sends the probes
    * @param protocol builds probes and parses their responses
    * @param clock provides time and timers
+   * @param budget limits the probes per call
    * @param events receives an event when a probe suspends a target
    */
-  public LoadProber(CallSender sender, TargetProtocol protocol, Scheduler clock, EventSink events) {
+  public LoadProber(
+      CallSender sender,
+      TargetProtocol protocol,
+      Scheduler clock,
+      ServiceBudget budget,
+      EventSink events) {
     this.sender = sender;
     this.protocol = protocol;
     this.clock = clock;
+    this.budget = budget;
     this.events = events;
   }
 
+  /** Records a call to the service, which allows further probes of its targets. */
+  public void recordCall(ServiceName service) {
+    budget.recordCall(service);
+  }
+
   /**
-   * Probes targets and waits for their responses.
+   * Probes targets and waits for their responses. Leaves out targets that exceed the budget.
    *
    * @param targets the targets to probe
    * @param enough returns whether the load of a target makes it unnecessary to await the others
@@ -62,13 +79,19 @@
    */
   public Mono<Void> probe(
       List<TrackedTarget> targets, Predicate<TrackedTarget> enough, Duration maxWait) {
-    if (targets.isEmpty()) {
+    List<Mono<TrackedTarget>> probes =
+        targets.stream().filter(this::tryStart).map(this::probe).toList();
+    if (probes.isEmpty()) {
       return Mono.empty();
     }
-    List<Mono<TrackedTarget>> probes = targets.stream().map(this::probe).toList();
     return Flux.merge(probes).takeUntil(enough).take(maxWait, clock).then();
   }
 
+  private boolean tryStart(TrackedTarget target) {
+    return pendingProbes.containsKey(target.target().id())
+        || budget.tryAcquire(target.target().service());
+  }
+
   private Mono<TrackedTarget> probe(TrackedTarget target) {
     TargetId id = target.target().id();
     Sinks.One<TrackedTarget> pending = pendingProbes.get(id);
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.radishpost.admin.PrometheusText;
-import org.radishpost.admission.ServiceRetryBudget;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.direct.DirectRouterFactory;
 import org.radishpost.errors.PlatformDocumentException;
@@ -167,8 +167,8 @@
   }
 
   private EdgeServer createEdgeServer() {
-    ServiceRetryBudget retryBudget =
-        new ServiceRetryBudget(
+    ServiceBudget retryBudget =
+        new ServiceBudget(
             () -> settings.bounds().retryRatio() * RETRY_RATIO_SHARE, RETRY_BUDGET_CAPACITY);
     return new EdgeServer(
         settings.edge(),
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -23,8 +23,8 @@
   /** Maximum age of a load sample that makes a new probe unnecessary. */
   public static final long MAX_FRESH_SAMPLE_AGE_NANOS = 12_000_000L;
 
-  private static final int MAX_PROBED_TARGETS = 6;
-  private static final int MAX_PROBED_REMOTE_TARGETS = 4;
+  private static final int MAX_PROBED_TARGETS = 3;
+  private static final int MAX_PROBED_REMOTE_TARGETS = 2;
   private static final Duration REGIONAL_PROBE_WAIT = Duration.ofMillis(20);
   private static final Duration REMOTE_PROBE_WAIT = Duration.ofMillis(45);
   private static final long MAX_SAMPLE_AGE_NANOS = 400_000_000L;
--- a/src/test/java/org/radishpost/admission/ServiceRetryBudgetTest.java
+++ b/src/test/java/org/radishpost/admission/ServiceBudgetTest.java
@@ -8,10 +8,10 @@
 import org.testng.annotations.Test;
 
 /** Tests that the budgets of all VMs together stay within the limit of the service. */
-public class ServiceRetryBudgetTest {
+public class ServiceBudgetTest {
   private static final ServiceName SERVICE = new ServiceName("s");
 
-  private static long acquiredRetries(ServiceRetryBudget budget, int calls) {
+  private static long acquiredRetries(ServiceBudget budget, int calls) {
     return IntStream.range(0, calls)
         .filter(
             i -> {
@@ -29,14 +29,14 @@
     double slackRetries = 60;
     long total =
         IntStream.range(0, vms)
-            .mapToLong(i -> acquiredRetries(new ServiceRetryBudget(() -> 0.15, 1.5), callsPerVm))
+            .mapToLong(i -> acquiredRetries(new ServiceBudget(() -> 0.15, 1.5), callsPerVm))
             .sum();
     assertTrue(total <= ratio * vms * callsPerVm + slackRetries, "retries: " + total);
   }
 
   @Test
   public void savedRetriesAreBounded() {
-    ServiceRetryBudget budget = new ServiceRetryBudget(() -> 0.15, 1.5);
+    ServiceBudget budget = new ServiceBudget(() -> 0.15, 1.5);
     for (int i = 0; i < 1_000; i++) {
       budget.recordCall(SERVICE);
     }
@@ -46,7 +46,7 @@
 
   @Test
   public void eachServiceHasItsOwnBudget() {
-    ServiceRetryBudget budget = new ServiceRetryBudget(() -> 0, 1);
+    ServiceBudget budget = new ServiceBudget(() -> 0, 1);
     assertTrue(budget.tryAcquire(SERVICE));
     assertTrue(budget.tryAcquire(new ServiceName("other")));
     assertEquals(budget.tryAcquire(SERVICE), false);
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.radishpost.admission.ServiceRetryBudget;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.config.Scope;
 import org.radishpost.errors.ConnectionLostException;
@@ -63,10 +63,10 @@
     directory = new TargetDirectory((code, fields) -> {});
     directory.replaceAll(List.of(sameZone, nextZone), 0);
     outOfService = Set.of();
-    router = router(new ServiceRetryBudget(() -> 0, 1));
+    router = router(new ServiceBudget(() -> 0, 1));
   }
 
-  private CallHandler router(ServiceRetryBudget retryBudget) {
+  private CallHandler router(ServiceBudget retryBudget) {
     return DirectRouterFactory.create(
         new VmId("e-1"),
         LOCAL_ZONE,
@@ -199,7 +199,7 @@
 
   @Test
   public void failedConnectionUsesNoRetryBudget() {
-    router = router(new ServiceRetryBudget(() -> 0, 0));
+    router = router(new ServiceBudget(() -> 0, 0));
     targets.setCallResponse(
         sameZone.address(), Mono.error(() -> new NotConnectedException("closed port", null)));
     assertEquals(write().status(), 200);
@@ -207,7 +207,7 @@
 
   @Test
   public void noRetryWithoutRetryBudget() {
-    router = router(new ServiceRetryBudget(() -> 0, 0));
+    router = router(new ServiceBudget(() -> 0, 0));
     resetConnectionsOf(sameZone);
     assertEquals(read().status(), 502);
     assertEquals(targets.sent.size(), 1);
@@ -253,7 +253,7 @@
 
   @Test
   public void slowReadIsNotHedgedWithoutRetryBudget() {
-    router = router(new ServiceRetryBudget(() -> 0, 0));
+    router = router(new ServiceBudget(() -> 0, 0));
     targets.setCallResponse(sameZone.address(), Mono.never());
     assertEquals(read().status(), 504);
     assertEquals(targets.sent, List.of(address(sameZone)));
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import org.radishpost.admission.ServiceRetryBudget;
+import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallBody;
@@ -95,7 +95,7 @@
         directory,
         new Protocol(),
         new Sender(place),
-        new ServiceRetryBudget(() -> RETRY_RATIO, RETRY_CAPACITY),
+        new ServiceBudget(() -> RETRY_RATIO, RETRY_CAPACITY),
         "id",
         clock,
         random.split(),
