Do not take a target without a load sample for nearly free

Cause: a target without a sample counted as one with a single call. A full target answers its probe late, so the fullest looked nearly free, and so did the unprobed ones while all probed ones were full: calls were sent blindly rather than held. The class of fault: no answer taken for good news. The small sites have 3 to 5 targets of a service in a region, so all of them were probed and it did not show.

Change: a target without a sample counts as loaded as the sampled ones are on average; one whose probe has been unanswered for 15 ms beyond a round trip costs more than any that answers, and a call is held before it is sent there. At the end of its hold time it is still sent there, as a target may fail to answer any probe.

Result: TargetSelectorTest.targetThatDoesNotAnswerItsProbeIsNotFree and targetWithoutSampleIsAsLoadedAsTheOthers (new).

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -179,7 +179,7 @@
       return probe(selector.remoteTargetsToProbe(candidates(attempts), now()))
           .then(Mono.defer(() -> selectAndSend(attempts)));
     }
-    if (selection.get().full()) {
+    if (selection.get().full() || selection.get().silent()) {
       return hold(attempts, selection.get());
     }
     return sendWithHedge(attempts, selection.get());
@@ -187,11 +187,16 @@
 
   /**
    * Holds a call while all targets are full. Refuses it when its hold time is over or the response
-   * would miss the deadline.
+   * would miss the deadline. At the end of the hold time, sends it to a target that is not known to
+   * be full but does not answer probes.
    */
   private Mono<Response> hold(CallAttempts attempts, TargetSelector.Selection selection) {
     long remainingNanos = attempts.call().info().deadlineNanos() - now();
-    if (now() - attempts.holdUntilNanos() >= 0 || selection.expectedNanos() > remainingNanos) {
+    boolean holdTimeOver = now() - attempts.holdUntilNanos() >= 0;
+    if (holdTimeOver && !selection.full()) {
+      return sendWithHedge(attempts, selection);
+    }
+    if (holdTimeOver || selection.expectedNanos() > remainingNanos) {
       return Mono.just(endWithoutResponse(attempts, "all targets are full"));
     }
     Duration pause = Duration.ofMillis(MIN_HOLD_MILLIS + random.nextInt(HOLD_JITTER_MILLIS));
--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -100,6 +100,7 @@
     }
     Sinks.One<TrackedTarget> result = Sinks.one();
     pendingProbes.put(id, result);
+    target.recordProbeSent(now());
     Target entry = target.target();
     sender
         .send(entry.address(), protocol.probeHead(entry.service()), NO_BODY, PROBE_TIMEOUT)
@@ -144,6 +145,7 @@
 
   private void complete(TrackedTarget target, Sinks.One<TrackedTarget> result) {
     pendingProbes.remove(target.target().id(), result);
+    target.recordProbeEnded();
     result.tryEmitValue(target);
   }
 
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -16,8 +16,9 @@
  * <p>Load changes within milliseconds: a target that shares its machine can become four times
  * slower for a few hundred milliseconds, and only the target itself can detect this. The nearest
  * targets are therefore probed immediately before a call is sent. The target with the lowest cost
- * is selected; the main parts of the cost are the probability of a late response and the traffic.
- * Confined to one thread.
+ * is selected; the main parts of the cost are the probability of a late response and the traffic. A
+ * target without a load sample counts as loaded as the sampled ones are on average. Confined to one
+ * thread.
  */
 public final class TargetSelector {
   /** Maximum age of a load sample that makes a new probe unnecessary. */
@@ -36,6 +37,12 @@
   private static final double SUSPENDED_TARGET_COST = 4;
   private static final double NO_SAMPLE_COST = 0.4;
   private static final double MAX_TIE_BREAK_COST = 0.1;
+  private static final double UNANSWERED_PROBE_COST = 1;
+
+  /** A free target answers a probe within a round trip and this time. */
+  private static final double PROBE_SERVICE_NANOS = 15_000_000;
+
+  private static final double DEFAULT_CALLS_PER_SLOT = 0.5;
   private static final double REMOTE_PROBE_MIN_COST = 0.5;
 
   /**
@@ -138,12 +145,13 @@
   /** Returns the target with the lowest cost, or empty if no target is usable. */
   public Optional<Selection> select(
       List<TrackedTarget> candidates, PlacementRequest request, long nowNanos) {
+    double meanCallsPerSlot = meanCallsPerSlot(candidates, nowNanos);
     Selection best = null;
     for (TrackedTarget target : candidates) {
       if (!target.usable(nowNanos) || !coldTargetLimiter.admits(target, nowNanos)) {
         continue;
       }
-      Selection selection = evaluate(target, request, nowNanos);
+      Selection selection = evaluate(target, request, meanCallsPerSlot, nowNanos);
       if (best == null || selection.cost() < best.cost()) {
         best = selection;
       }
@@ -151,6 +159,26 @@
     return Optional.ofNullable(best);
   }
 
+  private static double meanCallsPerSlot(List<TrackedTarget> targets, long nowNanos) {
+    return targets.stream()
+        .filter(target -> target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent())
+        .mapToDouble(target -> callsPerSlot(target, 0, nowNanos))
+        .average()
+        .orElse(DEFAULT_CALLS_PER_SLOT);
+  }
+
+  /** Returns the running and queued calls per slot, or the default if there is no recent sample. */
+  private static double callsPerSlot(
+      TrackedTarget target, double defaultCallsPerSlot, long nowNanos) {
+    return target
+        .sample(MAX_SAMPLE_AGE_NANOS, nowNanos)
+        .map(
+            sample ->
+                (double) (sample.running() + sample.waiting() + target.sentSinceSample())
+                    / Math.max(1, sample.slots()))
+        .orElse(defaultCallsPerSlot);
+  }
+
   /**
    * Returns how long to wait for a response before the call is also sent to a second target.
    *
@@ -170,8 +198,10 @@
         && selection.expectedNanos() <= request.respondByNanos() - nowNanos;
   }
 
-  private Selection evaluate(TrackedTarget target, PlacementRequest request, long nowNanos) {
-    double expectedNanos = expectedNanos(target, request, nowNanos);
+  private Selection evaluate(
+      TrackedTarget target, PlacementRequest request, double meanCallsPerSlot, long nowNanos) {
+    double callsPerSlot = callsPerSlot(target, meanCallsPerSlot, nowNanos);
+    double expectedNanos = expectedNanos(target, request, callsPerSlot, nowNanos);
     double remainingNanos = Math.max(1, request.respondByNanos() - nowNanos);
     double lateProbability =
         1
@@ -190,33 +220,32 @@
     if (target.suspended(nowNanos)) {
       cost += SUSPENDED_TARGET_COST;
     }
+    boolean probeUnanswered = probeUnanswered(target, nowNanos);
+    if (probeUnanswered) {
+      cost += UNANSWERED_PROBE_COST;
+    }
     boolean noSample = target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isEmpty();
     if (noSample) {
       cost += NO_SAMPLE_COST + MAX_TIE_BREAK_COST * random.nextDouble();
     }
-    return new Selection(target, cost, (long) expectedNanos, full(target, nowNanos));
+    boolean full = callsPerSlot >= FULL_CALLS_PER_SLOT;
+    return new Selection(target, cost, (long) expectedNanos, full, probeUnanswered);
   }
 
-  /** Returns whether a recent load sample shows that the target is full. */
-  private static boolean full(TrackedTarget target, long nowNanos) {
-    return target
-        .sample(MAX_SAMPLE_AGE_NANOS, nowNanos)
-        .filter(
-            sample ->
-                sample.running() + sample.waiting() + target.sentSinceSample()
-                    >= FULL_CALLS_PER_SLOT * sample.slots())
-        .isPresent();
+  /** Returns whether a probe has been pending for so long that the target must be busy. */
+  private boolean probeUnanswered(TrackedTarget target, long nowNanos) {
+    double roundTripNanos = DistanceCosts.roundTripNanos(distance(target));
+    return target.probePendingFor(roundTripNanos + PROBE_SERVICE_NANOS, nowNanos);
   }
 
   /** Returns the expected duration of the call, including the network round trip. */
-  private double expectedNanos(TrackedTarget target, PlacementRequest request, long nowNanos) {
+  private double expectedNanos(
+      TrackedTarget target, PlacementRequest request, double callsPerSlot, long nowNanos) {
     double serviceNanos = serviceTimes.serviceNanos(request.route());
     Optional<LoadSample> sample = target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos);
     int slots = Math.max(1, sample.map(LoadSample::slots).orElse(target.target().slots()));
-    int callsAhead =
-        sample
-            .map(recent -> recent.running() + recent.waiting() + target.sentSinceSample())
-            .orElse(Math.max(1, target.inFlight()));
+    int knownCalls = sample.isPresent() ? 0 : Math.max(1, target.inFlight());
+    int callsAhead = Math.max(knownCalls, (int) Math.round(callsPerSlot * slots));
     double slowdownPercent =
         sample.map(recent -> (double) recent.slowdownPercent()).orElse(DEFAULT_SLOWDOWN_PERCENT);
     double queueFactor = 1 + (double) Math.max(0, callsAhead + 1 - slots) / slots;
@@ -240,6 +269,9 @@
    * @param cost the estimated cost; 1 is the value of a response in time
    * @param expectedNanos the expected time until the response
    * @param full whether the target already has as many calls as it should hold
+   * @param silent whether the target does not answer its probe, so that it is busy or fails to
+   *     answer any probe
    */
-  public record Selection(TrackedTarget target, double cost, long expectedNanos, boolean full) {}
+  public record Selection(
+      TrackedTarget target, double cost, long expectedNanos, boolean full, boolean silent) {}
 }
--- a/src/main/java/org/radishpost/placement/TrackedTarget.java
+++ b/src/main/java/org/radishpost/placement/TrackedTarget.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * A target together with its state as observed by this VM.
@@ -27,6 +28,7 @@
   private int consecutiveUnreachable;
   private long backoffUntilNanos;
   private boolean entryMissing;
+  private OptionalLong probeSentNanos = OptionalLong.empty();
 
   TrackedTarget(Target target, long nowNanos) {
     this.target = target;
@@ -74,6 +76,21 @@
     consecutiveUnreachable = 0;
   }
 
+  /** Records that a load probe is sent to the target. */
+  public void recordProbeSent(long nowNanos) {
+    probeSentNanos = OptionalLong.of(nowNanos);
+  }
+
+  /** Records that the pending probe has ended, whatever its outcome. */
+  public void recordProbeEnded() {
+    probeSentNanos = OptionalLong.empty();
+  }
+
+  /** Returns whether a probe has been pending for longer than the given time. */
+  boolean probePendingFor(double nanos, long nowNanos) {
+    return probeSentNanos.isPresent() && nowNanos - probeSentNanos.getAsLong() > nanos;
+  }
+
   /** Records the remaining cold time that the target reports. */
   public void updateColdRemaining(Duration remaining, long nowNanos) {
     coldUntilNanos = nowNanos + remaining.toNanos();
--- a/src/test/java/org/radishpost/placement/TargetSelectorTest.java
+++ b/src/test/java/org/radishpost/placement/TargetSelectorTest.java
@@ -69,6 +69,25 @@
     assertTrue(select(request(1), target("queue", LOCAL_ZONE, 3, 100)).full());
   }
 
+  /** A full target answers probes late, so the missing sample made it look nearly free. */
+  @Test
+  public void targetThatDoesNotAnswerItsProbeIsNotFree() {
+    TrackedTarget silent = new TrackedTarget(TestTargets.at("silent", LOCAL_ZONE), 0);
+    silent.recordProbeSent(-20 * MILLI_NANOS);
+    assertTrue(select(request(1), silent).silent());
+    assertEquals(selectedId(request(1), silent, target("busy", LOCAL_ZONE, 2, 100)), "busy");
+    silent.recordProbeEnded();
+    assertFalse(select(request(1), silent).silent());
+  }
+
+  /** Calls were sent blindly to targets that nobody had probed when all probed ones were full. */
+  @Test
+  public void targetWithoutSampleIsAsLoadedAsTheOthers() {
+    TrackedTarget unknown = new TrackedTarget(TestTargets.at("unknown", LOCAL_ZONE), 0);
+    assertFalse(select(request(1), unknown, target("free", OTHER_REGION, 0, 100)).full());
+    assertTrue(select(request(1), unknown, target("full", LOCAL_ZONE, 4, 100)).full());
+  }
+
   @Test
   public void largeBodiesStayInTheRegion() {
     assertEquals(
