Reject entries of targets whose numbers or port are out of range

Change: numbers must be finite and within the range of their type, times up to 30 years, and the port of a target at least 1.

--- a/src/main/java/org/radishpost/platform/Document.java
+++ b/src/main/java/org/radishpost/platform/Document.java
@@ -18,6 +18,9 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** 30 years; times up to here can be added to the clock without an overflow. */
+  private static final double MAX_SECONDS = 1e9;
+
   private final String name;
   private final JsonNode node;
 
@@ -64,8 +67,8 @@
 
   double number(String field) throws PlatformDocumentException {
     JsonNode value = node.get(field);
-    if (value == null || !value.isNumber()) {
-      throw wrongType(field, "a number");
+    if (value == null || !value.isNumber() || !Double.isFinite(value.doubleValue())) {
+      throw wrongType(field, "a number of usual size");
     }
     return value.doubleValue();
   }
@@ -75,12 +78,20 @@
   }
 
   int integer(String field) throws PlatformDocumentException {
-    return (int) number(field);
+    double value = number(field);
+    if (Math.abs(value) > Integer.MAX_VALUE) {
+      throw wrongType(field, "a number of usual size");
+    }
+    return (int) value;
   }
 
   /** Returns a duration that is given in seconds, possibly with a fraction. */
   Duration seconds(String field) throws PlatformDocumentException {
-    return Duration.ofNanos((long) (number(field) * NANOS_PER_SECOND));
+    double seconds = number(field);
+    if (Math.abs(seconds) > MAX_SECONDS) {
+      throw wrongType(field, "a time of usual length");
+    }
+    return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
   }
 
   Optional<Duration> optionalSeconds(String field) throws PlatformDocumentException {
--- a/src/main/java/org/radishpost/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/radishpost/platform/TargetEntryDecoder.java
@@ -48,7 +48,7 @@
       return new Target(
           new TargetId(key),
           new ServiceName(entry.text("service")),
-          Endpoint.parse(entry.text("address")),
+          address(entry),
           new Place(region, zone),
           Math.max(1, entry.integer("concurrency")),
           state.equals(DRAINING),
@@ -58,4 +58,12 @@
       throw new PlatformDocumentException("the entry of target " + key + ": " + e.getMessage(), e);
     }
   }
+
+  private static Endpoint address(Document entry) throws PlatformDocumentException {
+    Endpoint address = Endpoint.parse(entry.text("address"));
+    if (address.port() == 0) {
+      throw new IllegalArgumentException("port 0 is not in the range 1 to 65535");
+    }
+    return address;
+  }
 }
--- /dev/null
+++ b/src/test/java/org/radishpost/platform/TargetTopicListenerTest.java
@@ -0,0 +1,65 @@
+package org.radishpost.platform;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.radishpost.events.EventCode;
+import org.radishpost.feed.KeyedRecord;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.placement.TargetDirectory;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** Tests that an entry of another writer leaves the other targets in use. */
+public class TargetTopicListenerTest {
+  private static final String ENTRY =
+      "{\"service\":\"s\",\"address\":\"10.1.0.1:%s\",\"zone\":\"z\",\"concurrency\":%s,"
+          + "\"state\":\"ready\",\"extra\":%s}";
+
+  private final List<EventCode> events = new ArrayList<>();
+  private final TargetDirectory directory = new TargetDirectory((code, fields) -> events.add(code));
+  private final TargetTopicListener listener =
+      new TargetTopicListener(
+          directory,
+          () -> Map.of(new ZoneName("z"), new RegionName("r")),
+          VirtualTimeScheduler.create(),
+          (code, fields) -> events.add(code));
+
+  private static KeyedRecord record(long offset, String key, String entry) {
+    return new KeyedRecord(offset, key, Optional.of(entry.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static KeyedRecord sound(long offset, String key) {
+    return record(offset, key, ENTRY.formatted(80, 2, 0));
+  }
+
+  /** Returns entries that are deeply nested or have a number or port out of range. */
+  @DataProvider
+  public Object[] oddEntries() {
+    return new Object[] {
+      ENTRY.formatted(80, 2, "[".repeat(50_000) + "]".repeat(50_000)),
+      ENTRY.formatted(80, 2, "{\"a\":".repeat(50_000) + "1" + "}".repeat(50_000)),
+      ENTRY.formatted(80, "1e999", 0),
+      ENTRY.formatted(80, "9".repeat(50_000), 0),
+      ENTRY.formatted(70_000, 2, 0),
+      ENTRY.formatted("-1", 2, 0),
+    };
+  }
+
+  @Test(dataProvider = "oddEntries")
+  public void oddEntryOfAnotherWriterLeavesTheOthersInUse(String odd) {
+    events.clear();
+    listener.onSnapshot(List.of(sound(0, "a"), record(1, "odd", odd), sound(2, "b")));
+    listener.onRecord(record(3, "odd", odd));
+    listener.onRecord(sound(4, "c"));
+    assertEquals(directory.size(), 3);
+    assertEquals(events.stream().filter(EventCode.TARGET_ENTRY_UNREADABLE::equals).count(), 2);
+    directory.replaceAll(List.of(), 0);
+  }
+}
