Close a connection after a refusal that names no request

Seen here: a repeated refusal that carries its request's id is dropped, as any response to another request (repeatedRefusalOfEarlierRequestIsDropped), and one that comes while nothing is asked closes the connection. But a refusal without the id, as a probe's, was taken for the answer to the next request on that connection if it came late.

Change: a connection is not reused after a 400, 421, 429 or 503 without the field that names its request; its copy finds no next request there. This holds for radishpost's own interface too, whose targets name no request. Ruled out: to believe only refusals that carry the id, as the platform's examples show some without it.

Result: ResponseCorrelationHandlerTest and TargetResponseTest, connectionIsNotReusedAfterRefusalWithoutId, failed before and pass.

--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -7,18 +7,25 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Prevents a response from being taken for the response to another request.
  *
  * <p>A response whose correlation field names another request is dropped, and the handler waits for
- * the next one. Bytes that arrive while no request awaits a response close the connection. There is
- * one instance per connection to a target, placed after the codec.
+ * the next one. Bytes that arrive while no request awaits a response close the connection. A
+ * connection is not reused after a refusal without the correlation field: were the target to send
+ * it once more, the copy could not be told from the refusal of the next request. There is one
+ * instance per connection to a target, placed after the codec.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
+  /** Statuses of responses that may state that the target did not run the request. */
+  private static final Set<Integer> REFUSAL_STATUSES = Set.of(400, 421, 429, 503);
+
   private final Optional<String> correlationField;
   private Optional<String> expectedValue = Optional.empty();
   private boolean awaitingResponse;
@@ -58,6 +65,9 @@
       skip(context, message);
       return;
     }
+    if (message instanceof HttpResponse response && isUnidentifiedRefusal(response)) {
+      HttpUtil.setKeepAlive(response, false);
+    }
     if (message instanceof LastHttpContent && !interim) {
       awaitingResponse = false;
     }
@@ -78,6 +88,11 @@
     return !interim && receivedValue.isPresent() && !receivedValue.equals(expectedValue);
   }
 
+  private boolean isUnidentifiedRefusal(HttpResponse response) {
+    return REFUSAL_STATUSES.contains(response.status().code())
+        && correlationValue(response).isEmpty();
+  }
+
   private Optional<String> correlationValue(HttpMessage message) {
     return correlationField.map(message.headers()::get);
   }
--- a/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
+++ b/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
@@ -101,6 +102,32 @@
     assertFalse(channel.isOpen());
   }
 
+  /** A target that repeats a refusal would make the next request look as if it had not run. */
+  @Test
+  public void connectionIsNotReusedAfterRefusalWithoutId() {
+    sendRequest("a");
+    receive("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    assertFalse(HttpUtil.isKeepAlive(channel.<HttpResponse>readInbound()));
+  }
+
+  @Test
+  public void connectionIsReusedAfterRefusalWithId() {
+    sendRequest("a");
+    receive(response("a").replace("200 OK", "503 Full"));
+    assertTrue(HttpUtil.isKeepAlive(channel.<HttpResponse>readInbound()));
+  }
+
+  @Test
+  public void repeatedRefusalOfEarlierRequestIsDropped() {
+    String refusal = response("a").replace("200 OK", "503 Full");
+    sendRequest("a");
+    receive(refusal);
+    receivedIds();
+    sendRequest("b");
+    receive(refusal + response("b"));
+    assertEquals(receivedIds(), List.of("b"));
+  }
+
   @Test
   public void requestStillAwaitsResponseAfterInterimResponse() {
     sendRequest("a");
--- a/src/test/java/org/radishpost/http/TargetResponseTest.java
+++ b/src/test/java/org/radishpost/http/TargetResponseTest.java
@@ -123,6 +123,17 @@
     }
   }
 
+  @Test
+  public void connectionIsNotReusedAfterRefusalWithoutId() throws Exception {
+    String refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    try (ScriptedTarget target = new ScriptedTarget(refusal, COMPLETE);
+        EdgeFixture edge = new EdgeFixture(target.address())) {
+      edge.call("GET");
+      assertTrue(edge.call("GET").endsWith("hello"));
+      assertEquals(target.connectionCount(), 2);
+    }
+  }
+
   @Test
   public void hopByHopAndVmFieldsAreNotForwarded() throws Exception {
     String targetResponse =
