End an exchange with a target whose bytes don't end

Cause, found by reading the paths of a response: the time limit of a probe covered the head only, so a probe with an endless body stayed pending, its target was never probed again, and its bytes took the link. Heads are bounded by the codec (two new rows of TargetResponseTest.lostResponses).

A call with an endless body ends at its deadline, as before.

--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.radishpost.admission.ServiceBudget;
+import org.radishpost.errors.ResponseTimeoutException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
@@ -105,12 +106,18 @@
     sender
         .send(entry.address(), protocol.probeHead(entry.service()), NO_BODY, PROBE_TIMEOUT)
         .flatMap(response -> response.body().doOnNext(ByteBuf::release).then(Mono.just(response)))
+        .timeout(PROBE_TIMEOUT, Mono.error(() -> endlessResponse(entry)), clock)
         .subscribe(
             response -> handleResponse(target, response, result),
             error -> handleError(target, error, result));
     return result.asMono();
   }
 
+  private static ResponseTimeoutException endlessResponse(Target target) {
+    return new ResponseTimeoutException(
+        "The response of " + target.address() + " to a probe did not end: check its program.");
+  }
+
   private void handleResponse(
       TrackedTarget target, Response response, Sinks.One<TrackedTarget> result) {
     TargetResponseInfo info = protocol.parse(response);
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.config.Scope;
@@ -33,6 +34,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
@@ -328,6 +330,24 @@
     assertEquals(targets.cancelled, List.of(address(sameZone)));
   }
 
+  /** The pending probe never ended, so that its target was not probed again. */
+  @Test
+  public void probeWithEndlessBodyIsAbandoned() {
+    Response endless = loadResponse("0").withBody(Flux.never());
+    AtomicInteger probes = new AtomicInteger();
+    targets.setProbeResponse(
+        sameZone.address(),
+        Mono.fromSupplier(
+            () -> {
+              probes.incrementAndGet();
+              return endless;
+            }));
+    assertEquals(read().status(), 200);
+    clock.advanceTimeBy(Duration.ofSeconds(2));
+    assertEquals(read().status(), 200);
+    assertEquals(probes.get(), 2);
+  }
+
   @Test
   public void targetWithUnexpectedIdGetsNoCalls() {
     targets.setProbeResponse(
--- a/src/test/java/org/radishpost/http/TargetResponseTest.java
+++ b/src/test/java/org/radishpost/http/TargetResponseTest.java
@@ -41,6 +41,8 @@
       {"GET", CHUNKED + "zz\r\nhello\r\n0\r\n\r\n" + ScriptedTarget.THEN_CLOSE},
       {"GET", OK + "\r\nhello" + ScriptedTarget.THEN_CLOSE},
       {"HEAD", "HTTP/1.1 200 OK\r\nContent-Le" + ScriptedTarget.THEN_CLOSE},
+      {"GET", OK + "X-A: " + "a".repeat(100_000) + ScriptedTarget.SEND_NOTHING_MORE},
+      {"GET", "a".repeat(100_000) + ScriptedTarget.SEND_NOTHING_MORE},
     };
   }
 
