Count targets that do not answer as load of their service

Cause: the load of an unknown target is estimated by the others, but only by those that answer. The full ones don't, and after 400 ms their probes timed out and counted no more. So the more targets were full, the freer the rest seemed. A probe that timed out also closed its connection, and the target still had to work on it.

Change: a target with an unanswered probe, or in backoff after one, counts as two calls per slot in the mean; a call is held before it is sent to either. A probe may wait 1 s for a slot, as full targets answer after that.

Result: TargetSelectorTest.targetsThatDoNotAnswerCountAsLoad (new).

--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -33,7 +33,10 @@
  */
 public final class LoadProber {
   private static final int OK = 200;
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
+  /** Long enough for a probe that waits for a slot of a full target. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+
   private static final CallBody NO_BODY = CallBody.buffered(new byte[0]);
 
   private final CallSender sender;
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -17,8 +17,8 @@
  * slower for a few hundred milliseconds, and only the target itself can detect this. The nearest
  * targets are therefore probed immediately before a call is sent. The target with the lowest cost
  * is selected; the main parts of the cost are the probability of a late response and the traffic. A
- * target without a load sample counts as loaded as the sampled ones are on average. Confined to one
- * thread.
+ * target without a load sample counts as loaded as the others are on average, among which those
+ * that do not answer count as overloaded. Confined to one thread.
  */
 public final class TargetSelector {
   /** Maximum age of a load sample that makes a new probe unnecessary. */
@@ -42,6 +42,7 @@
   /** A free target answers a probe within a round trip and this time. */
   private static final double PROBE_SERVICE_NANOS = 15_000_000;
 
+  private static final double SILENT_CALLS_PER_SLOT = 2;
   private static final double DEFAULT_CALLS_PER_SLOT = 0.4;
   private static final double REMOTE_PROBE_MIN_COST = 0.5;
 
@@ -164,10 +165,13 @@
     return Optional.ofNullable(best);
   }
 
-  private static double meanCallsPerSlot(List<TrackedTarget> targets, long nowNanos) {
+  private double meanCallsPerSlot(List<TrackedTarget> targets, long nowNanos) {
     return targets.stream()
-        .filter(target -> target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent())
-        .mapToDouble(target -> callsPerSlot(target, 0, nowNanos))
+        .filter(
+            target ->
+                target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent()
+                    || silent(target, nowNanos))
+        .mapToDouble(target -> callsPerSlot(target, SILENT_CALLS_PER_SLOT, nowNanos))
         .average()
         .orElse(DEFAULT_CALLS_PER_SLOT);
   }
@@ -205,7 +209,9 @@
 
   private Selection evaluate(
       TrackedTarget target, PlacementRequest request, double meanCallsPerSlot, long nowNanos) {
-    double callsPerSlot = callsPerSlot(target, meanCallsPerSlot, nowNanos);
+    boolean silent = silent(target, nowNanos);
+    double callsPerSlot =
+        callsPerSlot(target, silent ? DEFAULT_CALLS_PER_SLOT : meanCallsPerSlot, nowNanos);
     double expectedNanos = expectedNanos(target, request, callsPerSlot, nowNanos);
     double remainingNanos = Math.max(1, request.respondByNanos() - nowNanos);
     double lateProbability =
@@ -225,8 +231,7 @@
     if (target.suspended(nowNanos)) {
       cost += SUSPENDED_TARGET_COST;
     }
-    boolean probeUnanswered = probeUnanswered(target, nowNanos);
-    if (probeUnanswered) {
+    if (probeUnanswered(target, nowNanos)) {
       cost += UNANSWERED_PROBE_COST;
     }
     boolean noSample = target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isEmpty();
@@ -236,7 +241,11 @@
     boolean late = nowNanos - request.respondByNanos() > 0;
     double fullCallsPerSlot = late ? FULL_CALLS_PER_SLOT_WHEN_LATE : FULL_CALLS_PER_SLOT;
     boolean full = callsPerSlot >= fullCallsPerSlot;
-    return new Selection(target, cost, (long) expectedNanos, full, probeUnanswered);
+    return new Selection(target, cost, (long) expectedNanos, full, silent);
+  }
+
+  private boolean silent(TrackedTarget target, long nowNanos) {
+    return probeUnanswered(target, nowNanos) || target.inBackoff(nowNanos);
   }
 
   /** Returns whether a probe has been pending for so long that the target must be busy. */
@@ -276,8 +285,8 @@
    * @param cost the estimated cost; 1 is the value of a response in time
    * @param expectedNanos the expected time until the response
    * @param full whether the target already has as many calls as it should hold
-   * @param silent whether the target does not answer its probe, so that it is busy or fails to
-   *     answer any probe
+   * @param silent whether the target does not answer its probe or did not answer the last one, so
+   *     that it is busy or fails to answer any probe
    */
   public record Selection(
       TrackedTarget target, double cost, long expectedNanos, boolean full, boolean silent) {}
--- a/src/test/java/org/radishpost/placement/TargetSelectorTest.java
+++ b/src/test/java/org/radishpost/placement/TargetSelectorTest.java
@@ -96,6 +96,22 @@
     assertTrue(select(request(1), unknown, target("full", LOCAL_ZONE, 4, 100)).full());
   }
 
+  /**
+   * The targets that answered were free, so the unknown ones seemed free too, though most did not
+   * answer because they were full.
+   */
+  @Test
+  public void targetsThatDoNotAnswerCountAsLoad() {
+    TrackedTarget unknown = new TrackedTarget(TestTargets.at("unknown", LOCAL_ZONE), 0);
+    TrackedTarget silent = new TrackedTarget(TestTargets.at("silent", LOCAL_ZONE), 0);
+    silent.recordProbeSent(-20 * MILLI_NANOS);
+    TrackedTarget timedOut = new TrackedTarget(TestTargets.at("timed-out", LOCAL_ZONE), 0);
+    timedOut.recordUnreachable(0);
+    assertTrue(select(request(1), unknown, silent, timedOut).full());
+    assertTrue(select(request(1), timedOut).silent());
+    assertFalse(select(request(1), unknown, target("free", LOCAL_ZONE, 0, 100)).full());
+  }
+
   @Test
   public void largeBodiesStayInTheRegion() {
     assertEquals(
