Announce the shutdown on links whose handshake is under way

Cause: the accepting VM counts a link as up once it has the last frame of the handshake; the dialing VM closed the connection if it had not processed the end of the handshake itself, without a shutdown notice. A second window of the same: a link left the set of unauthenticated ones before it was counted as up, and a stop between the two saw it in neither.

Change: stop() waits for the handshakes that this VM has begun, at most the connect timeout, which ends them; a link is counted as up before it leaves the set; a connection that opens after the stop is closed.

--- a/src/main/java/org/radishpost/link/LinkConnection.java
+++ b/src/main/java/org/radishpost/link/LinkConnection.java
@@ -44,6 +44,7 @@
   private final AtomicInteger requestsInProgress = new AtomicInteger();
   private final PendingRequests pendingRequests;
   private final Sinks.Empty<Void> closed = Sinks.empty();
+  private final Sinks.Empty<Void> handshakeEnded = Sinks.empty();
   private volatile Authentication authentication;
   private volatile boolean open = true;
   private volatile boolean released;
@@ -204,6 +205,13 @@
     channel.eventLoop().execute(() -> connection.dispose());
   }
 
+  /**
+   * Returns a publisher that completes when the peer is authenticated or the connection is closed.
+   */
+  Mono<Void> onHandshakeEnded() {
+    return handshakeEnded.asMono();
+  }
+
   @Override
   public Mono<Void> onClosed() {
     return closed.asMono();
@@ -285,6 +293,7 @@
             new FrameMac(keys.receiveFrameKey()),
             listener.trafficCounter(peer.id()));
     listener.authenticated(this);
+    handshakeEnded.tryEmitEmpty();
     channel.pipeline().replace(FRAMES_HANDLER, FRAMES_HANDLER, frameDecoder(Frame.MAX_BYTES));
   }
 
@@ -388,6 +397,7 @@
     open = false;
     connection.dispose();
     closed.tryEmitEmpty();
+    handshakeEnded.tryEmitEmpty();
     pendingRequests.close();
     listener.closed(this, cause);
   }
--- a/src/main/java/org/radishpost/link/TcpLinks.java
+++ b/src/main/java/org/radishpost/link/TcpLinks.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.DecoderException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -131,20 +132,35 @@
     control.peers().forEach(peer -> sendMessage(peer.id, new LinkMessage.ShutdownNotice()));
   }
 
-  /** Stops listening, sends a shutdown notice to all peers and closes all links. */
+  /**
+   * Stops listening, sends a shutdown notice to all peers and closes all links. Waits for the
+   * handshakes that this VM has begun, because the peer may have completed them already and must
+   * receive the notice too.
+   */
   public Mono<Void> stop() {
     return Mono.defer(
         () -> {
           stopping = true;
           server.ifPresent(Disposable::dispose);
-          unauthenticated.forEach(LinkConnection::close);
-          return control
-              .releaseAll()
+          return endHandshakes()
+              .then(Mono.defer(control::releaseAll))
               .doFinally(signal -> control.dispose())
               .then(eventLoops.disposeLater(Duration.ZERO, EVENT_LOOP_STOP_TIMEOUT));
         });
   }
 
+  private Mono<Void> endHandshakes() {
+    List<Mono<Void>> begun = new ArrayList<>();
+    for (LinkConnection link : unauthenticated) {
+      if (link.dialer()) {
+        begun.add(link.onHandshakeEnded());
+      } else {
+        link.close();
+      }
+    }
+    return Mono.when(begun);
+  }
+
   /** Returns the traffic counts of each known peer. */
   public List<PeerTraffic> traffic() {
     return control.peers().stream().map(PeerLinks::snapshot).toList();
@@ -227,6 +243,10 @@
   }
 
   private void dialed(Connection connection, VmEntry target) {
+    if (stopping) {
+      connection.dispose();
+      return;
+    }
     startConnection(
         connection, Handshake.dial(key, self, nonce()), true, new DialListener(target.id()));
   }
@@ -258,8 +278,8 @@
 
     @Override
     public void authenticated(LinkConnection link) {
-      unauthenticated.remove(link);
       control.linkUp(link);
+      unauthenticated.remove(link);
     }
 
     @Override
