Hold a call only shortly for targets that may be full

Cause: no answer, and an unhealthy answer, counted as load in the same way as a sample of a full target.

Change: only samples show that a target is full, and only then is a call refused. A target that may be full (its probe has no answer, or others don't answer and it has no sample) holds a call for 150 ms at most. An unhealthy answer or a probe that has timed out is no load.

--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -18,6 +18,7 @@
   private final Call call;
   private final ServiceName service;
   private final PlacementRequest placementRequest;
+  private final long uncertainHoldUntilNanos;
   private final long holdUntilNanos;
   private final Set<TargetId> tried = new HashSet<>();
   private Optional<TrackedTarget> lastTarget = Optional.empty();
@@ -27,10 +28,15 @@
   private boolean remoteProbed;
 
   CallAttempts(
-      Call call, ServiceName service, PlacementRequest placementRequest, long holdUntilNanos) {
+      Call call,
+      ServiceName service,
+      PlacementRequest placementRequest,
+      long uncertainHoldUntilNanos,
+      long holdUntilNanos) {
     this.call = call;
     this.service = service;
     this.placementRequest = placementRequest;
+    this.uncertainHoldUntilNanos = uncertainHoldUntilNanos;
     this.holdUntilNanos = holdUntilNanos;
   }
 
@@ -46,6 +52,11 @@
     return placementRequest;
   }
 
+  /** Returns the latest time until which the call may be held while targets may be full. */
+  long uncertainHoldUntilNanos() {
+    return uncertainHoldUntilNanos;
+  }
+
   /** Returns the latest time until which the call may be held while all targets are full. */
   long holdUntilNanos() {
     return holdUntilNanos;
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -49,6 +49,12 @@
    */
   private static final double MAX_HOLD_FRACTION = 0.5;
 
+  /**
+   * Maximum hold time of a call for targets that may be full because they do not answer probes. It
+   * is short, as some targets answer calls but no probes.
+   */
+  private static final Duration MAX_UNCERTAIN_HOLD = Duration.ofMillis(150);
+
   private static final int SERVER_ERROR = 500;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int TOO_MANY_REQUESTS = 429;
@@ -124,7 +130,12 @@
           prober.recordCall(service);
           long holdNanos = (long) (MAX_HOLD_FRACTION * remaining(call).toNanos());
           CallAttempts attempts =
-              new CallAttempts(call, service, placementRequest(call), now() + holdNanos);
+              new CallAttempts(
+                  call,
+                  service,
+                  placementRequest(call),
+                  now() + Math.min(holdNanos, MAX_UNCERTAIN_HOLD.toNanos()),
+                  now() + holdNanos);
           return probeAndSend(attempts)
               .timeout(remaining(call), Mono.fromSupplier(() -> deadlineExceeded(attempts)), clock)
               .doOnCancel(() -> logAbandoned(attempts));
@@ -179,7 +190,7 @@
       return probe(selector.remoteTargetsToProbe(candidates(attempts), now()))
           .then(Mono.defer(() -> selectAndSend(attempts)));
     }
-    if (selection.get().full() || selection.get().silent()) {
+    if (selection.get().full() || selection.get().uncertain()) {
       return hold(attempts, selection.get());
     }
     return sendWithHedge(attempts, selection.get());
@@ -187,15 +198,14 @@
 
   /**
    * Holds a call while all targets are full. Refuses it when its hold time is over or the response
-   * would miss the deadline. At the end of the hold time, sends it to a target that is not known to
-   * be full but does not answer probes.
+   * would miss the deadline. Sends it after a short time if the target only may be full.
    */
   private Mono<Response> hold(CallAttempts attempts, TargetSelector.Selection selection) {
     long remainingNanos = attempts.call().info().deadlineNanos() - now();
-    boolean holdTimeOver = now() - attempts.holdUntilNanos() >= 0;
-    if (holdTimeOver && !selection.full()) {
+    if (!selection.full() && now() - attempts.uncertainHoldUntilNanos() >= 0) {
       return sendWithHedge(attempts, selection);
     }
+    boolean holdTimeOver = now() - attempts.holdUntilNanos() >= 0;
     if (holdTimeOver || selection.expectedNanos() > remainingNanos) {
       return Mono.just(endWithoutResponse(attempts, "all targets are full"));
     }
--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -91,11 +91,6 @@
     return Flux.merge(probes).takeUntil(enough).take(maxWait, clock).then();
   }
 
-  private boolean tryStart(TrackedTarget target) {
-    return pendingProbes.containsKey(target.target().id())
-        || budget.tryAcquire(target.target().service());
-  }
-
   private Mono<TrackedTarget> probe(TrackedTarget target) {
     TargetId id = target.target().id();
     Sinks.One<TrackedTarget> pending = pendingProbes.get(id);
@@ -116,6 +111,11 @@
     return result.asMono();
   }
 
+  private boolean tryStart(TrackedTarget target) {
+    return pendingProbes.containsKey(target.target().id())
+        || budget.tryAcquire(target.target().service());
+  }
+
   private static ResponseTimeoutException endlessResponse(Target target) {
     return new ResponseTimeoutException(
         "The response of " + target.address() + " to a probe did not end: check its program.");
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -151,13 +151,13 @@
   /** Returns the target with the lowest cost, or empty if no target is usable. */
   public Optional<Selection> select(
       List<TrackedTarget> candidates, PlacementRequest request, long nowNanos) {
-    double meanCallsPerSlot = meanCallsPerSlot(candidates, nowNanos);
+    ServiceLoad load = serviceLoad(candidates, nowNanos);
     Selection best = null;
     for (TrackedTarget target : candidates) {
       if (!target.usable(nowNanos) || !coldTargetLimiter.admits(target, nowNanos)) {
         continue;
       }
-      Selection selection = evaluate(target, request, meanCallsPerSlot, nowNanos);
+      Selection selection = evaluate(target, request, load, nowNanos);
       if (best == null || selection.cost() < best.cost()) {
         best = selection;
       }
@@ -165,15 +165,19 @@
     return Optional.ofNullable(best);
   }
 
-  private double meanCallsPerSlot(List<TrackedTarget> targets, long nowNanos) {
-    return targets.stream()
-        .filter(
-            target ->
-                target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent()
-                    || silent(target, nowNanos))
-        .mapToDouble(target -> callsPerSlot(target, SILENT_CALLS_PER_SLOT, nowNanos))
-        .average()
-        .orElse(DEFAULT_CALLS_PER_SLOT);
+  private ServiceLoad serviceLoad(List<TrackedTarget> targets, long nowNanos) {
+    int sampled = 0;
+    int silent = 0;
+    double callsPerSlot = 0;
+    for (TrackedTarget target : targets) {
+      if (target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent()) {
+        sampled++;
+        callsPerSlot += callsPerSlot(target, 0, nowNanos);
+      } else if (probeUnanswered(target, nowNanos)) {
+        silent++;
+      }
+    }
+    return ServiceLoad.of(sampled, callsPerSlot, silent);
   }
 
   /** Returns the running and queued calls per slot, or the default if there is no recent sample. */
@@ -208,10 +212,8 @@
   }
 
   private Selection evaluate(
-      TrackedTarget target, PlacementRequest request, double meanCallsPerSlot, long nowNanos) {
-    boolean silent = silent(target, nowNanos);
-    double callsPerSlot =
-        callsPerSlot(target, silent ? DEFAULT_CALLS_PER_SLOT : meanCallsPerSlot, nowNanos);
+      TrackedTarget target, PlacementRequest request, ServiceLoad load, long nowNanos) {
+    double callsPerSlot = callsPerSlot(target, load.estimatedCallsPerSlot(), nowNanos);
     double expectedNanos = expectedNanos(target, request, callsPerSlot, nowNanos);
     double remainingNanos = Math.max(1, request.respondByNanos() - nowNanos);
     double lateProbability =
@@ -231,7 +233,8 @@
     if (target.suspended(nowNanos)) {
       cost += SUSPENDED_TARGET_COST;
     }
-    if (probeUnanswered(target, nowNanos)) {
+    boolean silent = probeUnanswered(target, nowNanos);
+    if (silent) {
       cost += UNANSWERED_PROBE_COST;
     }
     boolean noSample = target.sample(MAX_SAMPLE_AGE_NANOS, nowNanos).isEmpty();
@@ -240,12 +243,9 @@
     }
     boolean late = nowNanos - request.respondByNanos() > 0;
     double fullCallsPerSlot = late ? FULL_CALLS_PER_SLOT_WHEN_LATE : FULL_CALLS_PER_SLOT;
-    boolean full = callsPerSlot >= fullCallsPerSlot;
-    return new Selection(target, cost, (long) expectedNanos, full, silent);
-  }
-
-  private boolean silent(TrackedTarget target, long nowNanos) {
-    return probeUnanswered(target, nowNanos) || target.inBackoff(nowNanos);
+    boolean full = callsPerSlot(target, load.sampledCallsPerSlot(), nowNanos) >= fullCallsPerSlot;
+    boolean uncertain = silent || callsPerSlot >= fullCallsPerSlot;
+    return new Selection(target, cost, (long) expectedNanos, full, uncertain);
   }
 
   /** Returns whether a probe has been pending for so long that the target must be busy. */
@@ -285,9 +285,26 @@
    * @param cost the estimated cost; 1 is the value of a response in time
    * @param expectedNanos the expected time until the response
    * @param full whether the target already has as many calls as it should hold
-   * @param silent whether the target does not answer its probe or did not answer the last one, so
-   *     that it is busy or fails to answer any probe
+   * @param uncertain whether the target may be full: it does not answer its probe, or has no sample
+   *     while other targets do not answer theirs
    */
   public record Selection(
-      TrackedTarget target, double cost, long expectedNanos, boolean full, boolean silent) {}
+      TrackedTarget target, double cost, long expectedNanos, boolean full, boolean uncertain) {}
+
+  /**
+   * The mean load of the targets of a service.
+   *
+   * @param sampledCallsPerSlot the mean of the targets with a recent sample
+   * @param estimatedCallsPerSlot the mean with an assumed load of the targets that do not answer
+   */
+  private record ServiceLoad(double sampledCallsPerSlot, double estimatedCallsPerSlot) {
+    private static ServiceLoad of(int sampled, double sampledCallsPerSlot, int silent) {
+      double sampledMean = sampled == 0 ? DEFAULT_CALLS_PER_SLOT : sampledCallsPerSlot / sampled;
+      double estimatedMean =
+          sampled + silent == 0
+              ? DEFAULT_CALLS_PER_SLOT
+              : (sampledCallsPerSlot + silent * SILENT_CALLS_PER_SLOT) / (sampled + silent);
+      return new ServiceLoad(sampledMean, estimatedMean);
+    }
+  }
 }
--- a/src/main/java/org/radishpost/placement/TrackedTarget.java
+++ b/src/main/java/org/radishpost/placement/TrackedTarget.java
@@ -162,14 +162,9 @@
     return nowNanos - coldUntilNanos < 0;
   }
 
-  /** Returns whether the target is in backoff because it did not answer or is unhealthy. */
-  boolean inBackoff(long nowNanos) {
-    return nowNanos - backoffUntilNanos < 0;
-  }
-
   /** Returns whether the target is in backoff or has failed too often recently. */
   public boolean suspended(long nowNanos) {
-    return inBackoff(nowNanos) || failureScore(nowNanos) > MAX_FAILURE_SCORE;
+    return nowNanos - backoffUntilNanos < 0 || failureScore(nowNanos) > MAX_FAILURE_SCORE;
   }
 
   private double failureScore(long nowNanos) {
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -357,6 +357,31 @@
     assertEquals(targets.sent, List.of(address(nextZone)));
   }
 
+  /** All calls to the service waited for half of their time, and some were refused then. */
+  @Test
+  public void serviceThatAnswersNoProbeIsServedAfterShortHold() {
+    targets.setProbeResponse(sameZone.address(), Mono.never());
+    targets.setProbeResponse(nextZone.address(), Mono.never());
+    for (int i = 0; i < 5; i++) {
+      List<Response> responses = new ArrayList<>();
+      router.handle(call(false, Set.of())).subscribe(responses::add);
+      clock.advanceTimeBy(Duration.ofMillis(200));
+      assertEquals(responses.size(), 1, "call " + i);
+      assertEquals(responses.getFirst().status(), 200);
+    }
+  }
+
+  @Test
+  public void serviceThatReportsItselfUnhealthyIsServedAtOnce() {
+    Mono<Response> unhealthy = Mono.fromSupplier(() -> FakeTargets.response(503));
+    targets.setProbeResponse(sameZone.address(), unhealthy);
+    targets.setProbeResponse(nextZone.address(), unhealthy);
+    List<Response> responses = new ArrayList<>();
+    router.handle(call(false, Set.of())).subscribe(responses::add);
+    clock.advanceTimeBy(Duration.ofMillis(50));
+    assertEquals(responses.getFirst().status(), 200);
+  }
+
   @Test
   public void targetsThatDoNotRespondToProbesStillGetCalls() {
     targets.setProbeResponse(sameZone.address(), Mono.never());
