--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -53,8 +53,8 @@
   private static final double FULL_CALLS_PER_SLOT = 1;
 
   /**
-   * The same for a call that is already late: it leaves the last slots to calls that can still be
-   * in time.
+   * The same for a call that would be late even at an idle target: it leaves the last slots to
+   * calls that can still be in time.
    */
   private static final double FULL_CALLS_PER_SLOT_WHEN_LATE = 0.5;
 
@@ -241,7 +241,8 @@
     if (noSample) {
       cost += NO_SAMPLE_COST + MAX_TIE_BREAK_COST * random.nextDouble();
     }
-    boolean late = nowNanos - request.respondByNanos() > 0;
+    double serviceNanos = serviceTimes.serviceNanos(request.route());
+    boolean late = nowNanos + serviceNanos - request.respondByNanos() > 0;
     double fullCallsPerSlot = late ? FULL_CALLS_PER_SLOT_WHEN_LATE : FULL_CALLS_PER_SLOT;
     boolean full = callsPerSlot(target, load.sampledCallsPerSlot(), nowNanos) >= fullCallsPerSlot;
     boolean uncertain = silent || callsPerSlot >= fullCallsPerSlot;
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -21,6 +21,7 @@
 import org.radishpost.lib.Place;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.Verdict;
 import org.radishpost.lib.VmId;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.Target;
@@ -35,6 +36,8 @@
 final class SimulatedFleet {
   private static final Duration TARGET_LATENCY = Duration.ofMillis(300);
   private static final Duration TIMEOUT = Duration.ofMillis(2_500);
+  private static final Duration CALLER_TIMEOUT = Duration.ofSeconds(5);
+  private static final int MAX_CALLER_RETRIES = 2;
   private static final double MEAN_WORK_MILLIS = 120;
   private static final double WORK_SPREAD = 0.3;
   private static final double RETRY_RATIO = 0.15;
@@ -110,17 +113,36 @@
       long atMicros = i * periodMicros + random.nextLong(periodMicros);
       clock.schedule(this::startCall, atMicros, TimeUnit.MICROSECONDS);
     }
-    clock.advanceTimeBy(duration.plus(TIMEOUT));
+    clock.advanceTimeBy(duration.plus(CALLER_TIMEOUT));
   }
 
   private void startCall() {
     offered++;
-    long startMillis = clock.now(TimeUnit.MILLISECONDS);
-    Call call = TestCalls.create(false, homes, TARGET_LATENCY, TIMEOUT, clock);
+    sendCall(clock.now(TimeUnit.MILLISECONDS), MAX_CALLER_RETRIES);
+  }
+
+  private void sendCall(long startMillis, int retriesLeft) {
+    Duration elapsed = Duration.ofMillis(clock.now(TimeUnit.MILLISECONDS) - startMillis);
+    Duration timeLeft = CALLER_TIMEOUT.minus(elapsed);
+    Duration timeout = timeLeft.compareTo(TIMEOUT) < 0 ? timeLeft : TIMEOUT;
+    Call call = TestCalls.create(false, homes, TARGET_LATENCY, timeout, clock);
     entries
         .get(random.nextInt(entries.size()))
         .handle(call)
-        .subscribe(response -> recordResponse(response, startMillis));
+        .subscribe(response -> receiveResponse(response, startMillis, retriesLeft));
+  }
+
+  /** Callers retry a call that has not run after the time that the entry names. */
+  private void receiveResponse(Response response, long startMillis, int retriesLeft) {
+    boolean notRun = response.refusalVerdict().filter(Verdict.NOT_RUN::equals).isPresent();
+    if (!notRun || retriesLeft == 0) {
+      recordResponse(response, startMillis);
+      return;
+    }
+    double seconds = Double.parseDouble(response.headers().get("retry-after"));
+    long pauseMicros = (long) (seconds * TimeUnit.SECONDS.toMicros(1));
+    clock.schedule(
+        () -> sendCall(startMillis, retriesLeft - 1), pauseMicros, TimeUnit.MICROSECONDS);
   }
 
   private void recordResponse(Response response, long startMillis) {
--- a/src/test/java/org/radishpost/placement/TargetSelectorTest.java
+++ b/src/test/java/org/radishpost/placement/TargetSelectorTest.java
@@ -75,6 +75,8 @@
     PlacementRequest late = new PlacementRequest("r", 0, 2_000 * MILLI_NANOS, 1);
     assertTrue(select(late, target("busy", LOCAL_ZONE, 1, 100)).full());
     assertFalse(select(late, target("idle", LOCAL_ZONE, 0, 100)).full());
+    PlacementRequest tooShort = new PlacementRequest("r", 90 * MILLI_NANOS, 2_000_000_000L, 1);
+    assertTrue(select(tooShort, target("busy", LOCAL_ZONE, 1, 100)).full());
   }
 
   /** A full target answers probes late, so the missing sample made it look nearly free. */
