Do not wait for further probes when a nearest target is idle

On a route whose home regions are all remote a call waited 45 ms, or for its slowest probe, before it was sent, also when an idle target had answered (kikuldes from the zones of nyugat; wanted in 300 ms, work 120 ms, 16.5 ms a round trip). Only a target in the VM's own zone ended the wait.

Change: an idle, unslowed target ends the wait if no nearer one was probed.

Result: TargetSelectorTest.idleTargetNeedNotBeInTheSameZone (new; idleInSameZoneRequiresNoLoadAndNoSlowdown is now idleAndNearestRequiresNoLoadAndNoSlowdown and checks the same, its case of another zone moved to the new test).

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -167,7 +167,9 @@
 
   private Mono<Void> probe(List<TrackedTarget> targets) {
     return prober.probe(
-        targets, target -> selector.idleInSameZone(target, now()), selector.probeWait(targets));
+        targets,
+        target -> selector.idleAndNearest(target, targets, now()),
+        selector.probeWait(targets));
   }
 
   private List<TrackedTarget> candidates(CallAttempts attempts) {
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -134,11 +134,13 @@
   }
 
   /**
-   * Returns whether the target is idle, not slowed down and in the same zone as this VM. No other
-   * target can be much better, so there is no need to wait for further probes.
+   * Returns whether the target is idle, not slowed down and as near as any of the probed targets.
+   * None of them can be much better, so there is no need to wait for further probes.
    */
-  public boolean idleInSameZone(TrackedTarget target, long nowNanos) {
-    if (distance(target) != Distance.SAME_ZONE || target.suspended(nowNanos)) {
+  public boolean idleAndNearest(TrackedTarget target, List<TrackedTarget> probed, long nowNanos) {
+    Distance distance = distance(target);
+    boolean nearerProbed = probed.stream().anyMatch(other -> nearer(distance(other), distance));
+    if (nearerProbed || target.suspended(nowNanos)) {
       return false;
     }
     return target
@@ -275,6 +277,10 @@
         + DistanceCosts.roundTripNanos(distance(target));
   }
 
+  private static boolean nearer(Distance first, Distance second) {
+    return first.compareTo(second) < 0;
+  }
+
   private Distance distance(TrackedTarget target) {
     return localPlace.distanceTo(target.target().place());
   }
