--- a/src/test/java/org/radishpost/node/LoadSummaryTest.java
+++ b/src/test/java/org/radishpost/node/LoadSummaryTest.java
@@ -18,12 +18,13 @@
   private static final int TICKS = 20;
 
   private final NodeMetrics metrics = new NodeMetrics(new MetricRegistry());
+  private int intervals;
   private final List<List<EventField>> summaries = new ArrayList<>();
   private final LoadSummary summary =
       new LoadSummary(metrics, (code, fields) -> summaries.add(Arrays.asList(fields)), TICK);
 
   private void runInterval(Duration delayOfLastTick) {
-    long startNanos = System.nanoTime();
+    long startNanos = ++intervals * Duration.ofMinutes(1).toNanos();
     for (int i = 1; i < TICKS; i++) {
       summary.tick(startNanos + i * TICK.toNanos());
     }
