Log how long a call waited before it was first sent

The log of an entry showed the load of the target at the end of a call, but not whether the time passed at the entry or at the target, so a long hold could not be told from a queue at a target or from a cold VM.

Change: lines about calls carry waitedMs. No logic changes. Each answered call is still sampled.

--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -18,10 +18,12 @@
   private final Call call;
   private final ServiceName service;
   private final PlacementRequest placementRequest;
+  private final long arrivedNanos;
   private final long uncertainHoldUntilNanos;
   private final long holdUntilNanos;
   private final Set<TargetId> tried = new HashSet<>();
   private Optional<TrackedTarget> lastTarget = Optional.empty();
+  private long firstSendNanos;
   private int inFlight;
   private boolean possiblyRun;
   private int connectedAttempts;
@@ -31,11 +33,13 @@
       Call call,
       ServiceName service,
       PlacementRequest placementRequest,
+      long arrivedNanos,
       long uncertainHoldUntilNanos,
       long holdUntilNanos) {
     this.call = call;
     this.service = service;
     this.placementRequest = placementRequest;
+    this.arrivedNanos = arrivedNanos;
     this.uncertainHoldUntilNanos = uncertainHoldUntilNanos;
     this.holdUntilNanos = holdUntilNanos;
   }
@@ -52,6 +56,11 @@
     return placementRequest;
   }
 
+  /** Returns the time from the arrival of the call until it was first sent, or until now. */
+  long waitedNanos(long nowNanos) {
+    return (lastTarget.isPresent() ? firstSendNanos : nowNanos) - arrivedNanos;
+  }
+
   /** Returns the latest time until which the call may be held while targets may be full. */
   long uncertainHoldUntilNanos() {
     return uncertainHoldUntilNanos;
@@ -96,7 +105,10 @@
     return connectedAttempts;
   }
 
-  void recordSend(TrackedTarget target) {
+  void recordSend(TrackedTarget target, long nowNanos) {
+    if (lastTarget.isEmpty()) {
+      firstSendNanos = nowNanos;
+    }
     tried.add(target.target().id());
     lastTarget = Optional.of(target);
     inFlight++;
--- a/src/main/java/org/radishpost/direct/CallLog.java
+++ b/src/main/java/org/radishpost/direct/CallLog.java
@@ -40,7 +40,12 @@
 
   /** Writes a line about a call, unless it is sampled out or the rate limit is exceeded. */
   void write(
-      EventCode code, Call call, String reason, Optional<TrackedTarget> target, long nowNanos) {
+      EventCode code,
+      CallAttempts attempts,
+      String reason,
+      Optional<TrackedTarget> target,
+      long nowNanos) {
+    Call call = attempts.call();
     if (code == EventCode.CALL_ANSWERED && answeredCalls++ % ANSWERED_SAMPLE_INTERVAL != 0) {
       return;
     }
@@ -59,6 +64,7 @@
             "load",
             target.flatMap(TrackedTarget::lastSample).map(CallLog::loadText).orElse("unknown")),
         EventField.of("loadAgeMs", target.map(t -> millis(t.sampleAgeNanos(nowNanos))).orElse(-1L)),
+        EventField.of("waitedMs", millis(attempts.waitedNanos(nowNanos))),
         EventField.of("leftMs", millis(call.info().deadlineNanos() - nowNanos)));
   }
 
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -134,6 +134,7 @@
                   call,
                   service,
                   placementRequest(call),
+                  now(),
                   now() + Math.min(holdNanos, MAX_UNCERTAIN_HOLD.toNanos()),
                   now() + holdNanos);
           return probeAndSend(attempts)
@@ -238,8 +239,7 @@
         || !retryBudget.tryAcquire(attempts.service())) {
       return Mono.empty();
     }
-    log.write(
-        EventCode.CALL_HEDGED, attempts.call(), "no response yet", Optional.of(firstTarget), now());
+    log.write(EventCode.CALL_HEDGED, attempts, "no response yet", Optional.of(firstTarget), now());
     return send(attempts, selection.get().target());
   }
 
@@ -261,7 +261,7 @@
     if (attempts.call().info().deadlineNanos() - now() <= 0) {
       return Mono.just(deadlineExceeded(attempts));
     }
-    attempts.recordSend(target);
+    attempts.recordSend(target, now());
     target.recordSend();
     coldTargetLimiter.recordSend(target, now());
     attempts.call().body().allowRemainder();
@@ -313,7 +313,7 @@
       serviceTimes.record(attempts.placementRequest().route(), durationNanos, slowdownPercent);
       log.write(
           EventCode.CALL_ANSWERED,
-          attempts.call(),
+          attempts,
           "status " + response.status(),
           Optional.of(target),
           now());
@@ -331,7 +331,7 @@
               : lostResponse(BAD_GATEWAY, reason);
       return retryOrElse(attempts, reason, target, fallback);
     }
-    log.write(EventCode.CALL_FAILED, attempts.call(), reason, Optional.of(target), now());
+    log.write(EventCode.CALL_FAILED, attempts, reason, Optional.of(target), now());
     return Mono.just(
         canForward(response, authenticatedOrFailure)
             ? response
@@ -361,8 +361,7 @@
     if (attempts.call().info().idempotent() && !timedOut) {
       return retryOrElse(attempts, error.getMessage(), target, fallback);
     }
-    log.write(
-        EventCode.CALL_FAILED, attempts.call(), error.getMessage(), Optional.of(target), now());
+    log.write(EventCode.CALL_FAILED, attempts, error.getMessage(), Optional.of(target), now());
     return Mono.just(fallback);
   }
 
@@ -377,11 +376,11 @@
     if (attempts.hasAttemptsLeft()
         && canResend
         && (!reachedTarget || retryBudget.tryAcquire(attempts.service()))) {
-      log.write(EventCode.CALL_RESENT, attempts.call(), reason, Optional.of(target), now());
+      log.write(EventCode.CALL_RESENT, attempts, reason, Optional.of(target), now());
       return probeAndSend(attempts);
     }
     if (fallback != null) {
-      log.write(EventCode.CALL_FAILED, attempts.call(), reason, Optional.of(target), now());
+      log.write(EventCode.CALL_FAILED, attempts, reason, Optional.of(target), now());
       return Mono.just(fallback);
     }
     return Mono.just(endWithoutResponse(attempts, reason));
@@ -390,7 +389,7 @@
   /** Returns the final response to a call that is not sent to any further target. */
   private Response endWithoutResponse(CallAttempts attempts, String reason) {
     EventCode code = attempts.mayHaveRun() ? EventCode.CALL_FAILED : EventCode.CALL_REFUSED;
-    log.write(code, attempts.call(), reason, attempts.lastTarget(), now());
+    log.write(code, attempts, reason, attempts.lastTarget(), now());
     if (attempts.mayHaveRun()) {
       return lostResponse(BAD_GATEWAY, reason);
     }
@@ -405,7 +404,7 @@
     boolean sent = attempts.mayHaveRun();
     log.write(
         sent ? EventCode.CALL_FAILED : EventCode.CALL_REFUSED,
-        attempts.call(),
+        attempts,
         "time is over",
         attempts.lastTarget(),
         now());
@@ -419,7 +418,7 @@
   private void logAbandoned(CallAttempts attempts) {
     log.write(
         EventCode.CALL_ABANDONED,
-        attempts.call(),
+        attempts,
         "the caller disconnected",
         attempts.lastTarget(),
         now());
