Reproduce SHORT: calls in time collapse beyond capacity

The simulated target reports its load as the real ones do: the report of an answer counts the call that it answers (1,607 answers, none with 0 running), the report of a probe doesn't count the probe.

--- a/src/test/java/org/radishpost/direct/SimulatedTarget.java
+++ b/src/test/java/org/radishpost/direct/SimulatedTarget.java
@@ -97,10 +97,13 @@
     }
   }
 
+  /** A response to a call reports a load that counts this call; one to a probe doesn't. */
   private void finish(Job job) {
+    String loadWithCall = load();
     running--;
     startWaiting();
-    job.response.tryEmitValue(FakeTargets.response(200, "proof", "1", "load", load()));
+    String load = job.call ? loadWithCall : load();
+    job.response.tryEmitValue(FakeTargets.response(200, "proof", "1", "load", load));
   }
 
   private String load() {
