Do not count an answered call as load of its target

Cause: the load report of an answer counts the call that it answers, and the entry took it as the load after that call. A target with one call looked busy once it had answered, one with two looked full for up to 400 ms.

Change: the load of the answer to a call that ran is taken less that call; a queued call takes its slot. A refusal (not run) and a probe are taken as they are.

Result: DirectRouterTest#answeredCallDoesNotCountAsRunning fails without the change. It matters where counts of free slots come from answers.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -300,7 +300,7 @@
       long durationNanos,
       int slowdownPercent) {
     TargetResponseInfo info = protocol.parse(response);
-    info.load().ifPresent(load -> target.recordSample(load, now()));
+    info.currentLoad().ifPresent(load -> target.recordSample(load, now()));
     if (info.notRun()) {
       attempts.recordNotRun();
       return retry(attempts, "target did not run the call, status " + response.status(), target);
--- a/src/main/java/org/radishpost/direct/TargetResponseInfo.java
+++ b/src/main/java/org/radishpost/direct/TargetResponseInfo.java
@@ -11,7 +11,7 @@
  * @param notRun whether the response states that the target did not run the request
  * @param authenticated whether the response carries the MAC of a target's application
  * @param responder the ID of the target that sent the response
- * @param load the reported load
+ * @param load the reported load; with the response to a call that ran, this call is included
  * @param coldRemaining how long the target will remain cold
  */
 public record TargetResponseInfo(
@@ -19,4 +19,9 @@
     boolean authenticated,
     Optional<TargetId> responder,
     Optional<LoadSample> load,
-    Optional<Duration> coldRemaining) {}
+    Optional<Duration> coldRemaining) {
+  /** Returns the load without the call that this is the response to. */
+  Optional<LoadSample> currentLoad() {
+    return notRun ? load : load.map(LoadSample::afterOneCall);
+  }
+}
--- a/src/main/java/org/radishpost/placement/LoadSample.java
+++ b/src/main/java/org/radishpost/placement/LoadSample.java
@@ -12,4 +12,15 @@
 public record LoadSample(int running, int waiting, int slots, int slowdownPercent) {
   /** The slowdown of a target whose machine runs no other load. */
   public static final int NO_SLOWDOWN_PERCENT = 100;
+
+  /**
+   * Returns the load after one of the running calls has ended. The slot of the call is taken by a
+   * queued call, if there is any.
+   */
+  public LoadSample afterOneCall() {
+    if (waiting > 0) {
+      return new LoadSample(running, waiting - 1, slots, slowdownPercent);
+    }
+    return new LoadSample(Math.max(0, running - 1), 0, slots, slowdownPercent);
+  }
 }
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -139,6 +139,17 @@
     assertEquals(targets.sent, List.of(address(nextZone)));
   }
 
+  /** An idle target looked busy after each call, as its load report counts the answered call. */
+  @Test
+  public void answeredCallDoesNotCountAsRunning() {
+    targets.setCallResponse(
+        sameZone.address(),
+        Mono.fromSupplier(() -> FakeTargets.response(200, "proof", "1", "load", "1")));
+    router.handle(call(false, Set.of())).subscribe();
+    router.handle(call(false, Set.of())).subscribe();
+    assertEquals(targets.sent, List.of(address(sameZone), address(sameZone)));
+  }
+
   @Test
   public void writeWithLostResponseIsNotRetriedAndHasUnknownOutcome() {
     resetConnectionsOf(sameZone);
