Offer free slots of targets from brokers on the relays

Cause: no entry knows which slots are free. Each sees one call a second of the class; held calls of many entries fall on the same freed slot and queue at its target until all are late. The class of fault: a queue that nobody orders. Fewer probes only moved the point of collapse.

Each relay runs a SlotBroker with one queue per service and region; an entry requests a slot, sends the call straight to the offered target and returns the slot with the load that the target reported. Choosing a target moves out of DirectRouter into a TargetChooser with two implementations; the way by probes is unchanged here and serves when no broker replies. Weighed and left: a queue per zone, one VM that all calls of a pool pass.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -1,13 +1,10 @@
 package org.radishpost.direct;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.radishpost.admission.ServiceBudget;
-import org.radishpost.config.Configuration;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.ResponseTimeoutException;
 import org.radishpost.events.EventCode;
@@ -25,24 +22,21 @@
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.PlacementRequest;
 import org.radishpost.placement.RouteServiceTimes;
-import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetSelector;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.TrafficSplitter;
 import org.radishpost.pool.HandBackReason;
+import org.radishpost.slots.SlotOutcome;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Sends each call directly to a target, which it selects by load probes sent immediately before.
+ * Sends each call directly to a target, which a {@link TargetChooser} chooses.
  *
  * <p>A call is retried only if no target ran it or if it is idempotent, and only within the attempt
  * limit of its route and the retry budget of this VM. Confined to one thread.
  */
 public final class DirectRouter implements CallHandler {
-  private static final int MIN_HOLD_MILLIS = 20;
-  private static final int HOLD_JITTER_MILLIS = 30;
-
   /**
    * Maximum hold time of a call as a fraction of its remaining time. The rest is left for the
    * caller to retry at another entry.
@@ -63,13 +57,12 @@
   private static final int MIN_RETRY_AFTER_MILLIS = 100;
   private static final int RETRY_AFTER_JITTER_MILLIS = 300;
 
-  private final Supplier<Configuration> configuration;
-  private final TargetDirectory directory;
+  private final CallCandidates candidates;
+  private final TargetChooser chooser;
   private final TargetSelector selector;
   private final ColdTargetLimiter coldTargetLimiter;
   private final RouteServiceTimes serviceTimes;
   private final TrafficSplitter splitter;
-  private final LoadProber prober;
   private final TargetProtocol protocol;
   private final CallSender sender;
   private final ServiceBudget retryBudget;
@@ -80,39 +73,36 @@
   /**
    * Creates a router from its components.
    *
-   * @param configuration supplies the current configuration
-   * @param directory the registered targets
-   * @param selector selects the target of a call
+   * @param candidates finds the targets that a call may be sent to
+   * @param chooser chooses the target of each attempt
+   * @param selector decides when a call is hedged
    * @param coldTargetLimiter limits the calls to cold targets; notified of each call sent
    * @param serviceTimes the mean service times of the routes; updated from responses
-   * @param prober probes targets for their load
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls to targets
    * @param retryBudget the retry budget of this VM
    * @param log receives a line for each notable event of a call
    * @param clock provides time and timers
-   * @param random the source of jitter for holds and {@code Retry-After}
+   * @param random the source of jitter for {@code Retry-After}
    */
   DirectRouter(
-      Supplier<Configuration> configuration,
-      TargetDirectory directory,
+      CallCandidates candidates,
+      TargetChooser chooser,
       TargetSelector selector,
       ColdTargetLimiter coldTargetLimiter,
       RouteServiceTimes serviceTimes,
-      LoadProber prober,
       TargetProtocol protocol,
       CallSender sender,
       ServiceBudget retryBudget,
       CallLog log,
       Scheduler clock,
       RandomGenerator random) {
-    this.configuration = configuration;
-    this.directory = directory;
+    this.candidates = candidates;
+    this.chooser = chooser;
     this.selector = selector;
     this.coldTargetLimiter = coldTargetLimiter;
     this.serviceTimes = serviceTimes;
     this.splitter = new TrafficSplitter(random);
-    this.prober = prober;
     this.protocol = protocol;
     this.sender = sender;
     this.retryBudget = retryBudget;
@@ -127,7 +117,7 @@
         () -> {
           ServiceName service = splitter.next(call.match().route());
           retryBudget.recordCall(service);
-          prober.recordCall(service);
+          chooser.recordCall(service);
           long holdNanos = (long) (MAX_HOLD_FRACTION * remaining(call).toNanos());
           CallAttempts attempts =
               new CallAttempts(
@@ -137,7 +127,7 @@
                   now(),
                   now() + Math.min(holdNanos, MAX_UNCERTAIN_HOLD.toNanos()),
                   now() + holdNanos);
-          return probeAndSend(attempts)
+          return chooseAndSend(attempts)
               .timeout(remaining(call), Mono.fromSupplier(() -> deadlineExceeded(attempts)), clock)
               .doOnCancel(() -> logAbandoned(attempts));
         });
@@ -160,87 +150,48 @@
         kilobytes);
   }
 
-  private Mono<Response> probeAndSend(CallAttempts attempts) {
-    List<TrackedTarget> candidates = candidates(attempts);
-    return probe(selector.targetsToProbe(candidates, now()))
-        .then(Mono.defer(() -> selectAndSend(attempts)));
-  }
-
-  private Mono<Void> probe(List<TrackedTarget> targets) {
-    return prober.probe(
-        targets,
-        target -> selector.idleAndNearest(target, targets, now()),
-        selector.probeWait(targets));
-  }
-
-  private List<TrackedTarget> candidates(CallAttempts attempts) {
-    List<TrackedTarget> found = directory.serving(attempts.service(), attempts.tried());
-    Configuration current = configuration.get();
-    found.removeIf(
-        tracked ->
-            !attempts.call().info().allowsRegion(tracked.target().place().region())
-                || !current.inService(tracked.target().place()));
-    return found;
-  }
-
-  private Mono<Response> selectAndSend(CallAttempts attempts) {
-    Optional<TargetSelector.Selection> selection =
-        selector.select(candidates(attempts), attempts.placementRequest(), now());
-    if (selection.isEmpty()) {
-      return Mono.just(endWithoutResponse(attempts, "no target in service"));
-    }
-    if (selector.shouldProbeRemote(selection.get()) && attempts.tryStartRemoteProbe()) {
-      return probe(selector.remoteTargetsToProbe(candidates(attempts), now()))
-          .then(Mono.defer(() -> selectAndSend(attempts)));
-    }
-    if (selection.get().full() || selection.get().uncertain()) {
-      return hold(attempts, selection.get());
-    }
-    return sendWithHedge(attempts, selection.get());
-  }
-
-  /**
-   * Holds a call while all targets are full. Refuses it when its hold time is over or the response
-   * would miss the deadline. Sends it after a short time if the target only may be full.
-   */
-  private Mono<Response> hold(CallAttempts attempts, TargetSelector.Selection selection) {
-    long remainingNanos = attempts.call().info().deadlineNanos() - now();
-    if (!selection.full() && now() - attempts.uncertainHoldUntilNanos() >= 0) {
-      return sendWithHedge(attempts, selection);
-    }
-    boolean holdTimeOver = now() - attempts.holdUntilNanos() >= 0;
-    if (holdTimeOver || selection.expectedNanos() > remainingNanos) {
-      return Mono.just(endWithoutResponse(attempts, "all targets are full"));
-    }
-    Duration pause = Duration.ofMillis(MIN_HOLD_MILLIS + random.nextInt(HOLD_JITTER_MILLIS));
-    return Mono.delay(pause, clock).then(Mono.defer(() -> probeAndSend(attempts)));
+  private Mono<Response> chooseAndSend(CallAttempts attempts) {
+    return chooser
+        .choose(attempts)
+        .flatMap(
+            choice ->
+                switch (choice) {
+                  case TargetChoice.Chosen chosen -> sendWithHedge(attempts, chosen);
+                  case TargetChoice.None none ->
+                      Mono.just(endWithoutResponse(attempts, none.reason()));
+                });
   }
 
   /** Sends a call; an idempotent one is hedged if the response takes too long. */
-  private Mono<Response> sendWithHedge(CallAttempts attempts, TargetSelector.Selection selection) {
-    Mono<Response> first = send(attempts, selection.target());
+  private Mono<Response> sendWithHedge(CallAttempts attempts, TargetChoice.Chosen chosen) {
+    Mono<Response> first = send(attempts, chosen);
     if (!attempts.call().info().idempotent() || !attempts.hasAttemptsLeft()) {
       return first;
     }
     Duration delay = Duration.ofNanos(selector.hedgeDelayNanos(attempts.placementRequest(), now()));
-    Mono<Response> second = Mono.defer(() -> sendHedge(attempts, selection.target()));
+    Mono<Response> second = Mono.defer(() -> sendHedge(attempts, chosen.target()));
     return HedgedRequest.of(
         first, Mono.delay(delay, clock), second, DirectRouter::succeeded, DirectRouter::preferred);
   }
 
   private Mono<Response> sendHedge(CallAttempts attempts, TrackedTarget firstTarget) {
-    Optional<TargetSelector.Selection> selection =
-        selector.select(candidates(attempts), attempts.placementRequest(), now());
-    boolean expectedInTime =
-        selection.isPresent()
-            && selector.expectedInTime(selection.get(), attempts.placementRequest(), now());
-    if (!expectedInTime
-        || !attempts.hasAttemptsLeft()
-        || !retryBudget.tryAcquire(attempts.service())) {
+    if (!attempts.hasAttemptsLeft()) {
+      return Mono.empty();
+    }
+    return chooser
+        .chooseForHedge(attempts)
+        .ofType(TargetChoice.Chosen.class)
+        .flatMap(chosen -> sendHedge(attempts, firstTarget, chosen));
+  }
+
+  private Mono<Response> sendHedge(
+      CallAttempts attempts, TrackedTarget firstTarget, TargetChoice.Chosen chosen) {
+    if (!retryBudget.tryAcquire(attempts.service())) {
+      chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
       return Mono.empty();
     }
     log.write(EventCode.CALL_HEDGED, attempts, "no response yet", Optional.of(firstTarget), now());
-    return send(attempts, selection.get().target());
+    return send(attempts, chosen);
   }
 
   private static boolean succeeded(Response response) {
@@ -257,16 +208,17 @@
     return preferSecond ? second : first;
   }
 
-  private Mono<Response> send(CallAttempts attempts, TrackedTarget target) {
+  private Mono<Response> send(CallAttempts attempts, TargetChoice.Chosen chosen) {
     if (attempts.call().info().deadlineNanos() - now() <= 0) {
+      chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
       return Mono.just(deadlineExceeded(attempts));
     }
+    TrackedTarget target = chosen.target();
     attempts.recordSend(target, now());
     target.recordSend();
     coldTargetLimiter.recordSend(target, now());
     attempts.call().body().allowRemainder();
-    long startNanos = now();
-    int slowdownPercent = slowdownPercent(target);
+    SentCall sent = new SentCall(chosen, now(), slowdownPercent(target));
     return sender
         .send(
             target.target().address(),
@@ -275,10 +227,21 @@
             remaining(attempts.call()))
         .flatMap(ResponseBuffering::bufferIfSmall)
         .doFinally(signal -> target.recordEnd())
-        .flatMap(
-            response ->
-                handleResponse(attempts, target, response, now() - startNanos, slowdownPercent))
-        .onErrorResume(error -> handleError(attempts, target, error));
+        .doOnCancel(() -> release(sent, cancelOutcome(attempts), Optional.empty()))
+        .flatMap(response -> handleResponse(attempts, sent, response))
+        .onErrorResume(error -> handleError(attempts, sent, error));
+  }
+
+  /** Returns the slot before the outcome is acted on, because a retry needs another slot. */
+  private void release(SentCall sent, SlotOutcome outcome, Optional<LoadSample> load) {
+    Duration serviceTime = Duration.ofNanos(now() - sent.startNanos());
+    sent.chosen().slot().release(outcome, serviceTime, load);
+  }
+
+  /** A call that is cancelled at its deadline was not answered by its target. */
+  private SlotOutcome cancelOutcome(CallAttempts attempts) {
+    boolean deadlineReached = attempts.call().info().deadlineNanos() - now() <= 0;
+    return deadlineReached ? SlotOutcome.FAILED : SlotOutcome.UNUSED;
   }
 
   private RequestHead head(CallAttempts attempts, TrackedTarget target) {
@@ -293,24 +256,24 @@
         .orElse(LoadSample.NO_SLOWDOWN_PERCENT);
   }
 
-  private Mono<Response> handleResponse(
-      CallAttempts attempts,
-      TrackedTarget target,
-      Response response,
-      long durationNanos,
-      int slowdownPercent) {
+  private Mono<Response> handleResponse(CallAttempts attempts, SentCall sent, Response response) {
+    TrackedTarget target = sent.chosen().target();
     TargetResponseInfo info = protocol.parse(response);
     info.currentLoad().ifPresent(load -> target.recordSample(load, now()));
     if (info.notRun()) {
+      release(sent, SlotOutcome.NOT_RUN, info.currentLoad());
       attempts.recordNotRun();
       return retry(attempts, "target did not run the call, status " + response.status(), target);
     }
     attempts.recordPossiblyRun();
     boolean failure = response.status() >= SERVER_ERROR || response.status() == TOO_MANY_REQUESTS;
     boolean authenticatedOrFailure = failure || info.authenticated();
-    if (!failure && authenticatedOrFailure) {
+    boolean success = !failure && authenticatedOrFailure;
+    release(sent, success ? SlotOutcome.SUCCEEDED : SlotOutcome.FAILED, info.currentLoad());
+    if (success) {
       target.recordSuccess();
-      serviceTimes.record(attempts.placementRequest().route(), durationNanos, slowdownPercent);
+      serviceTimes.record(
+          attempts.placementRequest().route(), now() - sent.startNanos(), sent.slowdownPercent());
       log.write(
           EventCode.CALL_ANSWERED,
           attempts,
@@ -348,12 +311,15 @@
         && response.status() != TOO_MANY_REQUESTS;
   }
 
-  private Mono<Response> handleError(CallAttempts attempts, TrackedTarget target, Throwable error) {
+  private Mono<Response> handleError(CallAttempts attempts, SentCall sent, Throwable error) {
+    TrackedTarget target = sent.chosen().target();
     if (error instanceof NotConnectedException) {
+      release(sent, SlotOutcome.UNREACHABLE, Optional.empty());
       attempts.recordNotConnected();
       target.recordUnreachable(now());
       return retry(attempts, error.getMessage(), target);
     }
+    release(sent, SlotOutcome.FAILED, Optional.empty());
     attempts.recordPossiblyRun();
     target.recordFailure(now());
     boolean timedOut = error instanceof ResponseTimeoutException;
@@ -372,12 +338,12 @@
   private Mono<Response> retryOrElse(
       CallAttempts attempts, String reason, TrackedTarget target, Response fallback) {
     boolean reachedTarget = attempts.connectedAttempts() > 0;
-    boolean canResend = attempts.call().body().canReroute() && !candidates(attempts).isEmpty();
+    boolean canResend = attempts.call().body().canReroute() && !candidates.of(attempts).isEmpty();
     if (attempts.hasAttemptsLeft()
         && canResend
         && (!reachedTarget || retryBudget.tryAcquire(attempts.service()))) {
       log.write(EventCode.CALL_RESENT, attempts, reason, Optional.of(target), now());
-      return probeAndSend(attempts);
+      return chooseAndSend(attempts);
     }
     if (fallback != null) {
       log.write(EventCode.CALL_FAILED, attempts, reason, Optional.of(target), now());
@@ -436,4 +402,7 @@
   private long now() {
     return clock.now(TimeUnit.NANOSECONDS);
   }
+
+  /** An attempt that was sent, with the state of its target at that time. */
+  private record SentCall(TargetChoice.Chosen chosen, long startNanos, int slowdownPercent) {}
 }
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -31,6 +31,7 @@
    * @param localPlace the place of this VM
    * @param configuration supplies the current configuration
    * @param directory the registered targets
+   * @param brokers requests slots from the brokers on the relays
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls and load probes
    * @param retryBudget the retry budget of this VM
@@ -44,6 +45,7 @@
       Place localPlace,
       Supplier<Configuration> configuration,
       TargetDirectory directory,
+      SlotClient brokers,
       TargetProtocol protocol,
       CallSender sender,
       ServiceBudget retryBudget,
@@ -53,18 +55,24 @@
       EventSink events) {
     RouteServiceTimes serviceTimes = new RouteServiceTimes();
     ColdTargetLimiter coldTargetLimiter = new ColdTargetLimiter(vm.value());
-    return new DirectRouter(
-        configuration,
-        directory,
-        new TargetSelector(localPlace, serviceTimes, coldTargetLimiter, random),
-        coldTargetLimiter,
-        serviceTimes,
+    CallCandidates candidates = new CallCandidates(directory, configuration);
+    TargetSelector selector =
+        new TargetSelector(localPlace, serviceTimes, coldTargetLimiter, random);
+    LoadProber prober =
         new LoadProber(
             sender,
             protocol,
             clock,
             new ServiceBudget(() -> PROBES_PER_CALL, PROBE_BUDGET_CAPACITY),
-            events),
+            events);
+    TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
+    return new DirectRouter(
+        candidates,
+        new SlotTargetChooser(
+            localPlace, candidates, brokers, selector, prober, probing, clock, random),
+        selector,
+        coldTargetLimiter,
+        serviceTimes,
         protocol,
         sender,
         retryBudget,
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -10,6 +10,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.Place;
+import org.radishpost.slots.SlotCodec;
 
 /** Encodes feed messages as MessagePack. Each message begins with the number of its type. */
 public final class FeedCodec {
@@ -19,6 +20,7 @@
   private static final int RECORDS = 4;
   private static final int SUBSCRIBE_WITH_SNAPSHOT = 5;
   private static final int SNAPSHOT = 6;
+  private static final int SLOTS = 7;
 
   private FeedCodec() {}
 
@@ -53,6 +55,10 @@
           pack(packer, snapshot.records());
           packer.packLong(snapshot.nextOffset());
         }
+        case FeedMessage.Slots slots -> {
+          packer.packInt(SLOTS);
+          SlotCodec.pack(packer, slots.message());
+        }
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -79,6 +85,7 @@
         case SUBSCRIBE_WITH_SNAPSHOT -> new FeedMessage.SubscribeWithSnapshot();
         case SNAPSHOT ->
             new FeedMessage.Snapshot(feed(unpacker), records(unpacker), unpacker.unpackLong());
+        case SLOTS -> new FeedMessage.Slots(SlotCodec.unpack(unpacker));
         default -> throw invalidMessage(null);
       };
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -2,8 +2,9 @@
 
 import java.util.List;
 import org.radishpost.lib.Place;
+import org.radishpost.slots.SlotMessage;
 
-/** A message between a relay and a follower. */
+/** A message between a relay and another VM. */
 public sealed interface FeedMessage {
   /**
    * The first message that a relay sends on a connection.
@@ -59,4 +60,12 @@
       records = List.copyOf(records);
     }
   }
+
+  /**
+   * A message between a VM and the broker of slots on a relay. On connections opened for such
+   * messages nothing else is sent.
+   *
+   * @param message the message
+   */
+  record Slots(SlotMessage message) implements FeedMessage {}
 }
--- a/src/main/java/org/radishpost/feed/Follower.java
+++ b/src/main/java/org/radishpost/feed/Follower.java
@@ -286,6 +286,7 @@
           lastReceivedNanos = nowNanos.getAsLong();
           onSnapshot(this, snapshot);
         }
+        case FeedMessage.Slots unexpected -> close();
         case FeedMessage.Subscribe unexpected -> close();
         case FeedMessage.SubscribeWithSnapshot unexpected -> close();
       }
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -1,13 +1,19 @@
 package org.radishpost.feed;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.radishpost.lib.Place;
+import org.radishpost.slots.SlotBroker;
+import org.radishpost.slots.SlotLink;
+import org.radishpost.slots.SlotMessage;
 
 /**
- * Forwards the records that this VM reads from the store to its followers.
+ * Forwards the records that this VM reads from the store to its followers, and offers the slots of
+ * the targets of its region to all VMs.
  *
  * <p>The relay keeps the latest record of each key, as a snapshot for VMs that are starting, and a
  * bounded number of recent records. A follower that needs older records is disconnected and reads
@@ -23,15 +29,19 @@
   private final LatestRecords latestTargets = new LatestRecords();
   private final Set<FeedLink> links = new HashSet<>();
   private final Set<FeedLink> subscribers = new HashSet<>();
+  private final Map<FeedLink, SlotLink> slotLinks = new HashMap<>();
+  private final SlotBroker broker;
   private boolean storeReachable;
 
   /**
    * Creates a relay without followers.
    *
    * @param place the region and zone of this VM
+   * @param broker offers the slots of the targets of this region
    */
-  public Relay(Place place) {
+  public Relay(Place place, SlotBroker broker) {
     this.place = place;
+    this.broker = broker;
   }
 
   /** Handles a new connection from a VM, which may subscribe later. */
@@ -45,6 +55,7 @@
   public void closed(FeedLink link) {
     links.remove(link);
     subscribers.remove(link);
+    Optional.ofNullable(slotLinks.remove(link)).ifPresent(broker::closed);
   }
 
   /** Handles a message from a connected VM; an unexpected message closes the connection. */
@@ -52,6 +63,7 @@
     switch (message) {
       case FeedMessage.Subscribe subscribe -> subscribe(link, subscribe.from());
       case FeedMessage.SubscribeWithSnapshot request -> subscribeWithSnapshot(link);
+      case FeedMessage.Slots slots -> receivedSlots(link, slots.message());
       case FeedMessage.Hello unexpected -> link.close();
       case FeedMessage.Heartbeat unexpected -> link.close();
       case FeedMessage.Records unexpected -> link.close();
@@ -59,6 +71,16 @@
     }
   }
 
+  private void receivedSlots(FeedLink link, SlotMessage message) {
+    links.remove(link);
+    SlotLink slotLink = slotLinks.computeIfAbsent(link, Relay::toSlotLink);
+    broker.received(slotLink, message);
+  }
+
+  private static SlotLink toSlotLink(FeedLink link) {
+    return message -> link.send(new FeedMessage.Slots(message));
+  }
+
   private void subscribeWithSnapshot(FeedLink link) {
     Optional<List<KeyedRecord>> operatorsSnapshot = latestOperators.snapshot();
     Optional<List<KeyedRecord>> targetsSnapshot = latestTargets.snapshot();
@@ -110,12 +132,13 @@
   }
 
   /**
-   * Sends a heartbeat on every connection; called periodically.
+   * Sends a heartbeat on every connection that is not used for slots; called periodically.
    *
    * @param nowReachable whether the store has responded to this VM recently
    */
   public void tick(boolean nowReachable) {
     storeReachable = nowReachable;
+    broker.tick();
     List.copyOf(links).forEach(this::sendHeartbeat);
   }
 
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -13,6 +13,7 @@
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.direct.DirectRouterFactory;
+import org.radishpost.direct.SlotClient;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.StartException;
 import org.radishpost.events.EventCode;
@@ -31,6 +32,7 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.manifest.ServiceSpec;
+import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.platform.PlatformFeed;
 import org.radishpost.platform.PlatformProtocol;
@@ -40,6 +42,7 @@
 import org.radishpost.routing.RouteTables;
 import org.radishpost.settings.EntrySettings;
 import org.radishpost.settings.NodeSettings.LimitSettings;
+import org.radishpost.slots.SlotBroker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
@@ -88,6 +91,7 @@
   private final Relay relay;
   private final Optional<RelayServer> relayServer;
   private final Follower follower;
+  private final SlotClient slotClient;
   private Optional<Endpoint> relayAddress = Optional.empty();
   private boolean stopping;
   private Endpoint metricsAddress;
@@ -126,7 +130,9 @@
                 true),
             clock,
             loops);
-    this.relay = new Relay(settings.place());
+    this.relay = new Relay(settings.place(), createSlotBroker());
+    TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
+    this.slotClient = new SlotClient(settings.place().zone(), relayDialer, clock, createRandom());
     this.platformFeed =
         new PlatformFeed(
             new StoreClient(store, clock, loops),
@@ -141,7 +147,7 @@
         new Follower(
             settings.place(),
             platformFeed,
-            new TcpRelayDialer(clock, loops),
+            relayDialer,
             () -> clock.now(TimeUnit.NANOSECONDS),
             createRandom(),
             events);
@@ -162,6 +168,16 @@
     return new SplittableRandom(settings.vm().hashCode() ^ clock.now(TimeUnit.NANOSECONDS));
   }
 
+  private SlotBroker createSlotBroker() {
+    return new SlotBroker(
+        directory,
+        () -> configuration,
+        new RouteServiceTimes(),
+        () -> clock.now(TimeUnit.NANOSECONDS),
+        (delayNanos, task) -> clock.schedule(task, delayNanos, TimeUnit.NANOSECONDS),
+        createRandom());
+  }
+
   private boolean isRelay() {
     return follower.isRelay();
   }
@@ -185,6 +201,7 @@
                 settings.place(),
                 () -> configuration,
                 directory,
+                slotClient,
                 new PlatformTargetProtocol(this::probePath),
                 new MeteredSender(sender, metrics, PlatformProtocol.DEADLINE_MILLIS, clock),
                 retryBudget,
@@ -217,16 +234,22 @@
   }
 
   private void startFeed() {
-    follower.setRelays(relayAddress, settings.relays());
+    setRelays(settings);
     follower.start();
     Flux.interval(TICK_INTERVAL, clock).onBackpressureDrop().subscribe(tick -> tick());
   }
 
+  private void setRelays(EntrySettings current) {
+    follower.setRelays(relayAddress, current.relays());
+    slotClient.setRelays(current.relays());
+  }
+
   private void tick() {
     loadSummary.tick(clock.now(TimeUnit.NANOSECONDS));
     directory.removeExpired(clock.now(TimeUnit.NANOSECONDS));
     relay.tick(!stopping && !follower.isFollowing() && platformFeed.isStoreReachable());
     follower.tick();
+    slotClient.tick();
   }
 
   /**
@@ -234,7 +257,7 @@
    */
   public void reload(EntrySettings newSettings) {
     settings = newSettings;
-    clock.schedule(() -> follower.setRelays(relayAddress, newSettings.relays()));
+    clock.schedule(() -> setRelays(newSettings));
     events.emit(
         EventCode.SETTINGS_RELOADED,
         EventField.of("zones", newSettings.zones().size()),
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -213,6 +213,12 @@
         && selection.expectedNanos() <= request.respondByNanos() - nowNanos;
   }
 
+  /** Returns whether the response would be late even if a target without slowdown ran the call. */
+  public boolean expectedLate(PlacementRequest request, long nowNanos) {
+    double serviceNanos = serviceTimes.serviceNanos(request.route());
+    return nowNanos + serviceNanos - request.respondByNanos() > 0;
+  }
+
   private Selection evaluate(
       TrackedTarget target, PlacementRequest request, ServiceLoad load, long nowNanos) {
     double callsPerSlot = callsPerSlot(target, load.estimatedCallsPerSlot(), nowNanos);
@@ -243,8 +249,7 @@
     if (noSample) {
       cost += NO_SAMPLE_COST + MAX_TIE_BREAK_COST * random.nextDouble();
     }
-    double serviceNanos = serviceTimes.serviceNanos(request.route());
-    boolean late = nowNanos + serviceNanos - request.respondByNanos() > 0;
+    boolean late = expectedLate(request, nowNanos);
     double fullCallsPerSlot = late ? FULL_CALLS_PER_SLOT_WHEN_LATE : FULL_CALLS_PER_SLOT;
     boolean full = callsPerSlot(target, load.sampledCallsPerSlot(), nowNanos) >= fullCallsPerSlot;
     boolean uncertain = silent || callsPerSlot >= fullCallsPerSlot;
--- a/src/main/java/org/radishpost/placement/TrackedTarget.java
+++ b/src/main/java/org/radishpost/placement/TrackedTarget.java
@@ -64,7 +64,7 @@
    * Returns whether calls may be sent to the target. A target without a registry entry may have
    * shut down, so it is usable only if it has recently reported its load.
    */
-  boolean usable(long nowNanos) {
+  public boolean usable(long nowNanos) {
     return !entryMissing || sample(MISSING_ENTRY_MAX_SAMPLE_AGE_NANOS, nowNanos).isPresent();
   }
 
--- /dev/null
+++ b/src/main/java/org/radishpost/slots/SlotBroker.java
@@ -0,0 +1,282 @@
+package org.radishpost.slots;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.radishpost.config.Configuration;
+import org.radishpost.placement.LoadSample;
+import org.radishpost.placement.RouteServiceTimes;
+import org.radishpost.placement.TargetDirectory;
+import org.radishpost.placement.TargetId;
+import org.radishpost.placement.TrackedTarget;
+
+/**
+ * Offers the slots of targets to the calls of all VMs, with one queue per service and region.
+ *
+ * <p>Many VMs that each see few calls cannot share few slots by load probes: held calls of several
+ * VMs are sent to the same free slot and queue at its target. The broker offers each free slot to
+ * one call. Its knowledge is advice: calls of VMs without a broker are known only from the load
+ * that targets report. Cold and suspended targets are left to the VMs. Confined to one thread.
+ */
+public final class SlotBroker {
+  /** How often waiting calls are checked while there are any. */
+  private static final long WAKE_UP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  private final TargetDirectory directory;
+  private final Supplier<Configuration> configuration;
+  private final RouteServiceTimes serviceTimes;
+  private final SlotAssigner assigner;
+  private final LongSupplier nowNanos;
+  private final WakeUpTimer timer;
+  private final Map<RegionalService, ServiceSlots> services = new HashMap<>();
+  private final Map<RequestKey, Lease> leases = new HashMap<>();
+
+  /**
+   * Creates a broker without requests.
+   *
+   * @param directory the registered targets
+   * @param configuration supplies the current configuration
+   * @param serviceTimes the mean service times of the routes; updated from returned slots
+   * @param nowNanos the monotonic clock
+   * @param timer wakes the broker while calls are waiting
+   * @param random selects among equivalent targets
+   */
+  public SlotBroker(
+      TargetDirectory directory,
+      Supplier<Configuration> configuration,
+      RouteServiceTimes serviceTimes,
+      LongSupplier nowNanos,
+      WakeUpTimer timer,
+      RandomGenerator random) {
+    this.directory = directory;
+    this.configuration = configuration;
+    this.serviceTimes = serviceTimes;
+    this.assigner = new SlotAssigner(random);
+    this.nowNanos = nowNanos;
+    this.timer = timer;
+  }
+
+  /** Handles a message of a VM; a message that only a broker sends is ignored. */
+  public void received(SlotLink link, SlotMessage message) {
+    switch (message) {
+      case SlotMessage.Request request -> request(link, request);
+      case SlotMessage.Release release -> release(link, release);
+      case SlotMessage.Cancel cancel -> cancel(link, cancel);
+      case SlotMessage.Open open -> {}
+      case SlotMessage.Queued unexpected -> {}
+      case SlotMessage.Offer unexpected -> {}
+      case SlotMessage.Refusal unexpected -> {}
+    }
+  }
+
+  /** Handles the end of a connection: its requests are withdrawn and its leases end. */
+  public void closed(SlotLink link) {
+    for (ServiceSlots service : services.values()) {
+      service.waiting().removeIf(call -> call.link().equals(link));
+    }
+    endLeases(
+        List.copyOf(leases.keySet()).stream().filter(key -> key.link().equals(link)).toList());
+  }
+
+  /** Ends expired leases and forgets targets that are gone; called periodically. */
+  public void tick() {
+    long now = nowNanos.getAsLong();
+    endLeases(
+        leases.entrySet().stream()
+            .filter(entry -> entry.getValue().expired(now))
+            .map(Map.Entry::getKey)
+            .toList());
+    for (ServiceSlots service : services.values()) {
+      service.retainTargets(directory.serving(service.key().service(), Set.of()));
+    }
+  }
+
+  private void request(SlotLink link, SlotMessage.Request request) {
+    long now = nowNanos.getAsLong();
+    RegionalService key = new RegionalService(request.service(), request.region());
+    ServiceSlots service = services.computeIfAbsent(key, ServiceSlots::new);
+    if (usable(key, request.excluded(), now).isEmpty()) {
+      link.send(new SlotMessage.Refusal(request.id(), SlotRefusalReason.NO_TARGET));
+      return;
+    }
+    WaitingCall call = WaitingCall.of(link, request, now);
+    if (request.maxWait().isZero() && !service.waiting().isEmpty()) {
+      refuse(call);
+      return;
+    }
+    service.waiting().add(call);
+    assignWaiting(service);
+    if (service.waiting().contains(call)) {
+      waitOrRefuse(service, call, now);
+    }
+  }
+
+  private void waitOrRefuse(ServiceSlots service, WaitingCall call, long now) {
+    if (now - call.waitUntilNanos() >= 0) {
+      service.waiting().remove(call);
+      refuse(call);
+      return;
+    }
+    call.link().send(new SlotMessage.Queued(call.request().id()));
+    scheduleWakeUp(service);
+  }
+
+  private static void refuse(WaitingCall call) {
+    call.link().send(new SlotMessage.Refusal(call.request().id(), SlotRefusalReason.FULL));
+  }
+
+  private void release(SlotLink link, SlotMessage.Release release) {
+    RequestKey key = new RequestKey(link, release.id());
+    Optional<Lease> lease = Optional.ofNullable(leases.get(key));
+    if (lease.isEmpty() || !lease.get().remove(release.target())) {
+      return;
+    }
+    if (lease.get().ended()) {
+      leases.remove(key);
+    }
+    long now = nowNanos.getAsLong();
+    lease.get().service().recordReturn(release.target(), release.load(), now);
+    directory.find(release.target()).ifPresent(target -> recordOutcome(target, release, now));
+    if (release.outcome() == SlotOutcome.SUCCEEDED) {
+      recordServiceTime(lease.get().route(), release);
+    }
+    assignWaiting(lease.get().service());
+  }
+
+  private void recordServiceTime(String route, SlotMessage.Release release) {
+    int slowdownPercent =
+        release.load().map(LoadSample::slowdownPercent).orElse(LoadSample.NO_SLOWDOWN_PERCENT);
+    serviceTimes.record(route, release.serviceTime().toNanos(), slowdownPercent);
+  }
+
+  private static void recordOutcome(TrackedTarget target, SlotMessage.Release release, long now) {
+    release.load().ifPresent(load -> target.recordSample(load, now));
+    if (release.outcome() == SlotOutcome.SUCCEEDED) {
+      target.recordSuccess();
+    } else if (release.outcome() == SlotOutcome.FAILED) {
+      target.recordFailure(now);
+    } else if (release.outcome() == SlotOutcome.UNREACHABLE) {
+      target.recordUnreachable(now);
+    }
+  }
+
+  private void cancel(SlotLink link, SlotMessage.Cancel cancel) {
+    RequestKey key = new RequestKey(link, cancel.id());
+    for (ServiceSlots service : services.values()) {
+      service.waiting().removeIf(call -> call.key().equals(key));
+    }
+    endLeases(List.of(key));
+  }
+
+  private void endLeases(List<RequestKey> keys) {
+    long now = nowNanos.getAsLong();
+    for (RequestKey key : keys) {
+      Optional.ofNullable(leases.remove(key)).ifPresent(lease -> endLease(lease, now));
+    }
+  }
+
+  private void endLease(Lease lease, long now) {
+    for (TargetId target : lease.targets()) {
+      lease.service().recordReturn(target, Optional.empty(), now);
+    }
+    assignWaiting(lease.service());
+  }
+
+  /** Offers free slots to waiting calls until no further call can use one. */
+  private void assignWaiting(ServiceSlots service) {
+    if (service.waiting().isEmpty()) {
+      return;
+    }
+    long now = nowNanos.getAsLong();
+    List<TrackedTarget> usable = usable(service.key(), Set.of(), now);
+    List<FreeTarget> free = service.free(usable, now);
+    List<WaitingCall> ordered = new ArrayList<>(service.waiting());
+    ordered.sort(SlotAssigner.order(serviceTimes::serviceNanos, now));
+    for (WaitingCall call : ordered) {
+      if (free.isEmpty()) {
+        return;
+      }
+      if (tryOffer(service, call, free, now)) {
+        free = service.free(usable, now);
+      }
+    }
+  }
+
+  private boolean tryOffer(
+      ServiceSlots service, WaitingCall call, List<FreeTarget> free, long now) {
+    SlotMessage.Request request = call.request();
+    List<FreeTarget> allowed =
+        free.stream().filter(target -> !request.excluded().contains(target.id())).toList();
+    List<FreeTarget> offered =
+        assigner.targetsFor(
+            allowed,
+            call.remainingNanos(now),
+            serviceTimes.serviceNanos(request.route()),
+            request.zone(),
+            service.waiting().size() > 1);
+    if (offered.isEmpty()) {
+      return false;
+    }
+    service.waiting().remove(call);
+    offered.forEach(target -> service.recordOffer(target.id()));
+    leases.put(call.key(), new Lease(service, call, offered));
+    call.link()
+        .send(
+            new SlotMessage.Offer(
+                request.id(),
+                offered.stream()
+                    .map(target -> new SlotMessage.OfferedTarget(target.id(), target.load()))
+                    .toList()));
+    return true;
+  }
+
+  /** Returns the warm targets to which calls may be sent. */
+  private List<TrackedTarget> usable(RegionalService key, Set<TargetId> excluded, long now) {
+    Configuration current = configuration.get();
+    List<TrackedTarget> found = directory.serving(key.service(), excluded);
+    found.removeIf(
+        tracked ->
+            !tracked.target().place().region().equals(key.region())
+                || !current.inService(tracked.target().place())
+                || !tracked.usable(now)
+                || tracked.suspended(now)
+                || tracked.cold(now));
+    return found;
+  }
+
+  private void scheduleWakeUp(ServiceSlots service) {
+    if (service.wakeUpScheduled()) {
+      return;
+    }
+    service.setWakeUpScheduled(true);
+    timer.schedule(WAKE_UP_INTERVAL_NANOS, () -> wakeUp(service));
+  }
+
+  private void wakeUp(ServiceSlots service) {
+    service.setWakeUpScheduled(false);
+    assignWaiting(service);
+    refuseExpired(service);
+    if (!service.waiting().isEmpty()) {
+      scheduleWakeUp(service);
+    }
+  }
+
+  private void refuseExpired(ServiceSlots service) {
+    long now = nowNanos.getAsLong();
+    for (Iterator<WaitingCall> calls = service.waiting().iterator(); calls.hasNext(); ) {
+      WaitingCall call = calls.next();
+      if (now - call.waitUntilNanos() >= 0) {
+        calls.remove();
+        refuse(call);
+      }
+    }
+  }
+}
--- a/src/test/java/org/radishpost/CorePurityTest.java
+++ b/src/test/java/org/radishpost/CorePurityTest.java
@@ -28,7 +28,8 @@
           "claims",
           "suspects",
           "events",
-          "feed");
+          "feed",
+          "slots");
   private static final Pattern FORBIDDEN_IMPORT =
       Pattern.compile(
           "import (static )?(java\\.net\\.|java\\.nio\\.(file|channels)|java\\.io\\.(File|Socket)"
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -74,6 +74,13 @@
         LOCAL_ZONE,
         () -> new Configuration(1, Map.of(), outOfService),
         directory,
+        new SlotClient(
+            LOCAL_ZONE.zone(),
+            (relay, listener) -> {
+              throw new IllegalStateException("there are no relays");
+            },
+            clock,
+            new SplittableRandom(1)),
         targets,
         targets,
         retryBudget,
--- a/src/test/java/org/radishpost/direct/ProbeLoadTest.java
+++ b/src/test/java/org/radishpost/direct/ProbeLoadTest.java
@@ -25,7 +25,7 @@
   private static final int SEEDS = 3;
 
   private static SimulatedFleet runAt(double load, long seed) {
-    SimulatedFleet fleet = new SimulatedFleet(ENTRIES, TARGETS, HOMES, PROBE_MILLIS, seed);
+    SimulatedFleet fleet = new SimulatedFleet(ENTRIES, TARGETS, HOMES, PROBE_MILLIS, 0, seed);
     fleet.offer((int) (load * CAPACITY), DURATION);
     return fleet;
   }
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -40,6 +40,7 @@
   private static final int MAX_CALLER_RETRIES = 2;
   private static final double MEAN_WORK_MILLIS = 120;
   private static final double WORK_SPREAD = 0.3;
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(250);
   private static final double RETRY_RATIO = 0.15;
   private static final double RETRY_CAPACITY = 1.5;
   private static final List<Place> PLACES =
@@ -56,6 +57,7 @@
   private final Map<String, SimulatedTarget> targetsByAddress = new HashMap<>();
   private final List<CallHandler> entries = new ArrayList<>();
   private final Set<RegionName> homes;
+  private final SimulatedRelays relays;
   private int offered;
   private int inTime;
   private int refused;
@@ -67,10 +69,16 @@
    * @param targetCount the number of targets, in the home regions
    * @param homes the regions that have targets and in which the calls may run
    * @param probeMillis how long a probe occupies a slot of a target
+   * @param relayCount the number of relays, each in another region
    * @param seed the seed of all random choices
    */
   SimulatedFleet(
-      int entryCount, int targetCount, Set<RegionName> homes, double probeMillis, long seed) {
+      int entryCount,
+      int targetCount,
+      Set<RegionName> homes,
+      double probeMillis,
+      int relayCount,
+      long seed) {
     this.random = new SplittableRandom(seed);
     this.homes = homes;
     List<Place> targetPlaces =
@@ -83,6 +91,7 @@
           target.address().toString(),
           new SimulatedTarget(target, probeMillis, clock, random.split()));
     }
+    relays = new SimulatedRelays(PLACES.subList(0, relayCount), registered, clock, random.split());
     for (int i = 0; i < entryCount; i++) {
       entries.add(entry("e-" + i, PLACES.get(i % PLACES.size()), registered));
     }
@@ -91,11 +100,15 @@
   private CallHandler entry(String name, Place place, List<Target> registered) {
     TargetDirectory directory = new TargetDirectory((code, fields) -> {});
     directory.replaceAll(registered, clock.now(TimeUnit.NANOSECONDS));
+    SlotClient brokers = new SlotClient(place.zone(), relays.dialer(place), clock, random.split());
+    brokers.setRelays(relays.addresses());
+    clock.schedulePeriodically(brokers::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     return DirectRouterFactory.create(
         new VmId(name),
         place,
         () -> new Configuration(1, Map.of(), Set.of()),
         directory,
+        brokers,
         new Protocol(),
         new Sender(place),
         new ServiceBudget(() -> RETRY_RATIO, RETRY_CAPACITY),
@@ -116,6 +129,11 @@
     clock.advanceTimeBy(duration.plus(CALLER_TIMEOUT));
   }
 
+  /** Makes some relays silent after the given time. */
+  void silenceRelaysAfter(Duration delay, int count) {
+    clock.schedule(() -> relays.silence(count), delay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   private void startCall() {
     offered++;
     sendCall(clock.now(TimeUnit.MILLISECONDS), MAX_CALLER_RETRIES);
@@ -132,7 +150,10 @@
         .subscribe(response -> receiveResponse(response, startMillis, retriesLeft));
   }
 
-  /** Callers retry a call that has not run after the time that the entry names. */
+  /**
+   * Callers retry a call that has not run after the time that the entry names, but wait no longer
+   * than a third of the time that they have left.
+   */
   private void receiveResponse(Response response, long startMillis, int retriesLeft) {
     boolean notRun = response.refusalVerdict().filter(Verdict.NOT_RUN::equals).isPresent();
     if (!notRun || retriesLeft == 0) {
@@ -140,7 +161,10 @@
       return;
     }
     double seconds = Double.parseDouble(response.headers().get("retry-after"));
-    long pauseMicros = (long) (seconds * TimeUnit.SECONDS.toMicros(1));
+    double secondsLeft =
+        CALLER_TIMEOUT.toSeconds() - (clock.now(TimeUnit.MILLISECONDS) - startMillis) / 1000.0;
+    double pauseSeconds = Math.min(seconds, secondsLeft / 3);
+    long pauseMicros = (long) (pauseSeconds * TimeUnit.SECONDS.toMicros(1));
     clock.schedule(
         () -> sendCall(startMillis, retriesLeft - 1), pauseMicros, TimeUnit.MICROSECONDS);
   }
@@ -153,6 +177,13 @@
     }
   }
 
+  /** Returns the number of calls per second that all targets together could serve. */
+  double capacity() {
+    return targetsByAddress.values().stream()
+        .mapToDouble(target -> target.capacity(MEAN_WORK_MILLIS))
+        .sum();
+  }
+
   /** Returns the share of the calls that succeeded within their target latency. */
   double inTimeShare() {
     return (double) inTime / offered;
--- a/src/test/java/org/radishpost/direct/SimulatedTarget.java
+++ b/src/test/java/org/radishpost/direct/SimulatedTarget.java
@@ -34,6 +34,8 @@
   private int probeCount;
   private long slowdownPeriod = -1;
   private int slowdownPercent = NORMAL_PERCENT;
+  private int periods;
+  private long slowdownPercentSum;
 
   /**
    * Creates an idle target.
@@ -54,6 +56,17 @@
     return target;
   }
 
+  /**
+   * Returns the number of calls per second that the target can serve with both slots always in use,
+   * at the mean slowdown that it had.
+   *
+   * @param workMillis the mean time of a call without slowdown
+   */
+  double capacity(double workMillis) {
+    double meanSlowdown = (double) slowdownPercentSum / periods / NORMAL_PERCENT;
+    return SLOTS * 1000 / (workMillis * FULL_SLOWDOWN_FACTOR * meanSlowdown);
+  }
+
   /** Returns the number of probes received. */
   int probeCount() {
     return probeCount;
@@ -116,6 +129,8 @@
       slowdownPeriod = period;
       boolean slowedDown = random.nextDouble() < SLOWED_DOWN_SHARE;
       slowdownPercent = slowedDown ? SLOWED_DOWN_PERCENT : NORMAL_PERCENT;
+      periods++;
+      slowdownPercentSum += slowdownPercent;
     }
     return slowdownPercent;
   }
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -3,16 +3,28 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.Place;
+import org.radishpost.lib.RegionName;
+import org.radishpost.lib.ServiceName;
+import org.radishpost.lib.ZoneName;
+import org.radishpost.placement.LoadSample;
+import org.radishpost.placement.TargetId;
+import org.radishpost.slots.SlotMessage;
+import org.radishpost.slots.SlotOutcome;
+import org.radishpost.slots.SlotRefusalReason;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Feed messages survive encoding and decoding; other bytes are rejected. */
 public class FeedCodecTest {
+  private static final TargetId TARGET = new TargetId("t");
+
   /** Returns one message of each type. */
   @DataProvider
   public Object[][] messages() {
@@ -27,6 +39,41 @@
       },
       {new FeedMessage.Heartbeat(true, new Position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(deleted))},
+      {new FeedMessage.Slots(new SlotMessage.Open())},
+      {
+        new FeedMessage.Slots(
+            new SlotMessage.Request(
+                1L << 40,
+                new RegionName("k"),
+                new ServiceName("s"),
+                "r",
+                new ZoneName("z"),
+                Set.of(TARGET),
+                Duration.ofMillis(-5),
+                Duration.ofMillis(300),
+                Duration.ofSeconds(5)))
+      },
+      {new FeedMessage.Slots(new SlotMessage.Cancel(7))},
+      {
+        new FeedMessage.Slots(
+            new SlotMessage.Release(
+                7,
+                TARGET,
+                SlotOutcome.NOT_RUN,
+                Duration.ofMillis(12),
+                Optional.of(new LoadSample(2, 3, 4, 400))))
+      },
+      {
+        new FeedMessage.Slots(
+            new SlotMessage.Release(7, TARGET, SlotOutcome.FAILED, Duration.ZERO, Optional.empty()))
+      },
+      {new FeedMessage.Slots(new SlotMessage.Queued(7))},
+      {
+        new FeedMessage.Slots(
+            new SlotMessage.Offer(
+                7, List.of(new SlotMessage.OfferedTarget(TARGET, Optional.empty()))))
+      },
+      {new FeedMessage.Slots(new SlotMessage.Refusal(7, SlotRefusalReason.FULL))},
     };
   }
 
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.radishpost.lib.Place;
+import org.radishpost.slots.TestBrokers;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -18,7 +19,7 @@
   /** Creates a relay that has read a snapshot of both feeds. */
   @BeforeMethod
   public void create() {
-    relay = new Relay(Place.of("k", "k-a"));
+    relay = new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets());
     relay.publishSnapshot(Feed.OPERATORS, List.of(record(7)), 10);
     relay.publishSnapshot(Feed.TARGETS, List.of(record(18), record(19)), 20);
     relay.tick(true);
--- a/src/test/java/org/radishpost/platform/TopicReaderTest.java
+++ b/src/test/java/org/radishpost/platform/TopicReaderTest.java
@@ -15,6 +15,7 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.node.RuntimeClock;
+import org.radishpost.slots.TestBrokers;
 import org.radishpost.standin.KeyedStore;
 import org.radishpost.standin.KeyedStoreServer;
 import org.radishpost.standin.StoreFault;
@@ -58,7 +59,7 @@
         client,
         () -> new PollTiming(maxWait, Duration.ofMillis(5)),
         new RecordingListener(),
-        new Relay(Place.of("k", "k-a")),
+        new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets()),
         clock,
         (code, fields) -> received.add(code.name()));
   }
