Offer failing targets when most targets of a service fail

Cause: suspected, from reading: a broker counts the failures of all VMs. A target that loses some answers was suspended for seconds, and all calls waited for the few others. Each VM alone had seen too few failures for that.

Change: a target that is suspended is not counted down further, and if less than half of the targets are sound, the failing ones are offered too. Those that cannot be reached stay out.

--- a/src/main/java/org/radishpost/placement/TrackedTarget.java
+++ b/src/main/java/org/radishpost/placement/TrackedTarget.java
@@ -164,7 +164,12 @@
 
   /** Returns whether the target is in backoff or has failed too often recently. */
   public boolean suspended(long nowNanos) {
-    return nowNanos - backoffUntilNanos < 0 || failureScore(nowNanos) > MAX_FAILURE_SCORE;
+    return unreachable(nowNanos) || failureScore(nowNanos) > MAX_FAILURE_SCORE;
+  }
+
+  /** Returns whether the target is in backoff after it was unreachable or unhealthy. */
+  public boolean unreachable(long nowNanos) {
+    return nowNanos - backoffUntilNanos < 0;
   }
 
   private double failureScore(long nowNanos) {
--- a/src/main/java/org/radishpost/slots/SlotBroker.java
+++ b/src/main/java/org/radishpost/slots/SlotBroker.java
@@ -30,6 +30,9 @@
   /** How often waiting calls are checked while there are any. */
   private static final long WAKE_UP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+  /** Share of the targets below which those that have failed recently are offered too. */
+  private static final double MIN_SOUND_SHARE = 0.5;
+
   /** Maximum age of a load report that makes a probe unnecessary. */
   private static final long MAX_LOAD_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
@@ -167,7 +170,7 @@
     release.load().ifPresent(load -> target.recordSample(load, now));
     if (release.outcome() == SlotOutcome.SUCCEEDED) {
       target.recordSuccess();
-    } else if (release.outcome() == SlotOutcome.FAILED) {
+    } else if (release.outcome() == SlotOutcome.FAILED && !target.suspended(now)) {
       target.recordFailure(now);
     } else if (release.outcome() == SlotOutcome.UNREACHABLE) {
       target.recordUnreachable(now);
@@ -232,18 +235,23 @@
     call.link().send(new SlotMessage.Offer(call.request().id(), targets));
   }
 
-  /** Returns the warm targets to which calls may be sent. */
+  /**
+   * Returns the warm targets to which calls may be sent. Those that have failed recently are left
+   * out, unless they are so many that the others could not take their calls.
+   */
   private List<TrackedTarget> usable(RegionalService key, Set<TargetId> excluded, long now) {
     Configuration current = configuration.get();
-    List<TrackedTarget> found = directory.serving(key.service(), excluded);
-    found.removeIf(
+    List<TrackedTarget> reachable = directory.serving(key.service(), excluded);
+    reachable.removeIf(
         tracked ->
             !tracked.target().place().region().equals(key.region())
                 || !current.inService(tracked.target().place())
                 || !tracked.usable(now)
-                || tracked.suspended(now)
+                || tracked.unreachable(now)
                 || tracked.cold(now));
-    return found;
+    List<TrackedTarget> sound =
+        reachable.stream().filter(tracked -> !tracked.suspended(now)).toList();
+    return sound.size() >= MIN_SOUND_SHARE * reachable.size() ? sound : reachable;
   }
 
   private void scheduleWakeUp(ServiceSlots service) {
--- a/src/test/java/org/radishpost/slots/SlotBrokerTest.java
+++ b/src/test/java/org/radishpost/slots/SlotBrokerTest.java
@@ -313,6 +313,18 @@
     assertEquals(vm.offeredTargets(), List.of("b"));
   }
 
+  /** Most targets of a service lost some answers, and all calls waited for the few others. */
+  @Test
+  public void failingTargetsAreOfferedIfMostTargetsFail() {
+    register(TestTargets.ready("a"), TestTargets.ready("b"), TestTargets.ready("c"));
+    request(otherVm, 1);
+    release(otherVm, 1, "a", SlotOutcome.FAILED, null);
+    release(otherVm, 1, "b", SlotOutcome.FAILED, null);
+    release(otherVm, 1, "c", SlotOutcome.UNUSED, null);
+    request(vm, 1);
+    assertEquals(vm.offeredTargets().size(), 3);
+  }
+
   /** A VM that records the messages it receives. */
   private static final class FakeVm implements SlotLink {
     private final List<SlotMessage> received = new ArrayList<>();
