Send no call to a target once a stopping VM has ended admission

New requests are refused 3 s after the signal, but a call that was held for a free slot, whose body was still arriving, or that was due for a retry was sent after that, up to the end of the process 2.5 s later. A call may be held for half of its time, which is up to 4 s.

Change: when admission ends, calls that were not sent are refused as not run, with Retry-After, and nothing is sent any more. Calls that were sent have the rest of the time, as before.

Result: DirectRouterTest#heldCallIsRefusedWhenTheVmStops and #callIsNotSentAfterTheVmStopped fail without the change.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -69,6 +69,7 @@
   private final CallLog log;
   private final Scheduler clock;
   private final RandomGenerator random;
+  private final Mono<Void> stopSending;
 
   /**
    * Creates a router from its components.
@@ -84,6 +85,7 @@
    * @param log receives a line for each notable event of a call
    * @param clock provides time and timers
    * @param random the source of jitter for {@code Retry-After}
+   * @param stopSending completes when no further call may be sent; calls that wait are refused then
    */
   DirectRouter(
       CallCandidates candidates,
@@ -96,7 +98,8 @@
       ServiceBudget retryBudget,
       CallLog log,
       Scheduler clock,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Mono<Void> stopSending) {
     this.candidates = candidates;
     this.chooser = chooser;
     this.selector = selector;
@@ -109,6 +112,7 @@
     this.log = log;
     this.clock = clock;
     this.random = random;
+    this.stopSending = stopSending;
   }
 
   @Override
@@ -151,8 +155,9 @@
   }
 
   private Mono<Response> chooseAndSend(CallAttempts attempts) {
-    return chooser
-        .choose(attempts)
+    Mono<TargetChoice> stopping =
+        stopSending.then(Mono.just(new TargetChoice.None("this VM is shutting down")));
+    return Mono.firstWithSignal(stopping, Mono.defer(() -> chooser.choose(attempts)))
         .flatMap(
             choice ->
                 switch (choice) {
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -13,6 +13,7 @@
 import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetSelector;
+import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /** Creates the router that sends calls directly to targets; call it once per process. */
@@ -38,6 +39,7 @@
    * @param requestIdField the name of the header field with the request ID
    * @param clock provides time and timers
    * @param random the source of jitter and random choices
+   * @param stopSending completes when no further call may be sent; calls that wait are refused then
    * @param events receives the events
    */
   public static CallHandler create(
@@ -52,6 +54,7 @@
       String requestIdField,
       Scheduler clock,
       RandomGenerator random,
+      Mono<Void> stopSending,
       EventSink events) {
     RouteServiceTimes serviceTimes = new RouteServiceTimes();
     ColdTargetLimiter coldTargetLimiter = new ColdTargetLimiter(vm.value());
@@ -78,6 +81,7 @@
         retryBudget,
         new CallLog(events, requestIdField),
         clock,
-        random);
+        random,
+        stopSending);
   }
 }
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -45,6 +45,7 @@
 import org.radishpost.slots.SlotBroker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.resources.LoopResources;
 
 /**
@@ -93,6 +94,7 @@
   private final Follower follower;
   private final SlotClient slotClient;
   private Optional<Endpoint> relayAddress = Optional.empty();
+  private final Sinks.Empty<Void> stopSending = Sinks.empty();
   private boolean stopping;
   private Endpoint metricsAddress;
   private Endpoint frontAddress;
@@ -208,6 +210,7 @@
                 PlatformProtocol.REQUEST_ID,
                 clock,
                 createRandom(),
+                stopSending.asMono(),
                 events),
             metrics,
             clock),
@@ -311,7 +314,7 @@
     Duration drainTimeout =
         settings.bounds().gracePeriod().minus(BALANCER_REACTION_TIME).minus(EXIT_MARGIN);
     return Mono.delay(BALANCER_REACTION_TIME, clock)
-        .then(Mono.fromRunnable(this::refuseConnections))
+        .then(Mono.fromRunnable(this::refuseCalls))
         .then(edgeServer.inFlightRequests().awaitIdle(clock, drainTimeout))
         .then(Mono.fromRunnable(this::finishStop));
   }
@@ -321,9 +324,11 @@
     events.emit(EventCode.STOPPED);
   }
 
-  private void refuseConnections() {
+  /** Ends the admission of calls; the calls that were sent have the rest of the time to finish. */
+  private void refuseCalls() {
     readiness.markClosed();
     edgeServer.stopAccepting();
+    stopSending.tryEmitEmpty();
   }
 
   private void onConfiguration(Configuration newConfiguration) {
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -36,6 +36,7 @@
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /**
@@ -55,6 +56,7 @@
   private FakeTargets targets;
   private TargetDirectory directory;
   private Set<Scope> outOfService;
+  private Sinks.Empty<Void> stopSending;
   private CallHandler router;
 
   /** Creates a router with one target in its own zone and one in another zone of the region. */
@@ -65,6 +67,7 @@
     directory = new TargetDirectory((code, fields) -> {});
     directory.replaceAll(List.of(sameZone, nextZone), 0);
     outOfService = Set.of();
+    stopSending = Sinks.empty();
     router = router(new ServiceBudget(() -> 0, 1));
   }
 
@@ -87,6 +90,7 @@
         "id",
         clock,
         new SplittableRandom(1),
+        stopSending.asMono(),
         (code, fields) -> {});
   }
 
@@ -310,6 +314,42 @@
     assertEquals(targets.sent, List.of());
   }
 
+  /** A held call was sent shortly before the process ended, and cut without a response. */
+  @Test
+  public void heldCallIsRefusedWhenTheVmStops() {
+    Mono<Response> full = Mono.fromSupplier(() -> FakeTargets.response(200, "load", "2"));
+    targets.setProbeResponse(sameZone.address(), full);
+    targets.setProbeResponse(nextZone.address(), full);
+    List<Response> responses = new ArrayList<>();
+    router.handle(call(false, Set.of())).subscribe(responses::add);
+    clock.advanceTimeBy(Duration.ofMillis(100));
+    assertEquals(responses, List.of());
+    stopSending.tryEmitEmpty();
+    assertEquals(refusalVerdict(responses.getFirst()), Optional.of(Verdict.NOT_RUN));
+    assertEquals(targets.sent, List.of());
+  }
+
+  /** The body of such a call arrived, or its retry was due, after the VM had stopped serving. */
+  @Test
+  public void callIsNotSentAfterTheVmStopped() {
+    stopSending.tryEmitEmpty();
+    assertEquals(refusalVerdict(write()), Optional.of(Verdict.NOT_RUN));
+    assertEquals(targets.sent, List.of());
+  }
+
+  @Test
+  public void sentCallIsAnsweredAfterTheVmStopped() {
+    targets.setCallResponse(
+        sameZone.address(),
+        Mono.delay(Duration.ofMillis(200), clock)
+            .map(tick -> FakeTargets.response(200, "proof", "1")));
+    List<Response> responses = new ArrayList<>();
+    router.handle(call(false, Set.of())).subscribe(responses::add);
+    stopSending.tryEmitEmpty();
+    clock.advanceTimeBy(Duration.ofMillis(300));
+    assertEquals(responses.getFirst().status(), 200);
+  }
+
   @Test
   public void heldCallGoesToTheFirstFreeTarget() {
     targets.setProbeResponse(sameZone.address(), Mono.fromSupplier(() -> loadResponse("4")));
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -115,6 +115,7 @@
         "id",
         clock,
         random.split(),
+        Mono.never(),
         (code, fields) -> {});
   }
 
--- a/src/test/java/org/radishpost/direct/SlotRoutingTest.java
+++ b/src/test/java/org/radishpost/direct/SlotRoutingTest.java
@@ -65,6 +65,7 @@
             "id",
             clock,
             random,
+            Mono.never(),
             (code, fields) -> {});
     clock.advanceTimeBy(Duration.ofMillis(10));
   }
