Try another region before a long wait for a slot

Cause: an entry waited at the broker of its own region only.

Change: a request says whether the call may run elsewhere. The broker then refuses it at once when more than 0.4 calls per slot are waiting; the entry asks the other regions, and waits at its own broker if these have no slot either.

SlotBrokerTest#callThatMayRunElsewhereIsRefusedInsteadOfLongWait.

--- a/src/main/java/org/radishpost/direct/BrokerConnection.java
+++ b/src/main/java/org/radishpost/direct/BrokerConnection.java
@@ -129,6 +129,7 @@
             demand.excluded(),
             demand.respondWithin(),
             demand.maxWait(),
+            demand.hasAlternative(),
             demand.lifetime()));
   }
 
--- a/src/main/java/org/radishpost/direct/SlotDemand.java
+++ b/src/main/java/org/radishpost/direct/SlotDemand.java
@@ -15,6 +15,7 @@
  * @param excluded the targets that must not be offered
  * @param respondWithin the remaining time in which a response is in time; may be negative
  * @param maxWait how long to wait for a free slot
+ * @param hasAlternative whether another region can be asked, so that a long wait should be refused
  * @param lifetime the remaining time until the deadline of the call
  */
 record SlotDemand(
@@ -24,4 +25,5 @@
     Set<TargetId> excluded,
     Duration respondWithin,
     Duration maxWait,
+    boolean hasAlternative,
     Duration lifetime) {}
--- a/src/main/java/org/radishpost/direct/SlotTargetChooser.java
+++ b/src/main/java/org/radishpost/direct/SlotTargetChooser.java
@@ -79,7 +79,7 @@
 
   @Override
   public Mono<TargetChoice> choose(CallAttempts attempts) {
-    return request(attempts, regions(attempts), MAX_DECLINED_OFFERS)
+    return request(attempts, regionsToAsk(attempts), MAX_DECLINED_OFFERS)
         .switchIfEmpty(Mono.defer(() -> fallback.choose(attempts)));
   }
 
@@ -93,12 +93,21 @@
       return Mono.just(NO_HEDGE);
     }
     return brokers
-        .request(demand(attempts, regions.getFirst(), Duration.ZERO))
+        .request(demand(attempts, regions.getFirst(), Duration.ZERO, false))
         .ofType(SlotReply.Offered.class)
         .flatMap(offered -> useOffer(attempts, offered.slots(), OfferPolicy.IN_TIME_ONLY))
         .defaultIfEmpty(NO_HEDGE);
   }
 
+  /** Returns the regions to ask: all in turn, then the first again, to wait there. */
+  private List<RegionName> regionsToAsk(CallAttempts attempts) {
+    List<RegionName> regions = regions(attempts);
+    if (regions.size() > 1) {
+      regions.add(regions.getFirst());
+    }
+    return regions;
+  }
+
   /** Returns the regions with targets for the call, the region of this VM first. */
   private List<RegionName> regions(CallAttempts attempts) {
     List<RegionName> regions =
@@ -123,7 +132,7 @@
     }
     Duration maxWait = Duration.ofNanos(Math.max(0, attempts.holdUntilNanos() - now()));
     return brokers
-        .request(demand(attempts, regions.getFirst(), maxWait))
+        .request(demand(attempts, regions.getFirst(), maxWait, regions.size() > 1))
         .flatMap(reply -> handle(reply, attempts, regions, declinesLeft));
   }
 
@@ -135,13 +144,18 @@
         yield useOffer(attempts, offered.slots(), policy)
             .switchIfEmpty(Mono.defer(() -> request(attempts, regions, declinesLeft - 1)));
       }
-      case SlotReply.Full full -> Mono.just(new TargetChoice.None("all targets are full"));
+      case SlotReply.Full full -> {
+        TargetChoice none = new TargetChoice.None("all targets are full");
+        yield request(attempts, regions.subList(1, regions.size()), declinesLeft)
+            .defaultIfEmpty(none);
+      }
       case SlotReply.Unavailable unavailable ->
           request(attempts, regions.subList(1, regions.size()), declinesLeft);
     };
   }
 
-  private SlotDemand demand(CallAttempts attempts, RegionName region, Duration maxWait) {
+  private SlotDemand demand(
+      CallAttempts attempts, RegionName region, Duration maxWait, boolean hasAlternative) {
     PlacementRequest request = attempts.placementRequest();
     return new SlotDemand(
         region,
@@ -150,6 +164,7 @@
         attempts.tried(),
         Duration.ofNanos(request.respondByNanos() - now()),
         maxWait,
+        hasAlternative,
         Duration.ofNanos(Math.max(0, request.deadlineNanos() - now())));
   }
 
--- a/src/main/java/org/radishpost/slots/ServiceSlots.java
+++ b/src/main/java/org/radishpost/slots/ServiceSlots.java
@@ -51,14 +51,14 @@
 
   /** Returns whether the targets have so many calls that probes would take slots from them. */
   boolean busy(List<TrackedTarget> targets, long nowNanos) {
-    int occupied = 0;
-    int total = 0;
-    for (TrackedTarget tracked : targets) {
-      TargetSlots slots = slots(tracked.target().id());
-      occupied += slots.occupied(nowNanos);
-      total += slots.slots(tracked);
-    }
-    return waiting.size() > 1 || occupied >= BUSY_SLOT_SHARE * total;
+    int occupied =
+        targets.stream().mapToInt(tracked -> slots(tracked.target().id()).occupied(nowNanos)).sum();
+    return waiting.size() > 1 || occupied >= BUSY_SLOT_SHARE * slotCount(targets);
+  }
+
+  /** Returns the number of slots of the targets together. */
+  int slotCount(List<TrackedTarget> targets) {
+    return targets.stream().mapToInt(tracked -> slots(tracked.target().id()).slots(tracked)).sum();
   }
 
   /**
--- a/src/main/java/org/radishpost/slots/SlotBroker.java
+++ b/src/main/java/org/radishpost/slots/SlotBroker.java
@@ -30,6 +30,9 @@
   /** How often waiting calls are checked while there are any. */
   private static final long WAKE_UP_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+  /** Number of waiting calls per slot above which calls should try another region first. */
+  private static final double MAX_WAITING_PER_SLOT_WITH_ALTERNATIVE = 0.4;
+
   /** Share of the targets below which those that have failed recently are offered too. */
   private static final double MIN_SOUND_SHARE = 0.5;
 
@@ -129,7 +132,12 @@
   }
 
   private void waitOrRefuse(ServiceSlots service, WaitingCall call, long now) {
-    if (now - call.waitUntilNanos() >= 0) {
+    boolean longWait =
+        call.request().hasAlternative()
+            && service.waiting().size()
+                > MAX_WAITING_PER_SLOT_WITH_ALTERNATIVE
+                    * service.slotCount(usable(service.key(), Set.of(), now));
+    if (longWait || now - call.waitUntilNanos() >= 0) {
       service.waiting().remove(call);
       refuse(call);
       return;
--- a/src/main/java/org/radishpost/slots/SlotCodec.java
+++ b/src/main/java/org/radishpost/slots/SlotCodec.java
@@ -91,6 +91,7 @@
     }
     packDuration(packer, request.respondWithin());
     packDuration(packer, request.maxWait());
+    packer.packBoolean(request.hasAlternative());
     packDuration(packer, request.lifetime());
   }
 
@@ -104,6 +105,7 @@
         unpackTargets(unpacker),
         unpackDuration(unpacker),
         unpackDuration(unpacker),
+        unpacker.unpackBoolean(),
         unpackDuration(unpacker));
   }
 
--- a/src/main/java/org/radishpost/slots/SlotMessage.java
+++ b/src/main/java/org/radishpost/slots/SlotMessage.java
@@ -29,6 +29,8 @@
    * @param excluded the targets that must not be offered
    * @param respondWithin the remaining time in which a response is in time; may be negative
    * @param maxWait how long to wait for a free slot; zero for an immediate reply
+   * @param hasAlternative whether the call may run in another region, so that the VM prefers an
+   *     immediate refusal to a long wait
    * @param lifetime the remaining time until the deadline of the call, after which the lease ends
    */
   record Request(
@@ -40,6 +42,7 @@
       Set<TargetId> excluded,
       Duration respondWithin,
       Duration maxWait,
+      boolean hasAlternative,
       Duration lifetime)
       implements SlotMessage {
     /** Creates a message with an immutable copy of the set. */
--- a/src/test/java/org/radishpost/direct/SlotClientTest.java
+++ b/src/test/java/org/radishpost/direct/SlotClientTest.java
@@ -67,6 +67,7 @@
                 Set.of(),
                 Duration.ofMillis(300),
                 Duration.ofMillis(500),
+                false,
                 Duration.ofSeconds(2)))
         .subscribe(replies::add);
   }
@@ -153,6 +154,7 @@
                 Set.of(),
                 Duration.ZERO,
                 Duration.ZERO,
+                false,
                 Duration.ZERO))
         .subscribe()
         .dispose();
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -51,6 +51,7 @@
                 Set.of(TARGET),
                 Duration.ofMillis(-5),
                 Duration.ofMillis(300),
+                true,
                 Duration.ofSeconds(5)))
       },
       {new FeedMessage.Slots(new SlotMessage.Cancel(7))},
--- a/src/test/java/org/radishpost/slots/SlotBrokerTest.java
+++ b/src/test/java/org/radishpost/slots/SlotBrokerTest.java
@@ -84,6 +84,7 @@
         Set.of(),
         Duration.ofMillis(respondWithinMillis),
         Duration.ofMillis(500),
+        false,
         Duration.ofSeconds(2));
   }
 
@@ -206,10 +207,35 @@
             Set.of(),
             Duration.ofSeconds(1),
             Duration.ZERO,
+            false,
             Duration.ofSeconds(2)));
     assertEquals(vm.received, List.of(new SlotMessage.Refusal(1, SlotRefusalReason.FULL)));
   }
 
+  /** Calls waited in a region without free slots and were refused, while others had some. */
+  @Test
+  public void callThatMayRunElsewhereIsRefusedInsteadOfLongWait() {
+    register(TestTargets.ready("a"));
+    for (long id = 1; id <= 3; id++) {
+      request(otherVm, id);
+    }
+    SlotMessage.Request request = request(1, 1_000);
+    broker.received(
+        vm,
+        new SlotMessage.Request(
+            request.id(),
+            request.region(),
+            request.service(),
+            request.route(),
+            request.zone(),
+            request.excluded(),
+            request.respondWithin(),
+            request.maxWait(),
+            true,
+            request.lifetime()));
+    assertEquals(vm.received, List.of(new SlotMessage.Refusal(1, SlotRefusalReason.FULL)));
+  }
+
   /** Late calls took slots, so that all following calls were late too. */
   @Test
   public void callThatCanBeInTimeComesBeforeLateCall() {
