Do not send calls to targets on an old report of a free slot

Cause: an entry took a slot that a target had reported free up to 400 ms before for free, and after 150 ms sent to targets that did not answer probes. Many entries had seen the same slot.

Change: a report of a free slot counts for 50 ms. A target that does not answer is used only if no target of the service has reported its load for 2 s, as then none can be told to be full.

Result: TargetSelectorTest#reportOfFreeSlotIsUncertainAfterSomeTime.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -43,10 +43,7 @@
    */
   private static final double MAX_HOLD_FRACTION = 0.5;
 
-  /**
-   * Maximum hold time of a call for targets that may be full because they do not answer probes. It
-   * is short, as some targets answer calls but no probes.
-   */
+  /** Maximum hold time of a call to a service whose targets do not report their load. */
   private static final Duration MAX_UNCERTAIN_HOLD = Duration.ofMillis(150);
 
   private static final int SERVER_ERROR = 500;
--- a/src/main/java/org/radishpost/direct/ProbingTargetChooser.java
+++ b/src/main/java/org/radishpost/direct/ProbingTargetChooser.java
@@ -82,12 +82,13 @@
   }
 
   /**
-   * Holds a call while all targets are full. Refuses it when its hold time is over or the response
-   * would miss the deadline. Chooses the target after a short time if it only may be full.
+   * Holds a call while targets are full or may be full. Refuses it when its hold time is over or
+   * the response would miss the deadline. If no target reports its load, chooses one after a short
+   * time.
    */
   private Mono<TargetChoice> hold(CallAttempts attempts, TargetSelector.Selection selection) {
     long remainingNanos = attempts.call().info().deadlineNanos() - now();
-    if (!selection.full() && now() - attempts.uncertainHoldUntilNanos() >= 0) {
+    if (selection.serviceSilent() && now() - attempts.uncertainHoldUntilNanos() >= 0) {
       return Mono.just(chosen(selection));
     }
     boolean holdTimeOver = now() - attempts.holdUntilNanos() >= 0;
--- a/src/main/java/org/radishpost/placement/TargetSelector.java
+++ b/src/main/java/org/radishpost/placement/TargetSelector.java
@@ -29,6 +29,13 @@
   private static final Duration REGIONAL_PROBE_WAIT = Duration.ofMillis(20);
   private static final Duration REMOTE_PROBE_WAIT = Duration.ofMillis(45);
   private static final long MAX_SAMPLE_AGE_NANOS = 400_000_000L;
+
+  /** Maximum age of a sample that shows a free slot; later, other VMs may have taken the slot. */
+  private static final long MAX_FREE_SLOT_AGE_NANOS = 50_000_000L;
+
+  /** Time without any sample after which the targets of a service do not report their load. */
+  private static final long SILENT_SERVICE_NANOS = 2_000_000_000L;
+
   private static final double LATE_PROBABILITY_LOGISTIC_SCALE = 0.30;
   private static final double LATE_RESPONSE_COST = 0.9;
   private static final double MISSED_DEADLINE_COST = 3;
@@ -179,7 +186,10 @@
         silent++;
       }
     }
-    return ServiceLoad.of(sampled, callsPerSlot, silent);
+    boolean noneReported =
+        targets.stream()
+            .allMatch(target -> target.sample(SILENT_SERVICE_NANOS, nowNanos).isEmpty());
+    return ServiceLoad.of(sampled, callsPerSlot, silent, noneReported);
   }
 
   /** Returns the running and queued calls per slot, or the default if there is no recent sample. */
@@ -252,8 +262,10 @@
     boolean late = expectedLate(request, nowNanos);
     double fullCallsPerSlot = late ? FULL_CALLS_PER_SLOT_WHEN_LATE : FULL_CALLS_PER_SLOT;
     boolean full = callsPerSlot(target, load.sampledCallsPerSlot(), nowNanos) >= fullCallsPerSlot;
-    boolean uncertain = silent || callsPerSlot >= fullCallsPerSlot;
-    return new Selection(target, cost, (long) expectedNanos, full, uncertain);
+    boolean outdated =
+        !load.noneReported() && target.sample(MAX_FREE_SLOT_AGE_NANOS, nowNanos).isEmpty();
+    boolean uncertain = silent || outdated || callsPerSlot >= fullCallsPerSlot;
+    return new Selection(target, cost, (long) expectedNanos, full, uncertain, load.noneReported());
   }
 
   /** Returns whether a probe has been pending for so long that the target must be busy. */
@@ -297,26 +309,36 @@
    * @param cost the estimated cost; 1 is the value of a response in time
    * @param expectedNanos the expected time until the response
    * @param full whether the target already has as many calls as it should hold
-   * @param uncertain whether the target may be full: it does not answer its probe, or has no sample
-   *     while other targets do not answer theirs
+   * @param uncertain whether the target may be full: it does not answer its probe, or its sample is
+   *     too old
+   * @param serviceSilent whether no target of the service has reported its load for some time, so
+   *     that it cannot be known which of them are full
    */
   public record Selection(
-      TrackedTarget target, double cost, long expectedNanos, boolean full, boolean uncertain) {}
+      TrackedTarget target,
+      double cost,
+      long expectedNanos,
+      boolean full,
+      boolean uncertain,
+      boolean serviceSilent) {}
 
   /**
    * The mean load of the targets of a service.
    *
    * @param sampledCallsPerSlot the mean of the targets with a recent sample
    * @param estimatedCallsPerSlot the mean with an assumed load of the targets that do not answer
+   * @param noneReported whether no target has reported its load for some time
    */
-  private record ServiceLoad(double sampledCallsPerSlot, double estimatedCallsPerSlot) {
-    private static ServiceLoad of(int sampled, double sampledCallsPerSlot, int silent) {
+  private record ServiceLoad(
+      double sampledCallsPerSlot, double estimatedCallsPerSlot, boolean noneReported) {
+    private static ServiceLoad of(
+        int sampled, double sampledCallsPerSlot, int silent, boolean noneReported) {
       double sampledMean = sampled == 0 ? DEFAULT_CALLS_PER_SLOT : sampledCallsPerSlot / sampled;
       double estimatedMean =
           sampled + silent == 0
               ? DEFAULT_CALLS_PER_SLOT
               : (sampledCallsPerSlot + silent * SILENT_CALLS_PER_SLOT) / (sampled + silent);
-      return new ServiceLoad(sampledMean, estimatedMean);
+      return new ServiceLoad(sampledMean, estimatedMean, noneReported);
     }
   }
 }
--- a/src/test/java/org/radishpost/placement/TargetSelectorTest.java
+++ b/src/test/java/org/radishpost/placement/TargetSelectorTest.java
@@ -91,6 +91,22 @@
     assertFalse(select(request(1), silent).uncertain());
   }
 
+  /** Calls of several VMs were sent to a slot that all of them had seen free some time before. */
+  @Test
+  public void reportOfFreeSlotIsUncertainAfterSomeTime() {
+    TrackedTarget target = target("a", LOCAL_ZONE, 0, 100);
+    assertFalse(selectAt(50 * MILLI_NANOS, target).uncertain());
+    assertTrue(selectAt(51 * MILLI_NANOS, target).uncertain());
+    assertFalse(selectAt(51 * MILLI_NANOS, target).serviceSilent());
+    assertTrue(selectAt(2_001 * MILLI_NANOS, target).serviceSilent());
+  }
+
+  private TargetSelector.Selection selectAt(long nowNanos, TrackedTarget target) {
+    PlacementRequest request =
+        new PlacementRequest("r", nowNanos + 300 * MILLI_NANOS, nowNanos + 900 * MILLI_NANOS, 1);
+    return selector.select(List.of(target), request, nowNanos).orElseThrow();
+  }
+
   /** Calls were sent blindly to targets that nobody had probed when all probed ones were full. */
   @Test
   public void targetWithoutSampleIsAsLoadedAsTheOthers() {
