Let late calls look for slots less often and return later

Cause: a late call that is held probes as often as others, and after a refusal it comes back within 0.4 s to another entry, for which it looks new, and takes a slot from a call that can be in time. Three probes for each call take a sixth of the slots at that load.

Change: a held late call pauses 8 times longer between its probes; its refusal names 0.3 of its remaining time more in Retry-After (callers wait up to a third); two probes per call in place of three.

Result: DirectRouterTest#lateCallReturnsLaterThanOthers.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -54,6 +54,9 @@
   private static final int MIN_RETRY_AFTER_MILLIS = 100;
   private static final int RETRY_AFTER_JITTER_MILLIS = 300;
 
+  /** Additional {@code Retry-After} of a late call as a fraction of its remaining time. */
+  private static final double LATE_RETRY_DELAY_FRACTION = 0.3;
+
   private final CallCandidates candidates;
   private final TargetChooser chooser;
   private final TargetSelector selector;
@@ -361,7 +364,18 @@
     if (attempts.mayHaveRun()) {
       return lostResponse(BAD_GATEWAY, reason);
     }
-    return Response.of(Problems.handedBack(HandBackReason.NO_TARGET)).withRetryAfter(retryAfter());
+    return Response.of(Problems.handedBack(HandBackReason.NO_TARGET))
+        .withRetryAfter(retryAfter(attempts));
+  }
+
+  /**
+   * Returns when a caller should retry. A call that is late already returns later, so that it does
+   * not take the slots of calls that can still be in time.
+   */
+  private Duration retryAfter(CallAttempts attempts) {
+    boolean late = selector.expectedLate(attempts.placementRequest(), now());
+    long lateNanos = (long) (LATE_RETRY_DELAY_FRACTION * remaining(attempts.call()).toNanos());
+    return late ? retryAfter().plusNanos(lateNanos) : retryAfter();
   }
 
   private Duration retryAfter() {
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -18,7 +18,7 @@
 
 /** Creates the router that sends calls directly to targets; call it once per process. */
 public final class DirectRouterFactory {
-  private static final double PROBES_PER_CALL = 3;
+  private static final double PROBES_PER_CALL = 2;
 
   /** Lets a held call look for a free target for some time while there are few other calls. */
   private static final double PROBE_BUDGET_CAPACITY = 12;
--- a/src/main/java/org/radishpost/direct/ProbingTargetChooser.java
+++ b/src/main/java/org/radishpost/direct/ProbingTargetChooser.java
@@ -19,6 +19,9 @@
   private static final int MIN_HOLD_MILLIS = 20;
   private static final int HOLD_JITTER_MILLIS = 30;
 
+  /** Late calls probe less often, so that free slots are found by calls that can be in time. */
+  private static final int LATE_CALL_PAUSE_FACTOR = 8;
+
   private final CallCandidates candidates;
   private final TargetSelector selector;
   private final LoadProber prober;
@@ -95,8 +98,13 @@
     if (holdTimeOver || selection.expectedNanos() > remainingNanos) {
       return Mono.just(new TargetChoice.None("all targets are full"));
     }
+    return Mono.delay(pause(attempts), clock).then(Mono.defer(() -> choose(attempts)));
+  }
+
+  private Duration pause(CallAttempts attempts) {
     Duration pause = Duration.ofMillis(MIN_HOLD_MILLIS + random.nextInt(HOLD_JITTER_MILLIS));
-    return Mono.delay(pause, clock).then(Mono.defer(() -> choose(attempts)));
+    boolean late = selector.expectedLate(attempts.placementRequest(), now());
+    return late ? pause.multipliedBy(LATE_CALL_PAUSE_FACTOR) : pause;
   }
 
   @Override
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -314,6 +314,20 @@
     assertEquals(targets.sent, List.of());
   }
 
+  /** Late calls came back soon and took the slots of calls that could still be in time. */
+  @Test
+  public void lateCallReturnsLaterThanOthers() {
+    targets.setProbeResponse(sameZone.address(), Mono.fromSupplier(() -> loadResponse("4")));
+    targets.setProbeResponse(nextZone.address(), Mono.fromSupplier(() -> loadResponse("5")));
+    Call call =
+        TestCalls.create(false, Set.of(), Duration.ofMillis(250), Duration.ofSeconds(2), clock);
+    List<Response> responses = new ArrayList<>();
+    router.handle(call).subscribe(responses::add);
+    clock.advanceTimeBy(Duration.ofMillis(1_300));
+    String retryAfter = responses.getFirst().headers().get("retry-after");
+    assertTrue(Double.parseDouble(retryAfter) >= 0.4, "retry after " + retryAfter);
+  }
+
   /** A held call was sent shortly before the process ended, and cut without a response. */
   @Test
   public void heldCallIsRefusedWhenTheVmStops() {
