Log when a broker of slots becomes available or unavailable

A lost or regained dependency needs a line in the log: events 8008 and 8009, with the reason and the number of requests that were pending. No logic changes. SlotClientTest checks the order.

--- a/src/main/java/org/radishpost/direct/BrokerConnection.java
+++ b/src/main/java/org/radishpost/direct/BrokerConnection.java
@@ -7,6 +7,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.radishpost.events.EventCode;
+import org.radishpost.events.EventField;
+import org.radishpost.events.EventSink;
 import org.radishpost.feed.FeedLink;
 import org.radishpost.feed.FeedMessage;
 import org.radishpost.feed.RelayDialer;
@@ -46,6 +49,7 @@
   private final RelayDialer dialer;
   private final Scheduler clock;
   private final RandomGenerator random;
+  private final EventSink events;
   private final Map<Long, PendingRequest> pending = new HashMap<>();
   private Optional<Connection> current = Optional.empty();
   private long lastRequestId;
@@ -59,24 +63,29 @@
    * @param dialer opens the connection
    * @param clock provides time and timers
    * @param random the source of jitter for retries
+   * @param events receives an event when the broker becomes available or unavailable
    */
   BrokerConnection(
       Endpoint address,
       ZoneName zone,
       RelayDialer dialer,
       Scheduler clock,
-      RandomGenerator random) {
+      RandomGenerator random,
+      EventSink events) {
     this.address = address;
     this.zone = zone;
     this.dialer = dialer;
     this.clock = clock;
     this.random = random;
+    this.events = events;
     this.pausedUntilNanos = clock.now(TimeUnit.NANOSECONDS);
   }
 
   /** Opens the connection if it is closed and the pause after its end is over. */
   void tick(long nowNanos) {
-    current.filter(connection -> connection.silent(nowNanos)).ifPresent(Connection::close);
+    current
+        .filter(connection -> connection.silent(nowNanos))
+        .ifPresent(connection -> connection.close("no message from the relay"));
     if (current.isEmpty() && nowNanos - pausedUntilNanos >= 0) {
       Connection connection = new Connection();
       current = Optional.of(connection);
@@ -110,7 +119,7 @@
 
   /** Closes the connection for good. */
   void close() {
-    current.ifPresent(Connection::close);
+    current.ifPresent(connection -> connection.close("the relay is no longer listed"));
   }
 
   private void start(SlotDemand demand, MonoSink<SlotReply> sink) {
@@ -145,7 +154,7 @@
     PendingRequest request = pending.get(id);
     withdraw(id);
     request.sink.success(new SlotReply.Unavailable());
-    current.ifPresent(Connection::close);
+    current.ifPresent(connection -> connection.close("no reply in time"));
   }
 
   private void pause() {
@@ -200,10 +209,17 @@
     }
   }
 
-  private void closed(Connection connection) {
+  private void closed(Connection connection, String reason) {
     if (current.filter(connection::equals).isEmpty()) {
       return;
     }
+    if (connection.place.isPresent()) {
+      events.emit(
+          EventCode.BROKER_LOST,
+          EventField.of("relay", address),
+          EventField.of("pending", pending.size()),
+          EventField.of("why", reason));
+    }
     current = Optional.empty();
     pause();
     List<Long> lost = List.copyOf(pending.keySet());
@@ -236,9 +252,9 @@
       return place.isEmpty() && nowNanos - openedNanos >= MAX_OPENING_NANOS;
     }
 
-    private void close() {
+    private void close(String reason) {
       link.close();
-      closed();
+      BrokerConnection.this.closed(this, reason);
     }
 
     @Override
@@ -246,6 +262,10 @@
       switch (message) {
         case FeedMessage.Hello hello -> {
           place = Optional.of(hello.place());
+          events.emit(
+              EventCode.BROKER_CONNECTED,
+              EventField.of("relay", address),
+              EventField.of("zone", hello.place().zone()));
           link.send(new FeedMessage.Slots(new SlotMessage.Open()));
         }
         case FeedMessage.Slots slots -> BrokerConnection.this.received(slots.message());
@@ -259,7 +279,7 @@
 
     @Override
     public void closed() {
-      BrokerConnection.this.closed(this);
+      BrokerConnection.this.closed(this, "the connection was closed");
     }
   }
 }
--- a/src/main/java/org/radishpost/direct/SlotClient.java
+++ b/src/main/java/org/radishpost/direct/SlotClient.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.radishpost.events.EventSink;
 import org.radishpost.feed.RelayDialer;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.RegionName;
@@ -24,6 +25,7 @@
   private final RelayDialer dialer;
   private final Scheduler clock;
   private final RandomGenerator random;
+  private final EventSink events;
   private final Map<Endpoint, BrokerConnection> connections = new HashMap<>();
 
   /**
@@ -33,12 +35,19 @@
    * @param dialer opens connections to relays
    * @param clock provides time and timers
    * @param random the source of jitter for retries
+   * @param events receives an event when a broker becomes available or unavailable
    */
-  public SlotClient(ZoneName zone, RelayDialer dialer, Scheduler clock, RandomGenerator random) {
+  public SlotClient(
+      ZoneName zone,
+      RelayDialer dialer,
+      Scheduler clock,
+      RandomGenerator random,
+      EventSink events) {
     this.zone = zone;
     this.dialer = dialer;
     this.clock = clock;
     this.random = random;
+    this.events = events;
   }
 
   /** Sets the relays, and connects to those that are new. */
@@ -50,7 +59,7 @@
     }
     for (Endpoint relay : relays) {
       connections.computeIfAbsent(
-          relay, address -> new BrokerConnection(address, zone, dialer, clock, random));
+          relay, address -> new BrokerConnection(address, zone, dialer, clock, random, events));
     }
     tick();
   }
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -131,7 +131,11 @@
   /** This VM follows a relay and no longer reads the store itself. */
   RELAY_FOLLOWED(8006, Level.INFO),
   /** The relay that this VM followed is unavailable; this VM reads the store itself. */
-  RELAY_LEFT(8007, Level.WARN);
+  RELAY_LEFT(8007, Level.WARN),
+  /** This VM requests slots of targets from the broker of a relay. */
+  BROKER_CONNECTED(8008, Level.INFO),
+  /** The broker of a relay is unavailable; this VM asks another one or selects targets itself. */
+  BROKER_LOST(8009, Level.WARN);
 
   /** The severity of an event. */
   public enum Level {
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -134,7 +134,8 @@
             loops);
     this.relay = new Relay(settings.place(), createSlotBroker());
     TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
-    this.slotClient = new SlotClient(settings.place().zone(), relayDialer, clock, createRandom());
+    this.slotClient =
+        new SlotClient(settings.place().zone(), relayDialer, clock, createRandom(), events);
     this.platformFeed =
         new PlatformFeed(
             new StoreClient(store, clock, loops),
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -83,7 +83,8 @@
               throw new IllegalStateException("there are no relays");
             },
             clock,
-            new SplittableRandom(1)),
+            new SplittableRandom(1),
+            (code, fields) -> {}),
         targets,
         targets,
         retryBudget,
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -100,7 +100,9 @@
   private CallHandler entry(String name, Place place, List<Target> registered) {
     TargetDirectory directory = new TargetDirectory((code, fields) -> {});
     directory.replaceAll(registered, clock.now(TimeUnit.NANOSECONDS));
-    SlotClient brokers = new SlotClient(place.zone(), relays.dialer(place), clock, random.split());
+    SlotClient brokers =
+        new SlotClient(
+            place.zone(), relays.dialer(place), clock, random.split(), (code, fields) -> {});
     brokers.setRelays(relays.addresses());
     clock.schedulePeriodically(brokers::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     return DirectRouterFactory.create(
--- a/src/test/java/org/radishpost/direct/SlotClientTest.java
+++ b/src/test/java/org/radishpost/direct/SlotClientTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.radishpost.events.EventCode;
 import org.radishpost.feed.FeedLink;
 import org.radishpost.feed.FeedMessage;
 import org.radishpost.feed.RelayDialer;
@@ -39,19 +40,22 @@
   private VirtualTimeScheduler clock;
   private SlotClient client;
   private List<SlotReply> replies;
+  private List<EventCode> events;
 
   /** Connects a client to two relays. */
   @BeforeMethod
   public void connect() {
     relays.clear();
     replies = new ArrayList<>();
+    events = new ArrayList<>();
     clock = VirtualTimeScheduler.create();
     client =
         new SlotClient(
             new ZoneName("k-a"),
             (relay, listener) -> new FakeRelay(relay, listener),
             clock,
-            new SplittableRandom(1));
+            new SplittableRandom(1),
+            (code, fields) -> events.add(code));
     client.setRelays(List.of(LOCAL, REMOTE));
     relays.get(LOCAL).listener.received(new FeedMessage.Hello(LOCAL_PLACE));
     relays.get(REMOTE).listener.received(new FeedMessage.Hello(REMOTE_PLACE));
@@ -113,6 +117,9 @@
     clock.advanceTimeBy(Duration.ofMillis(100));
     assertEquals(replies, List.of(new SlotReply.Unavailable()));
     assertTrue(relays.get(LOCAL).closed);
+    assertEquals(
+        events,
+        List.of(EventCode.BROKER_CONNECTED, EventCode.BROKER_CONNECTED, EventCode.BROKER_LOST));
     request();
     assertEquals(relays.get(REMOTE).requests(), 1);
   }
--- a/src/test/java/org/radishpost/direct/SlotRoutingTest.java
+++ b/src/test/java/org/radishpost/direct/SlotRoutingTest.java
@@ -50,7 +50,8 @@
     directory.replaceAll(List.of(target), 0);
     SplittableRandom random = new SplittableRandom(1);
     SimulatedRelays relays = new SimulatedRelays(List.of(PLACE), List.of(target), clock, random);
-    SlotClient brokers = new SlotClient(PLACE.zone(), relays.dialer(PLACE), clock, random);
+    SlotClient brokers =
+        new SlotClient(PLACE.zone(), relays.dialer(PLACE), clock, random, (code, fields) -> {});
     brokers.setRelays(relays.addresses());
     router =
         DirectRouterFactory.create(
