Choose no held target for a hedge, and split the use of an offer

If none of the targets offered for a hedge could be used, the way without a broker was taken, which may hold the call: a hedge must be sent at once or not at all. The use of an offer is split into shorter functions.

--- a/src/main/java/org/radishpost/direct/SlotTargetChooser.java
+++ b/src/main/java/org/radishpost/direct/SlotTargetChooser.java
@@ -171,7 +171,7 @@
   /** Chooses one of the offered targets; empty if the policy allows none of them. */
   private Mono<TargetChoice> useOffer(
       CallAttempts attempts, OfferedSlots slots, OfferPolicy policy) {
-    List<TrackedTarget> known = new ArrayList<>();
+    List<TrackedTarget> usable = new ArrayList<>();
     List<TrackedTarget> unknownLoad = new ArrayList<>();
     List<TrackedTarget> allowed = candidates.of(attempts);
     for (SlotMessage.OfferedTarget offered : slots.targets()) {
@@ -180,27 +180,28 @@
         slots.releaseUnused(offered.target(), Optional.empty());
         continue;
       }
-      known.add(target.get());
+      usable.add(target.get());
       offered.load().ifPresent(load -> target.get().recordSample(load, now()));
       if (offered.load().isEmpty()) {
         unknownLoad.add(target.get());
       }
     }
-    if (known.isEmpty()) {
-      return fallback.choose(attempts);
-    }
-    Mono<Void> probes =
-        selector.expectedLate(attempts.placementRequest(), now())
-            ? Mono.empty()
-            : prober.probe(
-                unknownLoad,
-                target -> selector.idleAndNearest(target, unknownLoad, now()),
-                selector.probeWait(unknownLoad));
-    return probes
-        .then(Mono.defer(() -> select(attempts, slots, known, policy)))
+    return probe(attempts, unknownLoad)
+        .then(Mono.defer(() -> select(attempts, slots, usable, policy)))
         .doOnCancel(slots::cancel);
   }
 
+  /** Probes the targets, unless the response would be late even if a fast one is found. */
+  private Mono<Void> probe(CallAttempts attempts, List<TrackedTarget> targets) {
+    if (selector.expectedLate(attempts.placementRequest(), now())) {
+      return Mono.empty();
+    }
+    return prober.probe(
+        targets,
+        target -> selector.idleAndNearest(target, targets, now()),
+        selector.probeWait(targets));
+  }
+
   private static Optional<TrackedTarget> find(List<TrackedTarget> targets, TargetId id) {
     return targets.stream().filter(tracked -> tracked.target().id().equals(id)).findFirst();
   }
@@ -211,7 +212,7 @@
         selector.select(offered, attempts.placementRequest(), now());
     if (selection.isEmpty()) {
       slots.cancel();
-      return fallback.choose(attempts);
+      return policy == OfferPolicy.IN_TIME_ONLY ? Mono.empty() : fallback.choose(attempts);
     }
     TrackedTarget best = selection.get().target();
     boolean declined = !allows(policy, attempts, selection.get());
