Send calls to another region only if a slot is free there

Cause: a call that its own region refused because of a long wait waited in the next region as well. When all regions are full, calls then only cross the regions.

Change: in other regions a call takes a free slot or none; it waits in its own.

--- a/src/main/java/org/radishpost/direct/SlotTargetChooser.java
+++ b/src/main/java/org/radishpost/direct/SlotTargetChooser.java
@@ -130,12 +130,20 @@
     if (regions.isEmpty()) {
       return Mono.empty();
     }
-    Duration maxWait = Duration.ofNanos(Math.max(0, attempts.holdUntilNanos() - now()));
     return brokers
-        .request(demand(attempts, regions.getFirst(), maxWait, regions.size() > 1))
+        .request(
+            demand(attempts, regions.getFirst(), maxWait(attempts, regions), regions.size() > 1))
         .flatMap(reply -> handle(reply, attempts, regions, declinesLeft));
   }
 
+  /** A call waits in the first region only; it goes elsewhere only if a slot is free there. */
+  private Duration maxWait(CallAttempts attempts, List<RegionName> regions) {
+    boolean otherRegion = regions.size() > 1 && !regions.getFirst().equals(regions.getLast());
+    return otherRegion
+        ? Duration.ZERO
+        : Duration.ofNanos(Math.max(0, attempts.holdUntilNanos() - now()));
+  }
+
   private Mono<TargetChoice> handle(
       SlotReply reply, CallAttempts attempts, List<RegionName> regions, int declinesLeft) {
     return switch (reply) {
