--- a/src/test/java/org/radishpost/direct/SlotRoutingTest.java
+++ b/src/test/java/org/radishpost/direct/SlotRoutingTest.java
@@ -32,6 +32,7 @@
 /** Tests that calls use the slots that a broker offers, and return each of them. */
 public class SlotRoutingTest {
   private static final Place PLACE = Place.of("k", "k-a");
+  private static final Place OTHER_REGION = Place.of("l", "l-a");
   private static final Duration PROCESSING_TIME = Duration.ofMillis(50);
 
   private final Target target = TestTargets.at("a", PLACE);
@@ -43,13 +44,17 @@
   /** Creates a router, a relay with a broker, and one target with two slots. */
   @BeforeMethod
   public void start() {
+    start(List.of(PLACE), List.of(target));
+  }
+
+  private void start(List<Place> relayPlaces, List<Target> registered) {
     clock = VirtualTimeScheduler.create();
     targets = new FakeTargets();
     responses = new ArrayList<>();
     TargetDirectory directory = new TargetDirectory((code, fields) -> {});
-    directory.replaceAll(List.of(target), 0);
+    directory.replaceAll(registered, 0);
     SplittableRandom random = new SplittableRandom(1);
-    SimulatedRelays relays = new SimulatedRelays(List.of(PLACE), List.of(target), clock, random);
+    SimulatedRelays relays = new SimulatedRelays(relayPlaces, registered, clock, random);
     SlotClient brokers =
         new SlotClient(PLACE.zone(), relays.dialer(PLACE), clock, random, (code, fields) -> {});
     brokers.setRelays(relays.addresses());
@@ -68,7 +73,7 @@
             random,
             Mono.never(),
             (code, fields) -> {});
-    clock.advanceTimeBy(Duration.ofMillis(10));
+    clock.advanceTimeBy(Duration.ofMillis(100));
   }
 
   private Disposable call() {
@@ -78,8 +83,12 @@
   }
 
   private void respondAfter(Duration time) {
+    respondAfter(target, time);
+  }
+
+  private void respondAfter(Target responder, Duration time) {
     targets.setCallResponse(
-        target.address(),
+        responder.address(),
         Mono.delay(time, clock).map(tick -> FakeTargets.response(200, "proof", "1", "load", "1")));
   }
 
@@ -159,6 +168,25 @@
     assertEquals(responses.getLast().status(), 200);
   }
 
+  /** When all regions were full, calls waited in other regions too, and only crossed them. */
+  @Test
+  public void callWaitsInItsOwnRegionOnly() {
+    Target second = TestTargets.at("b", OTHER_REGION);
+    Target third = TestTargets.at("c", OTHER_REGION);
+    start(List.of(PLACE, OTHER_REGION), List.of(target, second, third));
+    respondAfter(target, Duration.ofMillis(700));
+    respondAfter(second, Duration.ofMillis(450));
+    respondAfter(third, Duration.ofMillis(450));
+    for (int i = 0; i < 7; i++) {
+      call();
+      clock.advanceTimeBy(Duration.ofMillis(50));
+    }
+    assertEquals(targets.sent.size(), 6);
+    clock.advanceTimeBy(Duration.ofMillis(450));
+    assertEquals(targets.sent.size(), 7);
+    assertEquals(targets.sent.getLast(), target.address().toString());
+  }
+
   @Test
   public void lostCallIsNotRepeated() {
     failWith(Mono.error(() -> new ConnectionLostException("died", null)));
