Review: uploads with a target latency of their own, kills by handle

Cause: in calm, case 1 refused a fifth of its uploads, as its route had the target latency of reads; and its kills needed a kill program.

Done: the stand-ins write 2.4 s for uploads, and end entries through the process handle. They also know servers that crash, for the next case.

--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -14,6 +14,7 @@
             case "failures" -> new FailuresScenario(rig, trouble);
             case "storms" -> new StormsScenario(rig, trouble);
             case "hangs" -> new HangsScenario(rig, trouble);
+            case "crashes" -> new CrashesScenario(rig, trouble);
             default -> throw new IllegalArgumentException(arguments[1]);
           };
       boolean broken = scenario.broken();
--- a/review/standin/FailuresScenario.java
+++ b/review/standin/FailuresScenario.java
@@ -73,7 +73,7 @@
   /** The final fault kill_all: the processes of all machines are killed and start again. */
   private void killAndRestart() throws Exception {
     for (Rig.Entry entry : entries) {
-      rig.signal(entry, "KILL");
+      rig.kill(entry);
     }
     Thread.sleep(1_300);
     for (Rig.Entry entry : entries) {
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -108,6 +108,11 @@
     log("%s: %d lines of its log contain %s", entry.name(), count, text);
   }
 
+  /** Takes the entry of a server that has gone out of the store. */
+  void unregister(String id) {
+    store.delete(TARGET_TOPIC, id);
+  }
+
   /** Starts one of some entries with the command of the deploy file; the first three are seeds. */
   Entry startEntry(int number, int entryCount) throws Exception {
     String ip = net + (10 + number);
@@ -194,10 +199,10 @@
     }
   }
 
-  /** Sends a signal to an entry. */
-  void signal(Entry entry, String name) throws Exception {
-    log("%s gets SIG%s", entry.name(), name);
-    new ProcessBuilder("kill", "-" + name, String.valueOf(entry.process.pid())).start().waitFor();
+  /** Kills an entry with SIGKILL. */
+  void kill(Entry entry) throws InterruptedException {
+    log("%s gets SIGKILL", entry.name());
+    entry.process.destroyForcibly().waitFor();
   }
 
   private synchronized void killProcesses() {
--- a/review/standin/State.java
+++ b/review/standin/State.java
@@ -9,12 +9,14 @@
   /** Returns a desired state with reads, writes, uploads and some more routes of reads. */
   static String of(int version, int moreRoutes) {
     StringBuilder routes = new StringBuilder();
-    routes.append(route("reads", "/reads/", "idempotent", 1.0, "reading"));
-    routes.append(",").append(route("writes", "/writes/", "non_idempotent", 1.2, "writing"));
-    routes.append(",").append(route("uploads", "/uploads/", "upload", 2.5, "taking"));
-    routes.append(",").append(route("latest", "/latest-" + version + "/", "idempotent", 1.0, "reading"));
+    routes.append(route("reads", "/reads/", "idempotent", 1.0, 0.25, "reading"));
+    routes.append(",").append(route("writes", "/writes/", "non_idempotent", 1.2, 0.3, "writing"));
+    routes.append(",").append(route("uploads", "/uploads/", "upload", 2.5, 2.4, "taking"));
+    String newest = "/latest-" + version + "/";
+    routes.append(",").append(route("latest", newest, "idempotent", 1.0, 0.25, "reading"));
     for (int i = 0; i < moreRoutes; i++) {
-      routes.append(",").append(route("more-" + i, "/more-" + i + "/", "idempotent", 1.0, "reading"));
+      String prefix = "/more-" + i + "/";
+      routes.append(",").append(route("more-" + i, prefix, "idempotent", 1.0, 0.25, "reading"));
     }
     return """
         {"version":"r%d","routes":{%s},"services":{"reading":%s,"writing":%s,"taking":%s},\
@@ -24,10 +26,15 @@
   }
 
   private static String route(
-      String name, String prefix, String kind, double timeoutSeconds, String service) {
+      String name,
+      String prefix,
+      String kind,
+      double timeoutSeconds,
+      double targetLatencySeconds,
+      String service) {
     return """
-        "%s":{"host":"%s","path-prefix":"%s","kind":"%s","timeout-s":%s,"target-latency-s":0.25,\
+        "%s":{"host":"%s","path-prefix":"%s","kind":"%s","timeout-s":%s,"target-latency-s":%s,\
         "priority":2,"service":"%s","max-attempts":2,"allowed-regions":[]}"""
-        .formatted(name, Rig.HOST, prefix, kind, timeoutSeconds, service);
+        .formatted(name, Rig.HOST, prefix, kind, timeoutSeconds, targetLatencySeconds, service);
   }
 }
--- a/review/standin/Target.java
+++ b/review/standin/Target.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -30,6 +32,7 @@
   private final AtomicInteger waiting = new AtomicInteger();
   private final Work work;
   private final Rig rig;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   /** Whether work stops at the deadline of its request. */
   volatile boolean stopsAtDeadlines = true;
@@ -52,6 +55,7 @@
     while (true) {
       try {
         Socket socket = listener.accept();
+        sockets.add(socket);
         socket.setTcpNoDelay(true);
         Thread.ofVirtual().start(() -> serve(socket));
       } catch (IOException e) {
@@ -70,6 +74,8 @@
       }
     } catch (Exception e) {
       // The connection ends.
+    } finally {
+      sockets.remove(socket);
     }
   }
 
@@ -148,7 +154,12 @@
     return (slots - free.availablePermits()) + "," + waiting.get() + "," + slots + ",100";
   }
 
-  void close() throws IOException {
+  /** Ends as a process that crashes: the listener and all connections are gone. */
+  void crash() throws IOException {
     listener.close();
+    for (Socket socket : sockets) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
   }
 }
--- a/review/standin/UploadsScenario.java
+++ b/review/standin/UploadsScenario.java
@@ -33,7 +33,7 @@
     Thread.sleep(10_000);
     if (trouble) {
       for (Rig.Entry entry : entries.subList(1, entries.size())) {
-        rig.signal(entry, "KILL");
+        rig.kill(entry);
       }
     }
     Thread.sleep(3_000);
