--- a/review/standin/Reader.java
+++ b/review/standin/Caller.java
@@ -9,13 +9,25 @@
 import java.util.function.Supplier;
 
 /**
- * A client that sends idempotent requests over a kept connection, one after the other.
+ * A client that sends requests of one kind over a kept connection, one after the other.
  *
  * <p>It waits until its deadline, then closes the connection and goes on with a new one.
  */
-final class Reader implements Runnable {
+final class Caller implements Runnable {
   static final int DEADLINE_MILLIS = 2_000;
 
+  /**
+   * A kind of request.
+   *
+   * @param start the start line
+   * @param body the body, or null
+   * @param deadlineMillis how long the client waits
+   */
+  record Kind(String start, byte[] body, int deadlineMillis) {
+    static final Kind READ = new Kind("GET /reads/x HTTP/1.1", null, DEADLINE_MILLIS);
+    static final Kind WRITE = new Kind("POST /writes/x HTTP/1.1", new byte[4_000], 2_500);
+  }
+
   /** One request: when it was sent, when its whole answer was there (0 if never), and what it was. */
   record Sent(String id, String entry, long sentNanos, long answeredNanos, String result) {
     double seconds() {
@@ -27,14 +39,16 @@
   private final String name;
   private final Supplier<Rig.Entry> entry;
   private final long pauseMillis;
+  private final Kind kind;
   private final List<Sent> sent = new ArrayList<>();
   private volatile boolean stopped;
 
-  Reader(Rig rig, String name, Supplier<Rig.Entry> entry, long pauseMillis) {
+  Caller(Rig rig, String name, Supplier<Rig.Entry> entry, long pauseMillis, Kind kind) {
     this.rig = rig;
     this.name = name;
     this.entry = entry;
     this.pauseMillis = pauseMillis;
+    this.kind = kind;
   }
 
   void stop() {
@@ -63,11 +77,11 @@
     }
   }
 
-  private static Socket connect(InetSocketAddress front) throws IOException {
+  private Socket connect(InetSocketAddress front) throws IOException {
     Socket socket = new Socket();
     socket.connect(front, 1_000);
     socket.setTcpNoDelay(true);
-    socket.setSoTimeout(DEADLINE_MILLIS);
+    socket.setSoTimeout(kind.deadlineMillis());
     return socket;
   }
 
@@ -84,7 +98,8 @@
     String result;
     long answeredNanos = 0;
     try {
-      Rig.Http.write(socket.getOutputStream(), "GET /reads/x HTTP/1.1", head(id), null);
+      Rig.Http.write(
+          socket.getOutputStream(), kind.start(), head(id, kind.deadlineMillis()), kind.body());
       Rig.Http.Message answer = Rig.Http.read(socket.getInputStream());
       answeredNanos = System.nanoTime();
       result = String.valueOf(answer.status());
@@ -101,17 +116,21 @@
   }
 
   static Map<String, String> head(String id) {
+    return head(id, DEADLINE_MILLIS);
+  }
+
+  private static Map<String, String> head(String id, int deadlineMillis) {
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("Host", Rig.HOST);
     headers.put("X-Request-Id", id);
-    headers.put("X-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+    headers.put("X-Deadline-Ms", String.valueOf(deadlineMillis));
     return headers;
   }
 
   private synchronized void add(Sent request) {
     sent.add(request);
     rig.log(
-        "read %s at %s: %s after %d ms",
+        "request %s at %s: %s after %d ms",
         request.id(),
         request.entry(),
         request.result(),
--- a/review/standin/CrashesScenario.java
+++ b/review/standin/CrashesScenario.java
@@ -51,7 +51,7 @@
       Thread.sleep(1_000);
     }
     stopped = true;
-    Thread.sleep(Reader.DEADLINE_MILLIS + 500);
+    Thread.sleep(Caller.DEADLINE_MILLIS + 500);
     rig.log("other writes by result: %s", writes);
     long boundNanos =
         crashes.size() < CRASHES_BEFORE_BOUND
@@ -114,9 +114,9 @@
   private static String post(Rig.Entry entry, String path, String id, byte[] body) {
     try (Socket socket = new Socket()) {
       socket.connect(entry.front(), 1_000);
-      socket.setSoTimeout(Reader.DEADLINE_MILLIS);
+      socket.setSoTimeout(Caller.DEADLINE_MILLIS);
       OutputStream out = socket.getOutputStream();
-      Rig.Http.write(out, "POST " + path + " HTTP/1.1", Reader.head(id), body);
+      Rig.Http.write(out, "POST " + path + " HTTP/1.1", Caller.head(id), body);
       return String.valueOf(Rig.Http.read(socket.getInputStream()).status());
     } catch (IOException e) {
       return e.toString();
--- a/review/standin/FailuresScenario.java
+++ b/review/standin/FailuresScenario.java
@@ -1,7 +1,10 @@
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,7 +31,7 @@
   @Override
   boolean broken() throws Exception {
     rig.publish(State.of(1, 0));
-    register("reading", "reading", 6, 3, this::answerOrFail);
+    final List<Target> servers = register("reading", "reading", 6, 3, this::answerOrFail);
     startEntries(2);
     for (int i = 0; i < CLIENTS; i++) {
       int client = i;
@@ -54,8 +57,11 @@
     final int servedInRecovery = served.get();
     Thread.sleep(45_000);
     stopped = true;
-    Thread.sleep(Reader.DEADLINE_MILLIS + 500);
+    Thread.sleep(Caller.DEADLINE_MILLIS + 500);
     logStates();
+    for (Target server : servers) {
+      rig.log("%s, asked without an entry: %s", server.id, askDirectly(server));
+    }
     double before = share(servedBefore, askedBefore);
     double after = share(served.get() - servedInRecovery, asked.get() - askedInRecovery);
     rig.log("before the final fault: asked %d, share served %.3f", askedBefore, before);
@@ -66,6 +72,20 @@
     return before >= MIN_SERVED && after < MIN_SERVED;
   }
 
+  /** Sends a request to a server itself; returns the status or what went wrong. */
+  private static String askDirectly(Target server) {
+    Map<String, String> headers = Caller.head("direct-" + server.id);
+    headers.put("X-Expect-Instance", server.id);
+    try (Socket socket = new Socket()) {
+      socket.connect(server.address(), 1_000);
+      socket.setSoTimeout(Caller.DEADLINE_MILLIS);
+      Rig.Http.write(socket.getOutputStream(), "GET /reads/x HTTP/1.1", headers, null);
+      return String.valueOf(Rig.Http.read(socket.getInputStream()).status());
+    } catch (IOException e) {
+      return e.toString();
+    }
+  }
+
   private static double share(int part, int whole) {
     return (double) part / Math.max(1, whole);
   }
@@ -100,7 +120,7 @@
     for (int i = 0; !stopped; i++) {
       final long nextNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
       long deadlineNanos =
-          System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Reader.DEADLINE_MILLIS);
+          System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Caller.DEADLINE_MILLIS);
       asked.incrementAndGet();
       for (int attempt = 0; attempt < MAX_TRIES && System.nanoTime() < deadlineNanos; attempt++) {
         String id = "read" + client + "-" + i + "-" + attempt;
--- a/review/standin/HangsScenario.java
+++ b/review/standin/HangsScenario.java
@@ -20,7 +20,7 @@
     register("sound", "reading", 19, 2, Scenario::answerLarge);
     register("hanging", "reading", 3, 2, this::answerOrHang);
     startEntries(2);
-    startReaders(16, 100);
+    startCallers(16, 100, Caller.Kind.READ);
     Thread.sleep(2_000);
     final long fromNanos = System.nanoTime();
     for (int spell = 0; spell < 2; spell++) {
@@ -31,8 +31,8 @@
       rig.log("servers hang no longer");
       Thread.sleep(3_000);
     }
-    stopReaders();
-    return answersMissing(fromNanos);
+    stopCallers();
+    return answersMissing(fromNanos, READ_TIMEOUT_SECONDS);
   }
 
   private boolean answerOrHang(
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -28,6 +28,7 @@
   static final String HOST = "review.example";
 
   private static final int MAX_SEEDS = 3;
+  private static final int RESTART_DELAY_MILLIS = 1_000;
   private static final String OPERATOR_TOPIC = "keyed.op";
   private static final String TARGET_TOPIC = "keyed.servers";
 
@@ -40,7 +41,7 @@
       new KeyedStoreServer(store, new Endpoint("127.0.0.1", 0), loops);
   private final Endpoint storeAddress;
   private final List<Process> processes = new ArrayList<>();
-  private boolean closed;
+  private volatile boolean closed;
   private final String net;
   private final int port;
 
@@ -165,12 +166,30 @@
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("RADISHPOST_CONFIG", entry.settings().toString());
     builder.redirectErrorStream(true).redirectOutput(Redirect.appendTo(entry.log().toFile()));
+    entry.killed = false;
     Process process = builder.start();
     entry.process = process;
     synchronized (this) {
       processes.add(process);
     }
     log("%s started on %s", entry.name(), entry.front());
+    process.onExit().thenAccept(ended -> restartIfEndedByItself(entry, ended));
+  }
+
+  /** Starts an entry again that has ended by itself, after a short delay, as the platform does. */
+  private void restartIfEndedByItself(Entry entry, Process ended) {
+    if (entry.killed || closed) {
+      return;
+    }
+    log("%s ended by itself with code %d", entry.name(), ended.exitValue());
+    try {
+      Thread.sleep(RESTART_DELAY_MILLIS);
+      if (!closed) {
+        start(entry);
+      }
+    } catch (IOException | InterruptedException e) {
+      log("%s could not be started again: %s", entry.name(), e);
+    }
   }
 
   private String seeds(int entryCount) {
@@ -202,10 +221,12 @@
   /** Kills an entry with SIGKILL. */
   void kill(Entry entry) throws InterruptedException {
     log("%s gets SIGKILL", entry.name());
+    entry.killed = true;
     entry.process.destroyForcibly().waitFor();
   }
 
   private synchronized void killProcesses() {
+    closed = true;
     processes.forEach(Process::destroyForcibly);
   }
 
@@ -221,7 +242,6 @@
     }
     Files.delete(directory);
     synchronized (this) {
-      closed = true;
       record.close();
     }
   }
@@ -233,7 +253,8 @@
     private final InetSocketAddress readiness;
     private final Path settings;
     private final Path log;
-    Process process;
+    volatile Process process;
+    volatile boolean killed;
 
     Entry(
         String name,
--- a/review/standin/Scenario.java
+++ b/review/standin/Scenario.java
@@ -7,10 +7,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** What the scripts of the cases have in common: entries, servers, readers and the check. */
+/** What the scripts of the cases have in common: entries, servers, callers and the check. */
 abstract class Scenario {
   static final int LARGE_ANSWER_BYTES = 400_000;
-  private static final double ROUTE_TIMEOUT_SECONDS = 1.0;
+  static final double READ_TIMEOUT_SECONDS = 1.0;
+  static final double WRITE_TIMEOUT_SECONDS = 1.2;
   private static final double EXTRA_SECONDS = 0.5;
   private static final int MIN_UNANSWERED = 8;
 
@@ -20,7 +21,7 @@
   final boolean trouble;
 
   final List<Rig.Entry> entries = new ArrayList<>();
-  final List<Reader> readers = new ArrayList<>();
+  final List<Caller> callers = new ArrayList<>();
   volatile boolean stopped;
 
   Scenario(Rig rig, boolean trouble) {
@@ -31,12 +32,15 @@
   /** Plays the scenario and returns whether the rule was broken. */
   abstract boolean broken() throws Exception;
 
-  void register(String name, String service, int count, int slots, Target.Work work)
+  List<Target> register(String name, String service, int count, int slots, Target.Work work)
       throws IOException {
+    List<Target> targets = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       Target target = new Target(rig, "i-" + name + "-" + i, slots, work);
       rig.register(target.id, service, target.address(), slots, "ready");
+      targets.add(target);
     }
+    return targets;
   }
 
   /** Reads the whole body, works for a time and answers in whole. */
@@ -68,20 +72,20 @@
     Thread.sleep(2_000);
   }
 
-  void startReaders(int count, long pauseMillis) {
+  void startCallers(int count, long pauseMillis, Caller.Kind kind) {
     for (int i = 0; i < count; i++) {
       int client = i;
       Supplier<Rig.Entry> entry = () -> entryOf(client);
-      Reader reader = new Reader(rig, "reader" + i, entry, pauseMillis);
-      readers.add(reader);
-      Thread.ofVirtual().start(reader);
+      Caller caller = new Caller(rig, "caller" + i, entry, pauseMillis, kind);
+      callers.add(caller);
+      Thread.ofVirtual().start(caller);
     }
   }
 
-  void stopReaders() throws InterruptedException {
+  void stopCallers() throws InterruptedException {
     stopped = true;
-    readers.forEach(Reader::stop);
-    Thread.sleep(Reader.DEADLINE_MILLIS + 500);
+    callers.forEach(Caller::stop);
+    Thread.sleep(Caller.Kind.WRITE.deadlineMillis() + 500);
   }
 
   /** The machine that the platform's address leads a client to: its own, or one that is left. */
@@ -96,8 +100,8 @@
   static String get(Rig.Entry entry, String path, String id) {
     try (Socket socket = new Socket()) {
       socket.connect(entry.front(), 1_000);
-      socket.setSoTimeout(Reader.DEADLINE_MILLIS);
-      Rig.Http.write(socket.getOutputStream(), "GET " + path + " HTTP/1.1", Reader.head(id), null);
+      socket.setSoTimeout(Caller.DEADLINE_MILLIS);
+      Rig.Http.write(socket.getOutputStream(), "GET " + path + " HTTP/1.1", Caller.head(id), null);
       return String.valueOf(Rig.Http.read(socket.getInputStream()).status());
     } catch (IOException e) {
       return e.toString();
@@ -124,17 +128,17 @@
    * CONFIG: of the requests that are still unanswered at their route's timeout-s, more than half
    * have no answer half a second later; here eight of them or more.
    */
-  boolean answersMissing(long fromNanos) {
-    List<Reader.Sent> counted =
-        readers.stream()
-            .flatMap(reader -> reader.sent().stream())
+  boolean answersMissing(long fromNanos, double timeoutSeconds) {
+    List<Caller.Sent> counted =
+        callers.stream()
+            .flatMap(caller -> caller.sent().stream())
             .filter(request -> request.sentNanos() >= fromNanos)
             .toList();
     long open =
-        counted.stream().filter(request -> openAfter(request, ROUTE_TIMEOUT_SECONDS)).count();
+        counted.stream().filter(request -> openAfter(request, timeoutSeconds)).count();
     long missing =
         counted.stream()
-            .filter(request -> openAfter(request, ROUTE_TIMEOUT_SECONDS + EXTRA_SECONDS))
+            .filter(request -> openAfter(request, timeoutSeconds + EXTRA_SECONDS))
             .count();
     rig.log(
         "requests counted: %d, unanswered at timeout-s: %d, unanswered half a second later: %d",
@@ -145,7 +149,7 @@
   }
 
   /** Whether a request had neither an answer nor a closed connection after the time. */
-  private static boolean openAfter(Reader.Sent request, double seconds) {
+  private static boolean openAfter(Caller.Sent request, double seconds) {
     return request.answeredNanos() == 0
         ? request.result().contains("SocketTimeoutException")
         : request.seconds() > seconds;
--- a/review/standin/StormsScenario.java
+++ b/review/standin/StormsScenario.java
@@ -18,7 +18,7 @@
     rig.publish(State.of(version, 0));
     register("reading", "reading", 12, 2, work(50));
     startEntries(4);
-    startReaders(16, 200);
+    startCallers(16, 200, Caller.Kind.READ);
     Thread.sleep(3_000);
     for (int routes : ROUTE_COUNTS) {
       publishNext(routes);
@@ -35,9 +35,9 @@
       Thread.sleep(PAUSE_MILLIS);
     }
     Thread.sleep(4_000);
-    stopReaders();
+    stopCallers();
     logStates();
-    answersMissing(fromNanos);
+    answersMissing(fromNanos, READ_TIMEOUT_SECONDS);
     publishNext(ROUTE_COUNTS[ROUTE_COUNTS.length - 1]);
     Thread.sleep(5_000);
     return newestRouteMissing();
--- a/review/standin/UploadsScenario.java
+++ b/review/standin/UploadsScenario.java
@@ -22,14 +22,14 @@
   @Override
   boolean broken() throws Exception {
     rig.publish(State.of(1, 0));
-    register("reading", "reading", 8, 2, work(50));
+    register("writing", "writing", 8, 2, work(120));
     register("taking", "taking", 24, 3, work(110));
     startEntries(4);
     for (int i = 0; i < UPLOADERS; i++) {
       int client = i;
       Thread.ofVirtual().start(() -> upload(client));
     }
-    startReaders(16, 200);
+    startCallers(16, 200, Caller.Kind.WRITE);
     Thread.sleep(10_000);
     if (trouble) {
       for (Rig.Entry entry : entries.subList(1, entries.size())) {
@@ -39,10 +39,10 @@
     Thread.sleep(3_000);
     final long fromNanos = System.nanoTime();
     Thread.sleep(20_000);
-    stopReaders();
+    stopCallers();
     rig.log("uploads by result: %s", results);
     logStates();
-    return answersMissing(fromNanos);
+    return answersMissing(fromNanos, WRITE_TIMEOUT_SECONDS);
   }
 
   /** Uploads again and again over a line of 10 Mbit/s. */
