Stop requests that crash their targets, over all VMs

Cause: entries send straight to targets and kept nothing of a call that ended with its target; only the owner's way counted crashes.

After a lost connection the VM checks the process of the target, so that a reset on the way does not count. Crashes are records that all VMs unite, sent over the relays; the third one that counts blocks the request everywhere (503, not run, Retry-After is the rest of ten minutes). A complete response clears a request on all VMs; a crash is blamed on the request lost in most crashes; targets that die together count once. A request lost in one crash is no longer hedged or sent again by a VM. Ruled out: a topic of the store (priced, may be down), counts of each VM alone (48 on 16 VMs), counts by VM merged by the maximum (two VMs that lose calls in one crash would count twice, and a VM that starts again counts anew).

--- a/src/main/java/org/radishpost/direct/BrokerConnection.java
+++ b/src/main/java/org/radishpost/direct/BrokerConnection.java
@@ -19,6 +19,8 @@
 import org.radishpost.lib.ZoneName;
 import org.radishpost.slots.SlotMessage;
 import org.radishpost.slots.SlotRefusalReason;
+import org.radishpost.suspects.CrashHistory;
+import org.radishpost.suspects.CrashNews;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -50,6 +52,7 @@
   private final Scheduler clock;
   private final RandomGenerator random;
   private final EventSink events;
+  private final CrashHistory crashes;
   private final Map<Long, PendingRequest> pending = new HashMap<>();
   private Optional<Connection> current = Optional.empty();
   private long lastRequestId;
@@ -64,6 +67,7 @@
    * @param clock provides time and timers
    * @param random the source of jitter for retries
    * @param events receives an event when the broker becomes available or unavailable
+   * @param crashes the crashes that this VM knows, exchanged with the relay
    */
   BrokerConnection(
       Endpoint address,
@@ -71,13 +75,15 @@
       RelayDialer dialer,
       Scheduler clock,
       RandomGenerator random,
-      EventSink events) {
+      EventSink events,
+      CrashHistory crashes) {
     this.address = address;
     this.zone = zone;
     this.dialer = dialer;
     this.clock = clock;
     this.random = random;
     this.events = events;
+    this.crashes = crashes;
     this.pausedUntilNanos = clock.now(TimeUnit.NANOSECONDS);
   }
 
@@ -122,6 +128,13 @@
     current.ifPresent(connection -> connection.close("the relay is no longer listed"));
   }
 
+  /** Tells the relay of crashes, unless the connection is not open: it is told later then. */
+  void tell(CrashNews news) {
+    if (place().isPresent()) {
+      current.get().link.send(new FeedMessage.Crashes(news));
+    }
+  }
+
   private void start(SlotDemand demand, MonoSink<SlotReply> sink) {
     long id = ++lastRequestId;
     PendingRequest request = new PendingRequest(sink, demand.maxWait());
@@ -267,8 +280,10 @@
               EventField.of("relay", address),
               EventField.of("zone", hello.place().zone()));
           link.send(new FeedMessage.Slots(new SlotMessage.Open()));
+          sendKnownCrashes();
         }
         case FeedMessage.Slots slots -> BrokerConnection.this.received(slots.message());
+        case FeedMessage.Crashes received -> crashes.merge(received.news());
         case FeedMessage.Heartbeat ignored -> {}
         case FeedMessage.Subscribe ignored -> {}
         case FeedMessage.SubscribeWithSnapshot ignored -> {}
@@ -277,6 +292,13 @@
       }
     }
 
+    private void sendKnownCrashes() {
+      CrashNews known = crashes.snapshot();
+      if (!known.isEmpty()) {
+        link.send(new FeedMessage.Crashes(known));
+      }
+    }
+
     @Override
     public void closed() {
       BrokerConnection.this.closed(this, "the connection was closed");
--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.radishpost.http.Call;
+import org.radishpost.lib.Digest;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.placement.PlacementRequest;
 import org.radishpost.placement.TargetId;
@@ -28,6 +29,7 @@
   private boolean possiblyRun;
   private int connectedAttempts;
   private boolean remoteProbed;
+  private Optional<Digest> fingerprint = Optional.empty();
 
   CallAttempts(
       Call call,
@@ -52,6 +54,14 @@
     return service;
   }
 
+  /** Returns the digest that identifies repetitions of the call; calculated on first use. */
+  Digest fingerprint() {
+    if (fingerprint.isEmpty()) {
+      fingerprint = Optional.of(RequestFingerprint.of(call));
+    }
+    return fingerprint.get();
+  }
+
   PlacementRequest placementRequest() {
     return placementRequest;
   }
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.radishpost.admission.ServiceBudget;
+import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.ResponseTimeoutException;
 import org.radishpost.events.EventCode;
@@ -66,6 +67,7 @@
   private final TargetProtocol protocol;
   private final CallSender sender;
   private final ServiceBudget retryBudget;
+  private final CrashGuard crashGuard;
   private final CallLog log;
   private final Scheduler clock;
   private final RandomGenerator random;
@@ -82,6 +84,7 @@
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls to targets
    * @param retryBudget the retry budget of this VM
+   * @param crashGuard decides whether a call that may crash targets is sent
    * @param log receives a line for each notable event of a call
    * @param clock provides time and timers
    * @param random the source of jitter for {@code Retry-After}
@@ -96,6 +99,7 @@
       TargetProtocol protocol,
       CallSender sender,
       ServiceBudget retryBudget,
+      CrashGuard crashGuard,
       CallLog log,
       Scheduler clock,
       RandomGenerator random,
@@ -109,6 +113,7 @@
     this.protocol = protocol;
     this.sender = sender;
     this.retryBudget = retryBudget;
+    this.crashGuard = crashGuard;
     this.log = log;
     this.clock = clock;
     this.random = random;
@@ -155,6 +160,10 @@
   }
 
   private Mono<Response> chooseAndSend(CallAttempts attempts) {
+    Optional<Response> blocked = refusalIfBlocked(attempts);
+    if (blocked.isPresent()) {
+      return Mono.just(blocked.get());
+    }
     Mono<TargetChoice> stopping =
         stopSending.then(Mono.just(new TargetChoice.None("this VM is shutting down")));
     return Mono.firstWithSignal(stopping, Mono.defer(() -> chooser.choose(attempts)))
@@ -170,7 +179,9 @@
   /** Sends a call; an idempotent one is hedged if the response takes too long. */
   private Mono<Response> sendWithHedge(CallAttempts attempts, TargetChoice.Chosen chosen) {
     Mono<Response> first = send(attempts, chosen);
-    if (!attempts.call().info().idempotent() || !attempts.hasAttemptsLeft()) {
+    if (!attempts.call().info().idempotent()
+        || !attempts.hasAttemptsLeft()
+        || crashGuard.isSuspected(attempts)) {
       return first;
     }
     Duration delay = Duration.ofNanos(selector.hedgeDelayNanos(attempts.placementRequest(), now()));
@@ -218,12 +229,18 @@
       chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
       return Mono.just(deadlineExceeded(attempts));
     }
+    Optional<Response> blocked = refusalIfBlocked(attempts);
+    if (blocked.isPresent()) {
+      chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
+      return Mono.just(blocked.get());
+    }
     TrackedTarget target = chosen.target();
     attempts.recordSend(target, now());
     target.recordSend();
     coldTargetLimiter.recordSend(target, now());
     attempts.call().body().allowRemainder();
-    SentCall sent = new SentCall(chosen, now(), slowdownPercent(target));
+    SentCall sent =
+        new SentCall(chosen, now(), slowdownPercent(target), crashGuard.isSuspected(attempts));
     return sender
         .send(
             target.target().address(),
@@ -237,6 +254,23 @@
         .onErrorResume(error -> handleError(attempts, sent, error));
   }
 
+  /**
+   * Returns the refusal of a call that has crashed its targets; empty if it may be sent. It may
+   * have been sent before, to a target that has not responded.
+   */
+  private Optional<Response> refusalIfBlocked(CallAttempts attempts) {
+    return crashGuard.blockedFor(attempts).map(duration -> refuseBlocked(attempts, duration));
+  }
+
+  private Response refuseBlocked(CallAttempts attempts, Duration duration) {
+    String reason = "targets crashed, fingerprint " + attempts.fingerprint().shortHex();
+    log.write(EventCode.SUSPECT_REFUSED, attempts, reason, attempts.lastTarget(), now());
+    if (attempts.mayHaveRun()) {
+      return lostResponse(BAD_GATEWAY, "Targets have crashed while they ran this request.");
+    }
+    return Response.of(Problems.handedBack(HandBackReason.SUSPECT)).withRetryAfter(duration);
+  }
+
   /** Returns the slot before the outcome is acted on, because a retry needs another slot. */
   private void release(SentCall sent, SlotOutcome outcome, Optional<LoadSample> load) {
     Duration serviceTime = Duration.ofNanos(now() - sent.startNanos());
@@ -274,6 +308,9 @@
     boolean failure = response.status() >= SERVER_ERROR || response.status() == TOO_MANY_REQUESTS;
     boolean authenticatedOrFailure = failure || info.authenticated();
     boolean success = !failure && authenticatedOrFailure;
+    if (info.authenticated()) {
+      crashGuard.recordResponse(attempts);
+    }
     release(sent, success ? SlotOutcome.SUCCEEDED : SlotOutcome.FAILED, info.currentLoad());
     if (success) {
       target.recordSuccess();
@@ -327,9 +364,13 @@
     release(sent, SlotOutcome.FAILED, Optional.empty());
     attempts.recordPossiblyRun();
     target.recordFailure(now());
+    if (error instanceof ConnectionLostException) {
+      crashGuard.recordConnectionLost(attempts, target, sent.startNanos());
+    }
     boolean timedOut = error instanceof ResponseTimeoutException;
     Response fallback = lostResponse(timedOut ? GATEWAY_TIMEOUT : BAD_GATEWAY, error.getMessage());
-    if (attempts.call().info().idempotent() && !timedOut) {
+    boolean mayRetry = attempts.call().info().idempotent() && !timedOut;
+    if (mayRetry && !sent.suspected()) {
       return retryOrElse(attempts, error.getMessage(), target, fallback);
     }
     log.write(EventCode.CALL_FAILED, attempts, error.getMessage(), Optional.of(target), now());
@@ -419,6 +460,14 @@
     return clock.now(TimeUnit.NANOSECONDS);
   }
 
-  /** An attempt that was sent, with the state of its target at that time. */
-  private record SentCall(TargetChoice.Chosen chosen, long startNanos, int slowdownPercent) {}
+  /**
+   * An attempt that was sent.
+   *
+   * @param chosen the target and its slot
+   * @param startNanos when it was sent
+   * @param slowdownPercent the slowdown of the target at that time
+   * @param suspected whether a target had crashed while it ran a request like this one
+   */
+  private record SentCall(
+      TargetChoice.Chosen chosen, long startNanos, int slowdownPercent, boolean suspected) {}
 }
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -13,6 +13,7 @@
 import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetSelector;
+import org.radishpost.suspects.CrashHistory;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -36,6 +37,7 @@
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls and load probes
    * @param retryBudget the retry budget of this VM
+   * @param crashes the crashes of targets that all VMs have observed
    * @param requestIdField the name of the header field with the request ID
    * @param clock provides time and timers
    * @param random the source of jitter and random choices
@@ -51,6 +53,7 @@
       TargetProtocol protocol,
       CallSender sender,
       ServiceBudget retryBudget,
+      CrashHistory crashes,
       String requestIdField,
       Scheduler clock,
       RandomGenerator random,
@@ -68,6 +71,8 @@
             clock,
             new ServiceBudget(() -> PROBES_PER_CALL, PROBE_BUDGET_CAPACITY),
             events);
+    CrashDetector crashDetector =
+        new CrashDetector(new LivenessCheck(sender, protocol, clock), crashes, clock, events);
     TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
     return new DirectRouter(
         candidates,
@@ -79,6 +84,7 @@
         protocol,
         sender,
         retryBudget,
+        new CrashGuard(crashes, crashDetector, requestIdField),
         new CallLog(events, requestIdField),
         clock,
         random,
--- a/src/main/java/org/radishpost/direct/SlotClient.java
+++ b/src/main/java/org/radishpost/direct/SlotClient.java
@@ -12,11 +12,14 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ZoneName;
+import org.radishpost.suspects.CrashHistory;
+import org.radishpost.suspects.CrashNews;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Requests slots from the brokers on the relays, over one connection to each relay.
+ * Requests slots from the brokers on the relays, over one connection to each relay, and exchanges
+ * the known crashes of targets with them.
  *
  * <p>Confined to the clock's thread.
  */
@@ -26,6 +29,7 @@
   private final Scheduler clock;
   private final RandomGenerator random;
   private final EventSink events;
+  private final CrashHistory crashes;
   private final Map<Endpoint, BrokerConnection> connections = new HashMap<>();
 
   /**
@@ -36,18 +40,28 @@
    * @param clock provides time and timers
    * @param random the source of jitter for retries
    * @param events receives an event when a broker becomes available or unavailable
+   * @param crashes the crashes that this VM knows; the relays are told of those it observes itself
    */
   public SlotClient(
       ZoneName zone,
       RelayDialer dialer,
       Scheduler clock,
       RandomGenerator random,
-      EventSink events) {
+      EventSink events,
+      CrashHistory crashes) {
     this.zone = zone;
     this.dialer = dialer;
     this.clock = clock;
     this.random = random;
     this.events = events;
+    this.crashes = crashes;
+    crashes.addListener(this::tellRelays);
+  }
+
+  private void tellRelays(CrashNews news, boolean local) {
+    if (local) {
+      List.copyOf(connections.values()).forEach(connection -> connection.tell(news));
+    }
   }
 
   /** Sets the relays, and connects to those that are new. */
@@ -59,7 +73,8 @@
     }
     for (Endpoint relay : relays) {
       connections.computeIfAbsent(
-          relay, address -> new BrokerConnection(address, zone, dialer, clock, random, events));
+          relay,
+          address -> new BrokerConnection(address, zone, dialer, clock, random, events, crashes));
     }
     tick();
   }
--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -99,6 +99,8 @@
   TARGET_ENTRY_UNREADABLE(5010, Level.WARN),
   /** A target does not respond or is unhealthy; it receives no calls for some time. */
   TARGET_PAUSED(5011, Level.INFO),
+  /** A target has crashed, and calls that were in flight to it were lost. */
+  TARGET_CRASHED(5012, Level.WARN),
 
   /** This VM has read a claim stream to its end and can decide claims for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -11,6 +11,7 @@
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.Place;
 import org.radishpost.slots.SlotCodec;
+import org.radishpost.suspects.CrashNewsCodec;
 
 /** Encodes feed messages as MessagePack. Each message begins with the number of its type. */
 public final class FeedCodec {
@@ -21,6 +22,7 @@
   private static final int SUBSCRIBE_WITH_SNAPSHOT = 5;
   private static final int SNAPSHOT = 6;
   private static final int SLOTS = 7;
+  private static final int CRASHES = 8;
 
   private FeedCodec() {}
 
@@ -59,6 +61,10 @@
           packer.packInt(SLOTS);
           SlotCodec.pack(packer, slots.message());
         }
+        case FeedMessage.Crashes crashes -> {
+          packer.packInt(CRASHES);
+          CrashNewsCodec.pack(packer, crashes.news());
+        }
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -86,6 +92,7 @@
         case SNAPSHOT ->
             new FeedMessage.Snapshot(feed(unpacker), records(unpacker), unpacker.unpackLong());
         case SLOTS -> new FeedMessage.Slots(SlotCodec.unpack(unpacker));
+        case CRASHES -> new FeedMessage.Crashes(CrashNewsCodec.unpack(unpacker));
         default -> throw invalidMessage(null);
       };
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.radishpost.lib.Place;
 import org.radishpost.slots.SlotMessage;
+import org.radishpost.suspects.CrashNews;
 
 /** A message between a relay and another VM. */
 public sealed interface FeedMessage {
@@ -63,9 +64,17 @@
 
   /**
    * A message between a VM and the broker of slots on a relay. On connections opened for such
-   * messages nothing else is sent.
+   * messages only {@link Crashes} are sent besides.
    *
    * @param message the message
    */
   record Slots(SlotMessage message) implements FeedMessage {}
+
+  /**
+   * What the sender knows of crashed targets and of the requests that were lost. Both ends send it,
+   * on connections that are used for slots.
+   *
+   * @param news the crashes and the requests that they no longer count for
+   */
+  record Crashes(CrashNews news) implements FeedMessage {}
 }
--- a/src/main/java/org/radishpost/feed/Follower.java
+++ b/src/main/java/org/radishpost/feed/Follower.java
@@ -287,6 +287,7 @@
           onSnapshot(this, snapshot);
         }
         case FeedMessage.Slots unexpected -> close();
+        case FeedMessage.Crashes unexpected -> close();
         case FeedMessage.Subscribe unexpected -> close();
         case FeedMessage.SubscribeWithSnapshot unexpected -> close();
       }
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -10,10 +10,12 @@
 import org.radishpost.slots.SlotBroker;
 import org.radishpost.slots.SlotLink;
 import org.radishpost.slots.SlotMessage;
+import org.radishpost.suspects.CrashHistory;
+import org.radishpost.suspects.CrashNews;
 
 /**
- * Forwards the records that this VM reads from the store to its followers, and offers the slots of
- * the targets of its region to all VMs.
+ * Forwards the records that this VM reads from the store to its followers, offers the slots of the
+ * targets of its region to all VMs, and tells all VMs of crashed targets.
  *
  * <p>The relay keeps the latest record of each key, as a snapshot for VMs that are starting, and a
  * bounded number of recent records. A follower that needs older records is disconnected and reads
@@ -31,6 +33,7 @@
   private final Set<FeedLink> subscribers = new HashSet<>();
   private final Map<FeedLink, SlotLink> slotLinks = new HashMap<>();
   private final SlotBroker broker;
+  private final CrashHistory crashes;
   private boolean storeReachable;
 
   /**
@@ -38,10 +41,13 @@
    *
    * @param place the region and zone of this VM
    * @param broker offers the slots of the targets of this region
+   * @param crashes the crashes of targets that this VM knows; the relay forwards what is added
    */
-  public Relay(Place place, SlotBroker broker) {
+  public Relay(Place place, SlotBroker broker, CrashHistory crashes) {
     this.place = place;
     this.broker = broker;
+    this.crashes = crashes;
+    crashes.addListener((news, local) -> forward(news));
   }
 
   /** Handles a new connection from a VM, which may subscribe later. */
@@ -64,6 +70,7 @@
       case FeedMessage.Subscribe subscribe -> subscribe(link, subscribe.from());
       case FeedMessage.SubscribeWithSnapshot request -> subscribeWithSnapshot(link);
       case FeedMessage.Slots slots -> receivedSlots(link, slots.message());
+      case FeedMessage.Crashes received -> crashes.merge(received.news());
       case FeedMessage.Hello unexpected -> link.close();
       case FeedMessage.Heartbeat unexpected -> link.close();
       case FeedMessage.Records unexpected -> link.close();
@@ -73,8 +80,22 @@
 
   private void receivedSlots(FeedLink link, SlotMessage message) {
     links.remove(link);
-    SlotLink slotLink = slotLinks.computeIfAbsent(link, Relay::toSlotLink);
-    broker.received(slotLink, message);
+    if (!slotLinks.containsKey(link)) {
+      slotLinks.put(link, toSlotLink(link));
+      sendKnownCrashes(link);
+    }
+    broker.received(slotLinks.get(link), message);
+  }
+
+  private void sendKnownCrashes(FeedLink link) {
+    CrashNews known = crashes.snapshot();
+    if (!known.isEmpty()) {
+      link.send(new FeedMessage.Crashes(known));
+    }
+  }
+
+  private void forward(CrashNews news) {
+    List.copyOf(slotLinks.keySet()).forEach(link -> link.send(new FeedMessage.Crashes(news)));
   }
 
   private static SlotLink toSlotLink(FeedLink link) {
--- a/src/main/java/org/radishpost/http/CallBody.java
+++ b/src/main/java/org/radishpost/http/CallBody.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import java.util.Arrays;
 import java.util.Optional;
 import org.radishpost.lib.Digest;
 import reactor.core.publisher.Flux;
@@ -18,6 +19,9 @@
  * be sent again. Thread-safe.
  */
 public final class CallBody {
+  /** Less than is ever buffered of a body that has a remainder. */
+  private static final int DIGESTED_PREFIX_BYTES = 65_536;
+
   private final byte[] prefix;
   private final Optional<BodyReader> remainder;
   private final Sinks.Empty<Void> remainderAllowed = Sinks.empty();
@@ -55,6 +59,11 @@
     return isBuffered() ? Optional.of(Digest.of(prefix)) : Optional.empty();
   }
 
+  /** Returns the digest of the first bytes of the body, of all of it if it is short. */
+  public Digest prefixDigest() {
+    return Digest.of(Arrays.copyOf(prefix, Math.min(prefix.length, DIGESTED_PREFIX_BYTES)));
+  }
+
   /** Allows the remainder of the body to be sent. Call this when a target has accepted the call. */
   public void allowRemainder() {
     remainderAllowed.tryEmitEmpty();
--- a/src/main/java/org/radishpost/lib/Digest.java
+++ b/src/main/java/org/radishpost/lib/Digest.java
@@ -15,6 +15,7 @@
  */
 public record Digest(String hex) implements Comparable<Digest> {
   private static final int HEX_CHARS = 64;
+  private static final int SHORT_HEX_CHARS = 12;
   private static final String HMAC = "HmacSHA256";
 
   /** Checks the number of digits. */
@@ -73,7 +74,18 @@
     return hex.compareTo(other.hex);
   }
 
-  private static Digest fromBytes(byte[] bytes) {
+  /** Returns the digest whose value is the given bytes; the inverse of {@link #toBytes()}. */
+  public static Digest fromBytes(byte[] bytes) {
     return new Digest(HexFormat.of().formatHex(bytes));
   }
+
+  /** Returns the value of the digest, which has 32 bytes. */
+  public byte[] toBytes() {
+    return HexFormat.of().parseHex(hex);
+  }
+
+  /** Returns the first digits, by which operators find the digest in logs. */
+  public String shortHex() {
+    return hex.substring(0, SHORT_HEX_CHARS);
+  }
 }
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -43,6 +43,7 @@
 import org.radishpost.settings.EntrySettings;
 import org.radishpost.settings.NodeSettings.LimitSettings;
 import org.radishpost.slots.SlotBroker;
+import org.radishpost.suspects.CrashHistory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -84,6 +85,7 @@
   private final TargetDirectory directory;
   private final EntryReadiness readiness;
   private final LoadSummary loadSummary;
+  private final CrashHistory crashes;
   private final HttpSender sender;
   private final EdgeServer edgeServer;
   private final PageServer readinessServer;
@@ -120,6 +122,8 @@
         new EventLog(settings.vm(), hybridClock, new Timeline(MAX_TIMELINE_EVENTS), metrics);
     this.directory = new TargetDirectory(events);
     this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
+    this.crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
+    metrics.registerCrashes(crashes);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
     this.sender =
         new HttpSender(
@@ -132,10 +136,11 @@
                 true),
             clock,
             loops);
-    this.relay = new Relay(settings.place(), createSlotBroker());
+    this.relay = new Relay(settings.place(), createSlotBroker(), crashes);
     TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
     this.slotClient =
-        new SlotClient(settings.place().zone(), relayDialer, clock, createRandom(), events);
+        new SlotClient(
+            settings.place().zone(), relayDialer, clock, createRandom(), events, crashes);
     this.platformFeed =
         new PlatformFeed(
             new StoreClient(store, clock, loops),
@@ -208,6 +213,7 @@
                 new PlatformTargetProtocol(this::probePath),
                 new MeteredSender(sender, metrics, PlatformProtocol.DEADLINE_MILLIS, clock),
                 retryBudget,
+                crashes,
                 PlatformProtocol.REQUEST_ID,
                 clock,
                 createRandom(),
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -19,6 +19,7 @@
 import org.radishpost.link.TcpLinks;
 import org.radishpost.pool.HandBackReason;
 import org.radishpost.pool.PoolView;
+import org.radishpost.suspects.CrashHistory;
 
 /**
  * The metrics of one VM; docs/ADMIN.md lists them.
@@ -84,6 +85,11 @@
     registerTraffic("link.frames;direction=out", links, PeerTraffic::framesOut);
   }
 
+  /** Registers the number of crashes of targets that this VM knows. */
+  void registerCrashes(CrashHistory crashes) {
+    registerGauge("crashes.known", crashes::size);
+  }
+
   void recordCall(Response response, long durationNanos) {
     callMicros.update(TimeUnit.NANOSECONDS.toMicros(durationNanos));
     if (response.refusalVerdict().isEmpty()) {
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
@@ -31,6 +32,7 @@
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TestTargets;
+import org.radishpost.suspects.CrashHistory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
@@ -72,6 +74,7 @@
   }
 
   private CallHandler router(ServiceBudget retryBudget) {
+    CrashHistory crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     return DirectRouterFactory.create(
         new VmId("e-1"),
         LOCAL_ZONE,
@@ -84,10 +87,12 @@
             },
             clock,
             new SplittableRandom(1),
-            (code, fields) -> {}),
+            (code, fields) -> {},
+            crashes),
         targets,
         targets,
         retryBudget,
+        crashes,
         "id",
         clock,
         new SplittableRandom(1),
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -28,6 +28,7 @@
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetId;
 import org.radishpost.placement.TestTargets;
+import org.radishpost.suspects.CrashHistory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
@@ -100,9 +101,15 @@
   private CallHandler entry(String name, Place place, List<Target> registered) {
     TargetDirectory directory = new TargetDirectory((code, fields) -> {});
     directory.replaceAll(registered, clock.now(TimeUnit.NANOSECONDS));
+    CrashHistory crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     SlotClient brokers =
         new SlotClient(
-            place.zone(), relays.dialer(place), clock, random.split(), (code, fields) -> {});
+            place.zone(),
+            relays.dialer(place),
+            clock,
+            random.split(),
+            (code, fields) -> {},
+            crashes);
     brokers.setRelays(relays.addresses());
     clock.schedulePeriodically(brokers::tick, 0, TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     return DirectRouterFactory.create(
@@ -114,6 +121,7 @@
         new Protocol(),
         new Sender(place),
         new ServiceBudget(() -> RETRY_RATIO, RETRY_CAPACITY),
+        crashes,
         "id",
         clock,
         random.split(),
--- a/src/test/java/org/radishpost/direct/SimulatedRelays.java
+++ b/src/test/java/org/radishpost/direct/SimulatedRelays.java
@@ -21,6 +21,7 @@
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.slots.SlotBroker;
+import org.radishpost.suspects.CrashHistory;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** Relays with brokers of slots, and the network between them and the entries, in virtual time. */
@@ -46,7 +47,11 @@
     this.clock = clock;
     for (Place place : relayPlaces) {
       Endpoint address = new Endpoint("10.9.0.1", 7000 + relays.size());
-      Relay relay = new Relay(place, broker(registered, random.split()));
+      Relay relay =
+          new Relay(
+              place,
+              broker(registered, random.split()),
+              new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS)));
       places.put(address, place);
       relays.put(address, relay);
       clock.schedulePeriodically(
@@ -75,6 +80,11 @@
     silent.addAll(addresses().subList(0, count));
   }
 
+  /** Lets messages pass again on the connections that are opened from now on. */
+  void restoreAll() {
+    silent.clear();
+  }
+
   /** Returns a dialer for an entry at a place. */
   RelayDialer dialer(Place entry) {
     return (address, listener) -> {
--- a/src/test/java/org/radishpost/direct/SlotClientTest.java
+++ b/src/test/java/org/radishpost/direct/SlotClientTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.radishpost.events.EventCode;
 import org.radishpost.feed.FeedLink;
 import org.radishpost.feed.FeedMessage;
@@ -24,6 +25,7 @@
 import org.radishpost.slots.SlotMessage;
 import org.radishpost.slots.SlotOutcome;
 import org.radishpost.slots.SlotRefusalReason;
+import org.radishpost.suspects.CrashHistory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.test.scheduler.VirtualTimeScheduler;
@@ -55,7 +57,8 @@
             (relay, listener) -> new FakeRelay(relay, listener),
             clock,
             new SplittableRandom(1),
-            (code, fields) -> events.add(code));
+            (code, fields) -> events.add(code),
+            new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS)));
     client.setRelays(List.of(LOCAL, REMOTE));
     relays.get(LOCAL).listener.received(new FeedMessage.Hello(LOCAL_PLACE));
     relays.get(REMOTE).listener.received(new FeedMessage.Hello(REMOTE_PLACE));
--- a/src/test/java/org/radishpost/direct/SlotRoutingTest.java
+++ b/src/test/java/org/radishpost/direct/SlotRoutingTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
 import org.radishpost.errors.ConnectionLostException;
@@ -23,6 +24,7 @@
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TestTargets;
+import org.radishpost.suspects.CrashHistory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
@@ -55,8 +57,10 @@
     directory.replaceAll(registered, 0);
     SplittableRandom random = new SplittableRandom(1);
     SimulatedRelays relays = new SimulatedRelays(relayPlaces, registered, clock, random);
+    CrashHistory crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     SlotClient brokers =
-        new SlotClient(PLACE.zone(), relays.dialer(PLACE), clock, random, (code, fields) -> {});
+        new SlotClient(
+            PLACE.zone(), relays.dialer(PLACE), clock, random, (code, fields) -> {}, crashes);
     brokers.setRelays(relays.addresses());
     router =
         DirectRouterFactory.create(
@@ -68,6 +72,7 @@
             targets,
             targets,
             new ServiceBudget(() -> 0, 1),
+            crashes,
             "id",
             clock,
             random,
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.radishpost.errors.LinkException;
+import org.radishpost.lib.Digest;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ServiceName;
@@ -18,6 +19,9 @@
 import org.radishpost.slots.SlotMessage;
 import org.radishpost.slots.SlotOutcome;
 import org.radishpost.slots.SlotRefusalReason;
+import org.radishpost.suspects.CrashId;
+import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashReport;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -40,6 +44,16 @@
       {new FeedMessage.Heartbeat(true, new Position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(deleted))},
       {new FeedMessage.Slots(new SlotMessage.Open())},
+      {
+        new FeedMessage.Crashes(
+            new CrashNews(
+                List.of(
+                    new CrashReport(
+                        new CrashId(TARGET, 1L << 41),
+                        5_000,
+                        List.of(new CrashReport.Lost(Digest.of("lost"), 7_000)))),
+                List.of(new CrashNews.Cleared(Digest.of("answered"), 3_000))))
+      },
       {
         new FeedMessage.Slots(
             new SlotMessage.Request(
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -6,20 +6,30 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.radishpost.lib.Digest;
 import org.radishpost.lib.Place;
+import org.radishpost.placement.TargetId;
+import org.radishpost.slots.SlotMessage;
 import org.radishpost.slots.TestBrokers;
+import org.radishpost.suspects.CrashHistory;
+import org.radishpost.suspects.CrashId;
+import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashReport;
+import org.radishpost.suspects.LostRequest;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** A relay sends a follower all records that it lacks, or closes the connection. */
 public class RelayTest {
+  private CrashHistory crashes;
   private Relay relay;
   private FakeLink follower;
 
   /** Creates a relay that has read a snapshot of both feeds. */
   @BeforeMethod
   public void create() {
-    relay = new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets());
+    crashes = new CrashHistory(() -> 0);
+    relay = new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets(), crashes);
     relay.publishSnapshot(Feed.OPERATORS, List.of(record(7)), 10);
     relay.publishSnapshot(Feed.TARGETS, List.of(record(18), record(19)), 20);
     relay.tick(true);
@@ -141,6 +151,31 @@
     assertEquals(recent.since(9), Optional.of(List.of()));
   }
 
+  @Test
+  public void tellsOfCrashesOnConnectAndForwardsNewOnesOnce() {
+    LostRequest request = new LostRequest(Digest.of("r"), 0);
+    crashes.recordCrash(new CrashId(new TargetId("t-1"), 0), 0, List.of(request));
+    FakeLink other = new FakeLink();
+    for (FakeLink link : List.of(follower, other)) {
+      relay.connected(link);
+      relay.received(link, new FeedMessage.Slots(new SlotMessage.Open()));
+    }
+    assertEquals(follower.sent.getLast(), new FeedMessage.Crashes(crashes.snapshot()));
+    CrashNews news =
+        new CrashNews(
+            List.of(
+                new CrashReport(
+                    new CrashId(new TargetId("t-2"), 0),
+                    0,
+                    List.of(new CrashReport.Lost(request.fingerprint(), 0)))),
+            List.of());
+    int sentBefore = other.sent.size();
+    relay.received(follower, new FeedMessage.Crashes(news));
+    relay.received(follower, new FeedMessage.Crashes(news));
+    assertEquals(
+        other.sent.subList(sentBefore, other.sent.size()), List.of(new FeedMessage.Crashes(news)));
+  }
+
   private static KeyedRecord record(long offset) {
     return new KeyedRecord(offset, "t-" + offset, Optional.empty());
   }
--- a/src/test/java/org/radishpost/platform/TopicReaderTest.java
+++ b/src/test/java/org/radishpost/platform/TopicReaderTest.java
@@ -19,6 +19,7 @@
 import org.radishpost.standin.KeyedStore;
 import org.radishpost.standin.KeyedStoreServer;
 import org.radishpost.standin.StoreFault;
+import org.radishpost.suspects.CrashHistory;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -59,7 +60,7 @@
         client,
         () -> new PollTiming(maxWait, Duration.ofMillis(5)),
         new RecordingListener(),
-        new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets()),
+        new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets(), new CrashHistory(() -> 0)),
         clock,
         (code, fields) -> received.add(code.name()));
   }
