Bound the bytes and responses that a faulty server sends without end

And a body without a length that was cut at 8 MiB was delivered as a complete 200.

Cause: responses without a declared length were buffered up to 8 MiB each in doubling arrays, without a limit on their sum; reads of the store had no limit; interim and skipped responses had none and took the only thread; and the connection of a body that is given up was closed before the subscription was cancelled, so that the close looked like the end of the body.

Change: ByteBudget, on which holders draw and of which the largest gives up first; one for responses of targets (an eighth of the heap), one for the store. Parts under 512 bytes count as 512. Cancel comes before close. Ruled out: a smaller limit for each response, which bounds no sum.

SoakTarget.close tolerated no socket that its peer had closed; it does now.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -66,6 +66,7 @@
   private final TrafficSplitter splitter;
   private final TargetProtocol protocol;
   private final CallSender sender;
+  private final ResponseBuffering buffering;
   private final ServiceBudget retryBudget;
   private final CrashGuard crashGuard;
   private final CallLog log;
@@ -83,6 +84,7 @@
    * @param serviceTimes the mean service times of the routes; updated from responses
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls to targets
+   * @param buffering keeps small responses in memory until they are complete
    * @param retryBudget the retry budget of this VM
    * @param crashGuard decides whether a call that may crash targets is sent
    * @param log receives a line for each notable event of a call
@@ -98,6 +100,7 @@
       RouteServiceTimes serviceTimes,
       TargetProtocol protocol,
       CallSender sender,
+      ResponseBuffering buffering,
       ServiceBudget retryBudget,
       CrashGuard crashGuard,
       CallLog log,
@@ -112,6 +115,7 @@
     this.splitter = new TrafficSplitter(random);
     this.protocol = protocol;
     this.sender = sender;
+    this.buffering = buffering;
     this.retryBudget = retryBudget;
     this.crashGuard = crashGuard;
     this.log = log;
@@ -247,7 +251,7 @@
             head(attempts, target),
             attempts.call().body(),
             remaining(attempts.call()))
-        .flatMap(ResponseBuffering::bufferIfSmall)
+        .flatMap(buffering::bufferIfSmall)
         .doFinally(signal -> target.recordEnd())
         .doOnCancel(() -> release(sent, cancelOutcome(attempts), Optional.empty()))
         .flatMap(response -> handleResponse(attempts, sent, response))
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -7,6 +7,7 @@
 import org.radishpost.events.EventSink;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.VmId;
 import org.radishpost.placement.ColdTargetLimiter;
@@ -36,6 +37,7 @@
    * @param brokers requests slots from the brokers on the relays
    * @param protocol builds requests for targets and parses their responses
    * @param sender sends calls and load probes
+   * @param buffering keeps small responses in memory until they are complete
    * @param retryBudget the retry budget of this VM
    * @param crashes the crashes of targets that all VMs have observed
    * @param requestIdField the name of the header field with the request ID
@@ -52,6 +54,7 @@
       SlotClient brokers,
       TargetProtocol protocol,
       CallSender sender,
+      ResponseBuffering buffering,
       ServiceBudget retryBudget,
       CrashHistory crashes,
       String requestIdField,
@@ -83,6 +86,7 @@
         serviceTimes,
         protocol,
         sender,
+        buffering,
         retryBudget,
         new CrashGuard(crashes, crashDetector, requestIdField),
         new CallLog(events, requestIdField),
--- a/src/main/java/org/radishpost/direct/LivenessCheck.java
+++ b/src/main/java/org/radishpost/direct/LivenessCheck.java
@@ -1,6 +1,5 @@
 package org.radishpost.direct;
 
-import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.http.CallBody;
@@ -52,7 +51,7 @@
             () ->
                 sender.send(
                     target.address(), protocol.probeHead(target.service()), NO_BODY, TIMEOUT))
-        .flatMap(response -> response.body().doOnNext(ByteBuf::release).then(Mono.just(response)))
+        .flatMap(response -> response.discardBody(TargetProtocol.MAX_PROBE_RESPONSE_BYTES))
         .timeout(TIMEOUT, clock)
         .map(response -> fromResponse(target, response))
         .onErrorResume(error -> Mono.just(fromError(error)));
--- a/src/main/java/org/radishpost/direct/LoadProber.java
+++ b/src/main/java/org/radishpost/direct/LoadProber.java
@@ -1,6 +1,5 @@
 package org.radishpost.direct;
 
-import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -103,7 +102,7 @@
     Target entry = target.target();
     sender
         .send(entry.address(), protocol.probeHead(entry.service()), NO_BODY, PROBE_TIMEOUT)
-        .flatMap(response -> response.body().doOnNext(ByteBuf::release).then(Mono.just(response)))
+        .flatMap(response -> response.discardBody(TargetProtocol.MAX_PROBE_RESPONSE_BYTES))
         .timeout(PROBE_TIMEOUT, Mono.error(() -> endlessResponse(entry)), clock)
         .subscribe(
             response -> handleResponse(target, response, result),
--- a/src/main/java/org/radishpost/direct/TargetProtocol.java
+++ b/src/main/java/org/radishpost/direct/TargetProtocol.java
@@ -7,6 +7,9 @@
 
 /** Builds requests for targets and parses their responses; thread-safe. */
 public interface TargetProtocol {
+  /** The maximum size of the body of the response to a probe. */
+  int MAX_PROBE_RESPONSE_BYTES = 65_536;
+
   /**
    * Returns the request head of a call as sent to a target.
    *
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -1,7 +1,6 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -17,10 +16,10 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
 import reactor.netty.NettyOutbound;
-import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -65,24 +64,12 @@
             .compress(false)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
-                (observer, channel, remote) -> addHandlers(channel, options.correlationField()))
+                (observer, channel, remote) ->
+                    ResponseHandlers.addTo(channel.pipeline(), options.correlationField()))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
   }
 
-  private static void addHandlers(Channel channel, Optional<String> correlationField) {
-    channel
-        .pipeline()
-        .addAfter(
-            NettyPipeline.HttpCodec,
-            InterimResponseFilter.class.getName(),
-            new InterimResponseFilter())
-        .addAfter(
-            NettyPipeline.HttpCodec,
-            ResponseCorrelationHandler.class.getName(),
-            new ResponseCorrelationHandler(correlationField));
-  }
-
   @Override
   public Mono<Response> send(Endpoint address, RequestHead head, CallBody body, Duration timeout) {
     return Mono.defer(() -> send(address, head, body, timeout, new SendAttempt()));
@@ -139,7 +126,7 @@
             .inbound()
             .receive()
             .retain()
-            .doOnCancel(connection::dispose)
+            .doFinally(signal -> closeIfCancelled(signal, connection))
             .onErrorMap(
                 error ->
                     new ConnectionLostException(
@@ -153,6 +140,16 @@
             Optional.empty()));
   }
 
+  /**
+   * Closes the connection of a body that is not read to its end. It is closed after the
+   * cancellation, because its end would look like the end of the body before.
+   */
+  private static void closeIfCancelled(SignalType signal, Connection connection) {
+    if (signal == SignalType.CANCEL) {
+      connection.dispose();
+    }
+  }
+
   private static boolean isSelfDelimited(String method, HttpClientResponse response) {
     int status = response.status().code();
     if (method.equals("HEAD") || status == 204 || status == 304) {
--- a/src/main/java/org/radishpost/http/Response.java
+++ b/src/main/java/org/radishpost/http/Response.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
+import org.radishpost.errors.ResponseTooLargeException;
 import org.radishpost.lib.Verdict;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -54,6 +55,33 @@
         refusalVerdict);
   }
 
+  /**
+   * Reads and drops the body.
+   *
+   * @param maxBytes the maximum size of the body, of which small parts count more than their bytes
+   * @return this response, whose body cannot be read any more; fails with {@link
+   *     ResponseTooLargeException} and closes the connection if the body is larger
+   */
+  public Mono<Response> discardBody(int maxBytes) {
+    return body.map(Response::release)
+        .scan(0L, Long::sum)
+        .handle(
+            (total, sink) -> {
+              if (total > maxBytes) {
+                sink.error(
+                    new ResponseTooLargeException(
+                        "The response exceeds " + maxBytes + " bytes: check its sender."));
+              }
+            })
+        .then(Mono.just(this));
+  }
+
+  private static long release(ByteBuf part) {
+    long cost = PartCost.of(part);
+    part.release();
+    return cost;
+  }
+
   /** Returns a copy of this response with a different body. */
   public Response withBody(Flux<ByteBuf> newBody) {
     return new Response(status, headers, newBody, trailers, refusalVerdict);
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,20 +18,25 @@
  * Prevents a response from being taken for the response to another request.
  *
  * <p>A response whose correlation field names another request is dropped, and the handler waits for
- * the next one. Bytes that arrive while no request awaits a response close the connection. A
- * connection is not reused after a refusal without the correlation field: were the target to send
- * it once more, the copy could not be told from the refusal of the next request. There is one
- * instance per connection to a target, placed after the codec.
+ * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. Bytes that arrive while
+ * no request awaits a response close the connection. A connection is not reused after a refusal
+ * without the correlation field: were the target to send it once more, the copy could not be told
+ * from the refusal of the next request. There is one instance per connection to a target, placed
+ * after the codec.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
   /** Statuses of responses that may state that the target did not run the request. */
   private static final Set<Integer> REFUSAL_STATUSES = Set.of(400, 421, 429, 503);
 
+  /** The maximum size of the bodies that are dropped before the response to a request. */
+  private static final int MAX_SKIPPED_BYTES = 262_144;
+
   private final Optional<String> correlationField;
   private Optional<String> expectedValue = Optional.empty();
   private boolean awaitingResponse;
   private boolean skipping;
   private boolean interim;
+  private int skippedBytes;
 
   /**
    * Creates a handler for one connection.
@@ -47,6 +53,7 @@
     if (message instanceof HttpRequest request) {
       expectedValue = correlationValue(request);
       awaitingResponse = true;
+      skippedBytes = 0;
     }
     context.write(message, promise);
   }
@@ -58,7 +65,7 @@
       context.close();
       return;
     }
-    if (message instanceof HttpResponse response) {
+    if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
       skipping = belongsToOtherRequest(response);
     }
     if (skipping) {
@@ -78,8 +85,16 @@
     if (message instanceof LastHttpContent) {
       skipping = false;
     }
+    if (message instanceof HttpContent content) {
+      skippedBytes += PartCost.of(content.content());
+    }
     ReferenceCountUtil.release(message);
-    context.read();
+    if (skippedBytes > MAX_SKIPPED_BYTES) {
+      skipping = true;
+      context.close();
+    } else {
+      context.read();
+    }
   }
 
   private boolean belongsToOtherRequest(HttpResponse response) {
--- /dev/null
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -0,0 +1,30 @@
+package org.radishpost.http;
+
+import io.netty.channel.ChannelPipeline;
+import java.util.Optional;
+import reactor.netty.NettyPipeline;
+
+/** Protects an HTTP client from responses that it did not ask for or that do not end. */
+public final class ResponseHandlers {
+  private ResponseHandlers() {}
+
+  /**
+   * Adds the handlers to a new connection, after the codec.
+   *
+   * @param correlationField the field that the server copies from the request to the response;
+   *     empty if it copies none
+   */
+  public static void addTo(ChannelPipeline pipeline, Optional<String> correlationField) {
+    pipeline
+        .addAfter(
+            NettyPipeline.HttpCodec,
+            InterimResponseFilter.class.getName(),
+            new InterimResponseFilter())
+        .addAfter(
+            NettyPipeline.HttpCodec,
+            ResponseCorrelationHandler.class.getName(),
+            new ResponseCorrelationHandler(correlationField))
+        .addAfter(
+            NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit());
+  }
+}
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -24,9 +24,11 @@
 import org.radishpost.feed.Relay;
 import org.radishpost.feed.tcp.RelayServer;
 import org.radishpost.feed.tcp.TcpRelayDialer;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.EdgeServer;
 import org.radishpost.http.HttpSender;
 import org.radishpost.http.PageServer;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.http.Responses;
 import org.radishpost.http.SenderOptions;
 import org.radishpost.lib.Endpoint;
@@ -75,6 +77,10 @@
   private static final Duration EXIT_MARGIN = Duration.ofMillis(500);
   private static final double RETRY_RATIO_SHARE = 0.75;
   private static final double RETRY_BUDGET_CAPACITY = 1.5;
+
+  /** The responses that are being buffered take at most the heap divided by this. */
+  private static final int RESPONSE_HEAP_DIVISOR = 8;
+
   private static final int MAX_TIMELINE_EVENTS = 1_000;
 
   private volatile EntrySettings settings;
@@ -86,6 +92,8 @@
   private final EntryReadiness readiness;
   private final LoadSummary loadSummary;
   private final CrashHistory crashes;
+  private final ByteBudget responseBudget =
+      new ByteBudget(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
   private final HttpSender sender;
   private final EdgeServer edgeServer;
   private final PageServer readinessServer;
@@ -124,6 +132,7 @@
     this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
     this.crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     metrics.registerCrashes(crashes);
+    metrics.registerResponses(responseBudget);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
     this.sender =
         new HttpSender(
@@ -212,6 +221,7 @@
                 slotClient,
                 new PlatformTargetProtocol(this::probePath),
                 new MeteredSender(sender, metrics, PlatformProtocol.DEADLINE_MILLIS, clock),
+                new ResponseBuffering(responseBudget),
                 retryBudget,
                 crashes,
                 PlatformProtocol.REQUEST_ID,
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.radishpost.events.EventCode;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.CallResult;
 import org.radishpost.http.Response;
 import org.radishpost.lib.Verdict;
@@ -90,6 +91,11 @@
     registerGauge("crashes.known", crashes::size);
   }
 
+  /** Registers the number of bytes of the responses that are being buffered. */
+  void registerResponses(ByteBudget budget) {
+    registerGauge("responses.bytes", budget::heldBytes);
+  }
+
   void recordCall(Response response, long durationNanos) {
     callMicros.update(TimeUnit.NANOSECONDS.toMicros(durationNanos));
     if (response.refusalVerdict().isEmpty()) {
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -15,7 +15,10 @@
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.errors.StoreException;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.http.BodyCollector;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.NameResolution;
+import org.radishpost.http.ResponseHandlers;
 import org.radishpost.http.TcpKeepAlive;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
@@ -34,11 +37,26 @@
   private static final int OK = 200;
   private static final int GONE = 410;
   private static final int MAX_CONNECTIONS = 4;
+
+  /** The store sends at most 1 MiB of records in a response, encoded as Base64 in some. */
+  private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
+  private static final long MAX_HELD_BYTES = 2 * MAX_RESPONSE_BYTES;
+
+  /** The maximum size of the latest records of a topic. */
+  private static final long MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024;
+
+  /** What a record takes in memory besides its key and its value. */
+  private static final int RECORD_OVERHEAD_BYTES = 100;
+
   private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(900);
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
   private final Scheduler clock;
   private final HttpClient client;
+  private final BodyCollector collector =
+      new BodyCollector(
+          new ByteBudget(MAX_HELD_BYTES), MAX_RESPONSE_BYTES, StoreClient::responseTooLarge);
 
   /**
    * Creates a client that connects on its first request.
@@ -56,6 +74,9 @@
             .runOn(loops)
             .disableRetry(true)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
+            .doOnChannelInit(
+                (observer, channel, remote) ->
+                    ResponseHandlers.addTo(channel.pipeline(), Optional.empty()))
             .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_TIMEOUT.toMillis()));
@@ -112,6 +133,9 @@
             bytes -> {
               SnapshotPage page = decode(() -> SnapshotPage.decode(bytes));
               records.addAll(page.records());
+              if (bytes(records) > MAX_SNAPSHOT_BYTES) {
+                return Mono.error(snapshotTooLarge(topic));
+              }
               long firstEndOffset = endOffset.orElse(page.endOffset());
               if (page.hasMore() && !page.records().isEmpty()) {
                 String lastKeyOfPage = page.records().getLast().key();
@@ -126,11 +150,12 @@
     return client
         .get()
         .uri(uri)
-        .responseSingle(
+        .response(
             (response, body) ->
-                body.asByteArray()
-                    .defaultIfEmpty(new byte[0])
-                    .flatMap(bytes -> checkStatus(response.status().code(), bytes)))
+                collector
+                    .collect(body.retain())
+                    .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray())))
+        .next()
         .timeout(timeout, clock)
         .onErrorMap(StoreClient::toStoreException);
   }
@@ -148,6 +173,32 @@
         new StoreException("The store responded with status " + status + ": retry later."));
   }
 
+  private static long bytes(List<KeyedRecord> records) {
+    return records.stream()
+        .mapToLong(
+            record ->
+                RECORD_OVERHEAD_BYTES
+                    + record.key().length()
+                    + record.value().map(value -> value.length).orElse(0))
+        .sum();
+  }
+
+  private static StoreException snapshotTooLarge(String topic) {
+    return new StoreException(
+        "The latest records of "
+            + topic
+            + " exceed "
+            + MAX_SNAPSHOT_BYTES
+            + " bytes: check who writes to the topic.");
+  }
+
+  private static StoreException responseTooLarge() {
+    return new StoreException(
+        "The response of the store exceeds "
+            + MAX_RESPONSE_BYTES
+            + " bytes: check that it is the store that responds.");
+  }
+
   private static Throwable toStoreException(Throwable error) {
     return switch (error) {
       case RadishpostException known -> known;
--- a/src/test/java/org/radishpost/direct/CrashingRequestTest.java
+++ b/src/test/java/org/radishpost/direct/CrashingRequestTest.java
@@ -19,12 +19,14 @@
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.events.EventCode;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.CallInfo;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.Endpoint;
@@ -104,6 +106,7 @@
         brokers,
         new FakeTargets(),
         targets,
+        new ResponseBuffering(new ByteBudget(1_000_000)),
         new ServiceBudget(() -> 1, 10),
         crashes,
         "id",
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -18,9 +18,11 @@
 import org.radishpost.config.Scope;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.Response;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.Place;
@@ -91,6 +93,7 @@
             crashes),
         targets,
         targets,
+        new ResponseBuffering(new ByteBudget(1_000_000)),
         retryBudget,
         crashes,
         "id",
--- a/src/test/java/org/radishpost/direct/SimulatedFleet.java
+++ b/src/test/java/org/radishpost/direct/SimulatedFleet.java
@@ -11,12 +11,14 @@
 import java.util.concurrent.TimeUnit;
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.config.Configuration;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.RegionName;
@@ -120,6 +122,7 @@
         brokers,
         new Protocol(),
         new Sender(place),
+        new ResponseBuffering(new ByteBudget(1_000_000)),
         new ServiceBudget(() -> RETRY_RATIO, RETRY_CAPACITY),
         crashes,
         "id",
--- a/src/test/java/org/radishpost/direct/SlotRoutingTest.java
+++ b/src/test/java/org/radishpost/direct/SlotRoutingTest.java
@@ -15,9 +15,11 @@
 import org.radishpost.config.Configuration;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
+import org.radishpost.http.ByteBudget;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.Response;
+import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.Verdict;
 import org.radishpost.lib.VmId;
@@ -71,6 +73,7 @@
             brokers,
             targets,
             targets,
+            new ResponseBuffering(new ByteBudget(1_000_000)),
             new ServiceBudget(() -> 0, 1),
             crashes,
             "id",
--- a/src/test/java/org/radishpost/http/TruncatedHeadTest.java
+++ b/src/test/java/org/radishpost/http/TruncatedHeadTest.java
@@ -95,7 +95,7 @@
     RequestHead head = RequestHead.get("/a").withField("x-request-id", "1");
     return sender
         .send(target.address(), head, CallBody.buffered(new byte[0]), TIMEOUT)
-        .flatMap(ResponseBuffering::bufferIfSmall)
+        .flatMap(new ResponseBuffering(new ByteBudget(1_000_000))::bufferIfSmall)
         .flatMap(TruncatedHeadTest::text)
         .onErrorResume(
             error -> {
--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -100,9 +100,14 @@
   @Override
   public void close() throws IOException {
     server.close();
-    for (Socket socket : sockets) {
+    sockets.forEach(SoakTarget::reset);
+  }
+
+  private static void reset(Socket socket) {
+    try (socket) {
       socket.setSoLinger(true, 0);
-      socket.close();
+    } catch (IOException e) {
+      // The peer has closed the connection before.
     }
   }
 
