--- a/src/main/java/org/radishpost/direct/BrokerConnection.java
+++ b/src/main/java/org/radishpost/direct/BrokerConnection.java
@@ -20,7 +20,7 @@
 import org.radishpost.slots.SlotMessage;
 import org.radishpost.slots.SlotRefusalReason;
 import org.radishpost.suspects.CrashHistory;
-import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashUpdate;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -128,10 +128,10 @@
     current.ifPresent(connection -> connection.close("the relay is no longer listed"));
   }
 
-  /** Tells the relay of crashes, unless the connection is not open: it is told later then. */
-  void tell(CrashNews news) {
+  /** Sends an update to the relay. Without an open connection, it is part of what is sent later. */
+  void sendUpdate(CrashUpdate update) {
     if (place().isPresent()) {
-      current.get().link.send(new FeedMessage.Crashes(news));
+      current.get().link.send(new FeedMessage.Crashes(update));
     }
   }
 
@@ -283,7 +283,7 @@
           sendKnownCrashes();
         }
         case FeedMessage.Slots slots -> BrokerConnection.this.received(slots.message());
-        case FeedMessage.Crashes received -> crashes.merge(received.news());
+        case FeedMessage.Crashes received -> crashes.merge(received.update());
         case FeedMessage.Heartbeat ignored -> {}
         case FeedMessage.Subscribe ignored -> {}
         case FeedMessage.SubscribeWithSnapshot ignored -> {}
@@ -293,7 +293,7 @@
     }
 
     private void sendKnownCrashes() {
-      CrashNews known = crashes.snapshot();
+      CrashUpdate known = crashes.snapshot();
       if (!known.isEmpty()) {
         link.send(new FeedMessage.Crashes(known));
       }
--- a/src/main/java/org/radishpost/direct/CrashDetector.java
+++ b/src/main/java/org/radishpost/direct/CrashDetector.java
@@ -19,8 +19,8 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Tells the crash of a target from the loss of a connection to it, by a check of its process, and
- * records the requests that were lost in the crash.
+ * Distinguishes the crash of a target from a lost connection by a check of its process, and records
+ * the requests that were lost in the crash.
  *
  * <p>Confined to one thread.
  */
--- a/src/main/java/org/radishpost/direct/SlotClient.java
+++ b/src/main/java/org/radishpost/direct/SlotClient.java
@@ -13,7 +13,7 @@
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.suspects.CrashHistory;
-import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashUpdate;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -40,7 +40,8 @@
    * @param clock provides time and timers
    * @param random the source of jitter for retries
    * @param events receives an event when a broker becomes available or unavailable
-   * @param crashes the crashes that this VM knows; the relays are told of those it observes itself
+   * @param crashes the crashes that this VM knows; those that it observes itself are sent to the
+   *     relays
    */
   public SlotClient(
       ZoneName zone,
@@ -55,12 +56,12 @@
     this.random = random;
     this.events = events;
     this.crashes = crashes;
-    crashes.addListener(this::tellRelays);
+    crashes.addListener(this::sendToRelays);
   }
 
-  private void tellRelays(CrashNews news, boolean local) {
+  private void sendToRelays(CrashUpdate update, boolean local) {
     if (local) {
-      List.copyOf(connections.values()).forEach(connection -> connection.tell(news));
+      List.copyOf(connections.values()).forEach(connection -> connection.sendUpdate(update));
     }
   }
 
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -11,7 +11,7 @@
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.Place;
 import org.radishpost.slots.SlotCodec;
-import org.radishpost.suspects.CrashNewsCodec;
+import org.radishpost.suspects.CrashUpdateCodec;
 
 /** Encodes feed messages as MessagePack. Each message begins with the number of its type. */
 public final class FeedCodec {
@@ -63,7 +63,7 @@
         }
         case FeedMessage.Crashes crashes -> {
           packer.packInt(CRASHES);
-          CrashNewsCodec.pack(packer, crashes.news());
+          CrashUpdateCodec.pack(packer, crashes.update());
         }
       }
       return packer.toByteArray();
@@ -92,7 +92,7 @@
         case SNAPSHOT ->
             new FeedMessage.Snapshot(feed(unpacker), records(unpacker), unpacker.unpackLong());
         case SLOTS -> new FeedMessage.Slots(SlotCodec.unpack(unpacker));
-        case CRASHES -> new FeedMessage.Crashes(CrashNewsCodec.unpack(unpacker));
+        case CRASHES -> new FeedMessage.Crashes(CrashUpdateCodec.unpack(unpacker));
         default -> throw invalidMessage(null);
       };
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.radishpost.lib.Place;
 import org.radishpost.slots.SlotMessage;
-import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashUpdate;
 
 /** A message between a relay and another VM. */
 public sealed interface FeedMessage {
@@ -74,7 +74,7 @@
    * What the sender knows of crashed targets and of the requests that were lost. Both ends send it,
    * on connections that are used for slots.
    *
-   * @param news the crashes and the requests that they no longer count for
+   * @param update the crashes and the requests that they no longer count for
    */
-  record Crashes(CrashNews news) implements FeedMessage {}
+  record Crashes(CrashUpdate update) implements FeedMessage {}
 }
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -11,11 +11,11 @@
 import org.radishpost.slots.SlotLink;
 import org.radishpost.slots.SlotMessage;
 import org.radishpost.suspects.CrashHistory;
-import org.radishpost.suspects.CrashNews;
+import org.radishpost.suspects.CrashUpdate;
 
 /**
  * Forwards the records that this VM reads from the store to its followers, offers the slots of the
- * targets of its region to all VMs, and tells all VMs of crashed targets.
+ * targets of its region to all VMs, and informs all VMs of crashed targets.
  *
  * <p>The relay keeps the latest record of each key, as a snapshot for VMs that are starting, and a
  * bounded number of recent records. A follower that needs older records is disconnected and reads
@@ -47,7 +47,7 @@
     this.place = place;
     this.broker = broker;
     this.crashes = crashes;
-    crashes.addListener((news, local) -> forward(news));
+    crashes.addListener((update, local) -> forward(update));
   }
 
   /** Handles a new connection from a VM, which may subscribe later. */
@@ -70,7 +70,7 @@
       case FeedMessage.Subscribe subscribe -> subscribe(link, subscribe.from());
       case FeedMessage.SubscribeWithSnapshot request -> subscribeWithSnapshot(link);
       case FeedMessage.Slots slots -> receivedSlots(link, slots.message());
-      case FeedMessage.Crashes received -> crashes.merge(received.news());
+      case FeedMessage.Crashes received -> crashes.merge(received.update());
       case FeedMessage.Hello unexpected -> link.close();
       case FeedMessage.Heartbeat unexpected -> link.close();
       case FeedMessage.Records unexpected -> link.close();
@@ -88,14 +88,14 @@
   }
 
   private void sendKnownCrashes(FeedLink link) {
-    CrashNews known = crashes.snapshot();
+    CrashUpdate known = crashes.snapshot();
     if (!known.isEmpty()) {
       link.send(new FeedMessage.Crashes(known));
     }
   }
 
-  private void forward(CrashNews news) {
-    List.copyOf(slotLinks.keySet()).forEach(link -> link.send(new FeedMessage.Crashes(news)));
+  private void forward(CrashUpdate update) {
+    List.copyOf(slotLinks.keySet()).forEach(link -> link.send(new FeedMessage.Crashes(update)));
   }
 
   private static SlotLink toSlotLink(FeedLink link) {
--- a/src/main/java/org/radishpost/suspects/CrashHistory.java
+++ b/src/main/java/org/radishpost/suspects/CrashHistory.java
@@ -58,7 +58,7 @@
     this.nowNanos = nowNanos;
   }
 
-  /** Adds a listener that is told of everything that is learned from now on. */
+  /** Adds a listener that is notified of each later change. */
   public void addListener(CrashListener listener) {
     listeners.add(listener);
   }
@@ -88,7 +88,8 @@
   public void recordCrash(CrashId id, long crashedNanos, Collection<LostRequest> lost) {
     long now = nowNanos.getAsLong();
     add(id, crashedNanos, lost)
-        .ifPresent(report -> tell(new CrashNews(List.of(report.at(now)), List.of()), true));
+        .ifPresent(
+            report -> notifyListeners(new CrashUpdate(List.of(report.at(now)), List.of()), true));
   }
 
   /** Records a complete response to a request, which proves that it does not crash its targets. */
@@ -98,40 +99,40 @@
     }
     long now = nowNanos.getAsLong();
     clear(fingerprint, now);
-    CrashNews.Cleared cleared = new CrashNews.Cleared(fingerprint, 0);
-    tell(new CrashNews(List.of(), List.of(cleared)), true);
+    CrashUpdate.Cleared cleared = new CrashUpdate.Cleared(fingerprint, 0);
+    notifyListeners(new CrashUpdate(List.of(), List.of(cleared)), true);
   }
 
-  /** Merges what another VM has told. */
-  public void merge(CrashNews news) {
+  /** Merges an update from another VM. */
+  public void merge(CrashUpdate update) {
     long now = nowNanos.getAsLong();
-    List<CrashNews.Cleared> newlyCleared = new ArrayList<>();
-    for (CrashNews.Cleared cleared : news.cleared()) {
+    List<CrashUpdate.Cleared> newlyCleared = new ArrayList<>();
+    for (CrashUpdate.Cleared cleared : update.cleared()) {
       if (isRecent(cleared.ageNanos()) && clear(cleared.fingerprint(), now - cleared.ageNanos())) {
         newlyCleared.add(cleared);
       }
     }
     List<CrashReport> newCrashes = new ArrayList<>();
-    for (CrashReport report : news.crashes()) {
+    for (CrashReport report : update.crashes()) {
       if (isRecent(report.ageNanos()) && !report.lost().isEmpty()) {
         add(report.id(), now - report.ageNanos(), lostRequests(report, now))
             .ifPresent(added -> newCrashes.add(added.at(now)));
       }
     }
-    tell(new CrashNews(newCrashes, newlyCleared), false);
+    notifyListeners(new CrashUpdate(newCrashes, newlyCleared), false);
   }
 
   /** Returns all that is known, for a VM that may have missed some of it. */
-  public CrashNews snapshot() {
+  public CrashUpdate snapshot() {
     long now = nowNanos.getAsLong();
     removeExpired(now);
     List<CrashReport> reports = new ArrayList<>();
     crashes.forEach(
         (id, crash) -> reports.add(new Addition(id, crash.crashedNanos, crash.lost()).at(now)));
-    List<CrashNews.Cleared> cleared = new ArrayList<>();
+    List<CrashUpdate.Cleared> cleared = new ArrayList<>();
     clearedNanos.forEach(
-        (fingerprint, nanos) -> cleared.add(new CrashNews.Cleared(fingerprint, now - nanos)));
-    return new CrashNews(reports, cleared);
+        (fingerprint, nanos) -> cleared.add(new CrashUpdate.Cleared(fingerprint, now - nanos)));
+    return new CrashUpdate(reports, cleared);
   }
 
   /** Returns whether a crash may count for the request, so that it should not be repeated early. */
@@ -163,9 +164,9 @@
         .toList();
   }
 
-  private void tell(CrashNews news, boolean local) {
-    if (!news.isEmpty()) {
-      listeners.forEach(listener -> listener.learned(news, local));
+  private void notifyListeners(CrashUpdate update, boolean local) {
+    if (!update.isEmpty()) {
+      listeners.forEach(listener -> listener.learned(update, local));
     }
   }
 
@@ -215,12 +216,12 @@
     clearedNanos.values().removeIf(nanos -> now - nanos >= EXPIRY_NANOS);
   }
 
-  /** Forgets the crash that says least: the oldest one whose requests were lost only once. */
+  /** Forgets the least informative crash: the oldest one whose requests were lost only once. */
   private void limitCrashes() {
     if (crashes.size() <= MAX_CRASHES) {
       return;
     }
-    CrashId leastTelling =
+    CrashId leastInformative =
         crashes.entrySet().stream()
             .min(
                 Comparator.comparingInt(
@@ -228,7 +229,7 @@
                     .thenComparingLong(entry -> entry.getValue().crashedNanos))
             .orElseThrow()
             .getKey();
-    crashes.remove(leastTelling);
+    crashes.remove(leastInformative);
   }
 
   private int maxSerialCount(Crash crash) {
--- a/src/main/java/org/radishpost/suspects/CrashListener.java
+++ b/src/main/java/org/radishpost/suspects/CrashListener.java
@@ -6,8 +6,8 @@
   /**
    * Called after the history has changed.
    *
-   * @param news what the history did not contain before
-   * @param local whether this VM observed it itself, as opposed to being told by another VM
+   * @param update what the history did not contain before
+   * @param local whether this VM observed it itself, as opposed to learning it from another VM
    */
-  void learned(CrashNews news, boolean local);
+  void learned(CrashUpdate update, boolean local);
 }
--- a/src/main/java/org/radishpost/suspects/CrashReport.java
+++ b/src/main/java/org/radishpost/suspects/CrashReport.java
@@ -4,7 +4,7 @@
 import org.radishpost.lib.Digest;
 
 /**
- * What one VM tells others of a crash. Times are ages, because the clocks of VMs differ.
+ * What one VM sends to others about a crash. Times are ages, because the clocks of VMs differ.
  *
  * @param id the crash
  * @param ageNanos the time since the crash
--- a/src/main/java/org/radishpost/suspects/CrashNews.java
+++ b/src/main/java/org/radishpost/suspects/CrashUpdate.java
@@ -4,19 +4,19 @@
 import org.radishpost.lib.Digest;
 
 /**
- * What one VM tells others of crashes. Merging the same news twice has no further effect.
+ * What one VM sends to others about crashes. Merging the same update twice has no further effect.
  *
  * @param crashes the crashes
  * @param cleared the requests that have been answered since they were last lost in a crash
  */
-public record CrashNews(List<CrashReport> crashes, List<Cleared> cleared) {
-  /** Creates news with immutable copies of the lists. */
-  public CrashNews {
+public record CrashUpdate(List<CrashReport> crashes, List<Cleared> cleared) {
+  /** Creates an update with immutable copies of the lists. */
+  public CrashUpdate {
     crashes = List.copyOf(crashes);
     cleared = List.copyOf(cleared);
   }
 
-  /** Returns whether there is nothing to tell. */
+  /** Returns whether the update is empty. */
   public boolean isEmpty() {
     return crashes.isEmpty() && cleared.isEmpty();
   }
--- a/src/main/java/org/radishpost/suspects/CrashNewsCodec.java
+++ b/src/main/java/org/radishpost/suspects/CrashUpdateCodec.java
@@ -9,20 +9,20 @@
 import org.radishpost.lib.Digest;
 import org.radishpost.placement.TargetId;
 
-/** Encodes news of crashes as MessagePack; ages are in microseconds. */
-public final class CrashNewsCodec {
+/** Encodes updates about crashes as MessagePack; ages are in microseconds. */
+public final class CrashUpdateCodec {
   private static final int DIGEST_BYTES = 32;
 
-  private CrashNewsCodec() {}
+  private CrashUpdateCodec() {}
 
   /**
-   * Writes news.
+   * Writes an update.
    *
    * @throws IOException if the packer fails
    */
-  public static void pack(MessagePacker packer, CrashNews news) throws IOException {
-    packer.packArrayHeader(news.crashes().size());
-    for (CrashReport report : news.crashes()) {
+  public static void pack(MessagePacker packer, CrashUpdate update) throws IOException {
+    packer.packArrayHeader(update.crashes().size());
+    for (CrashReport report : update.crashes()) {
       packer.packString(report.id().target().value());
       packer.packLong(report.id().startedMillis());
       packAge(packer, report.ageNanos());
@@ -32,31 +32,31 @@
         packAge(packer, lost.sentAgeNanos());
       }
     }
-    packer.packArrayHeader(news.cleared().size());
-    for (CrashNews.Cleared cleared : news.cleared()) {
+    packer.packArrayHeader(update.cleared().size());
+    for (CrashUpdate.Cleared cleared : update.cleared()) {
       packDigest(packer, cleared.fingerprint());
       packAge(packer, cleared.ageNanos());
     }
   }
 
   /**
-   * Reads news.
+   * Reads an update.
    *
    * @throws IOException if the unpacker fails
    * @throws IllegalArgumentException if a value is invalid
    */
-  public static CrashNews unpack(MessageUnpacker unpacker) throws IOException {
+  public static CrashUpdate unpack(MessageUnpacker unpacker) throws IOException {
     List<CrashReport> crashes = new ArrayList<>();
     int crashCount = unpacker.unpackArrayHeader();
     for (int i = 0; i < crashCount; i++) {
       crashes.add(unpackReport(unpacker));
     }
-    List<CrashNews.Cleared> cleared = new ArrayList<>();
+    List<CrashUpdate.Cleared> cleared = new ArrayList<>();
     int clearedCount = unpacker.unpackArrayHeader();
     for (int i = 0; i < clearedCount; i++) {
-      cleared.add(new CrashNews.Cleared(unpackDigest(unpacker), unpackAge(unpacker)));
+      cleared.add(new CrashUpdate.Cleared(unpackDigest(unpacker), unpackAge(unpacker)));
     }
-    return new CrashNews(crashes, cleared);
+    return new CrashUpdate(crashes, cleared);
   }
 
   private static CrashReport unpackReport(MessageUnpacker unpacker) throws IOException {
--- a/src/test/java/org/radishpost/direct/CrashingRequestTest.java
+++ b/src/test/java/org/radishpost/direct/CrashingRequestTest.java
@@ -194,7 +194,7 @@
 
   /** The relay was unreachable when the VM saw the crashes. */
   @Test
-  public void crashesThatCouldNotBeToldAreToldToTheNextRelay() {
+  public void crashesThatCouldNotBeSentAreSentOnTheNextConnection() {
     relays.silence(3);
     clock.advanceTimeBy(Duration.ofSeconds(3));
     for (int i = 0; i < 3; i++) {
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -20,8 +20,8 @@
 import org.radishpost.slots.SlotOutcome;
 import org.radishpost.slots.SlotRefusalReason;
 import org.radishpost.suspects.CrashId;
-import org.radishpost.suspects.CrashNews;
 import org.radishpost.suspects.CrashReport;
+import org.radishpost.suspects.CrashUpdate;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -46,13 +46,13 @@
       {new FeedMessage.Slots(new SlotMessage.Open())},
       {
         new FeedMessage.Crashes(
-            new CrashNews(
+            new CrashUpdate(
                 List.of(
                     new CrashReport(
                         new CrashId(TARGET, 1L << 41),
                         5_000,
                         List.of(new CrashReport.Lost(Digest.of("lost"), 7_000)))),
-                List.of(new CrashNews.Cleared(Digest.of("answered"), 3_000))))
+                List.of(new CrashUpdate.Cleared(Digest.of("answered"), 3_000))))
       },
       {
         new FeedMessage.Slots(
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -13,8 +13,8 @@
 import org.radishpost.slots.TestBrokers;
 import org.radishpost.suspects.CrashHistory;
 import org.radishpost.suspects.CrashId;
-import org.radishpost.suspects.CrashNews;
 import org.radishpost.suspects.CrashReport;
+import org.radishpost.suspects.CrashUpdate;
 import org.radishpost.suspects.LostRequest;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -152,7 +152,7 @@
   }
 
   @Test
-  public void tellsOfCrashesOnConnectAndForwardsNewOnesOnce() {
+  public void sendsKnownCrashesOnConnectAndForwardsNewOnesOnce() {
     LostRequest request = new LostRequest(Digest.of("r"), 0);
     crashes.recordCrash(new CrashId(new TargetId("t-1"), 0), 0, List.of(request));
     FakeLink other = new FakeLink();
@@ -161,8 +161,8 @@
       relay.received(link, new FeedMessage.Slots(new SlotMessage.Open()));
     }
     assertEquals(follower.sent.getLast(), new FeedMessage.Crashes(crashes.snapshot()));
-    CrashNews news =
-        new CrashNews(
+    CrashUpdate update =
+        new CrashUpdate(
             List.of(
                 new CrashReport(
                     new CrashId(new TargetId("t-2"), 0),
@@ -170,10 +170,11 @@
                     List.of(new CrashReport.Lost(request.fingerprint(), 0)))),
             List.of());
     int sentBefore = other.sent.size();
-    relay.received(follower, new FeedMessage.Crashes(news));
-    relay.received(follower, new FeedMessage.Crashes(news));
+    relay.received(follower, new FeedMessage.Crashes(update));
+    relay.received(follower, new FeedMessage.Crashes(update));
     assertEquals(
-        other.sent.subList(sentBefore, other.sent.size()), List.of(new FeedMessage.Crashes(news)));
+        other.sent.subList(sentBefore, other.sent.size()),
+        List.of(new FeedMessage.Crashes(update)));
   }
 
   private static KeyedRecord record(long offset) {
--- a/src/test/java/org/radishpost/pgm/EntryCrashTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryCrashTest.java
@@ -49,7 +49,7 @@
   /** The crash that makes three, and the repeats that the users' rules allow after it. */
   private static final int MAX_CRASHES = 3 + 3;
 
-  /** Bounds the wait for news of a crash, in requests for the metrics. */
+  /** Bounds the wait until an entry knows a crash, in requests for the metrics. */
   private static final int MAX_POLLS = 1_000;
 
   private final HttpClient client = HttpClient.newHttpClient();
@@ -139,7 +139,7 @@
   }
 
   /** Waits until all entries know all crashes. */
-  private void awaitNews() throws Exception {
+  private void awaitCrashesKnown() throws Exception {
     for (EntryNode entry : entries) {
       boolean known = false;
       for (int i = 0; i < MAX_POLLS && !known; i++) {
@@ -155,7 +155,7 @@
     for (int i = 0; i < REPEATS; i++) {
       int status = write(entries.get(i % entries.size()), CrashableTarget.CRASHING_PATH);
       assertTrue(status == 502 || status == 503, "status " + status);
-      awaitNews();
+      awaitCrashesKnown();
     }
     assertTrue(crashes.get() <= MAX_CRASHES, crashes.get() + " targets crashed");
     for (EntryNode entry : entries) {
@@ -169,10 +169,10 @@
   public void entryThatStartsLaterDoesNotPassTheRequestOn() throws Exception {
     for (int i = 0; i < 3; i++) {
       write(entries.get(1), CrashableTarget.CRASHING_PATH);
-      awaitNews();
+      awaitCrashesKnown();
     }
     EntryNode later = startEntry("later", relays());
-    awaitNews();
+    awaitCrashesKnown();
     assertEquals(write(later, CrashableTarget.CRASHING_PATH), 503);
     assertEquals(crashes.get(), 3);
   }
--- a/src/test/java/org/radishpost/suspects/CrashHistoryTest.java
+++ b/src/test/java/org/radishpost/suspects/CrashHistoryTest.java
@@ -23,17 +23,17 @@
   private long now;
   private CrashHistory history;
   private CrashHistory otherVm;
-  private List<CrashNews> news;
+  private List<CrashUpdate> updates;
   private int targets;
 
-  /** Creates two histories; {@code otherVm} is told nothing unless a test does it. */
+  /** Creates two histories; {@code otherVm} receives only what a test passes to it. */
   @BeforeMethod
   public void create() {
     now = 100 * SECOND;
     targets = 0;
-    news = new ArrayList<>();
+    updates = new ArrayList<>();
     history = new CrashHistory(() -> now);
-    history.addListener((learned, local) -> news.add(learned));
+    history.addListener((learned, local) -> updates.add(learned));
     otherVm = new CrashHistory(() -> now);
   }
 
@@ -80,15 +80,15 @@
   }
 
   @Test
-  public void repeatedNewsCountOnceAndAreNotToldAgain() {
+  public void repeatedUpdatesCountOnceAndAreNotForwardedAgain() {
     crash(otherVm, CRASHING);
     otherVm.recordResponse(INNOCENT);
     history.merge(otherVm.snapshot());
-    assertEquals(news.size(), 1);
+    assertEquals(updates.size(), 1);
     history.merge(otherVm.snapshot());
     now += SECOND;
     history.merge(otherVm.snapshot());
-    assertEquals(news.size(), 1);
+    assertEquals(updates.size(), 1);
     assertEquals(history.size(), 1);
   }
 
@@ -194,9 +194,9 @@
     for (int i = 0; i < 2 * CrashHistory.MAX_CLEARED; i++) {
       Digest fingerprint = Digest.of("request " + i);
       history.recordCrash(id, now, lost(now, fingerprint));
-      history.merge(new CrashNews(List.of(), List.of(new CrashNews.Cleared(fingerprint, 0))));
+      history.merge(new CrashUpdate(List.of(), List.of(new CrashUpdate.Cleared(fingerprint, 0))));
     }
-    CrashNews snapshot = history.snapshot();
+    CrashUpdate snapshot = history.snapshot();
     assertEquals(snapshot.crashes().getFirst().lost().size(), CrashHistory.MAX_LOST_PER_CRASH);
     assertEquals(snapshot.cleared().size(), CrashHistory.MAX_CLEARED);
   }
