Log the connection, framing and end of each response, and skipped ids

The logs could not tell its hypotheses apart: a line about a call named neither the connection, nor the framing of the response, nor what ended it, nor the ids of responses that were dropped while it waited.

ConnectionEndHandler sees, before the codec, whether the peer or this process ended a connection, or a write or an error. Metrics responses.skipped and responses.cut. No response is treated otherwise than before.

--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.radishpost.http.Call;
+import org.radishpost.http.Exchange;
 import org.radishpost.lib.Digest;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.placement.PlacementRequest;
@@ -29,6 +30,7 @@
   private boolean possiblyRun;
   private int connectedAttempts;
   private boolean remoteProbed;
+  private Optional<Exchange> lastExchange = Optional.empty();
   private Optional<Digest> fingerprint = Optional.empty();
 
   CallAttempts(
@@ -100,6 +102,15 @@
     return lastTarget;
   }
 
+  /** Returns what was observed of the attempt that ended last; empty if none has ended. */
+  Optional<Exchange> lastExchange() {
+    return lastExchange;
+  }
+
+  void recordExchange(Exchange exchange) {
+    lastExchange = Optional.of(exchange);
+  }
+
   /** Returns whether a target has run the call or may have done so. */
   boolean mayHaveRun() {
     return possiblyRun || inFlight > 0;
--- a/src/main/java/org/radishpost/direct/CallLog.java
+++ b/src/main/java/org/radishpost/direct/CallLog.java
@@ -1,11 +1,15 @@
 package org.radishpost.direct;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
 import org.radishpost.http.Call;
+import org.radishpost.http.Exchange;
+import org.radishpost.http.ResponseEnd;
+import org.radishpost.http.ResponseFraming;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.TrackedTarget;
 
@@ -46,7 +50,7 @@
       Optional<TrackedTarget> target,
       long nowNanos) {
     Call call = attempts.call();
-    if (code == EventCode.CALL_ANSWERED && answeredCalls++ % ANSWERED_SAMPLE_INTERVAL != 0) {
+    if (code == EventCode.CALL_ANSWERED && !isNotable(attempts) && isSampledOut()) {
       return;
     }
     if (!tryCountLine(nowNanos)) {
@@ -65,7 +69,23 @@
             target.flatMap(TrackedTarget::lastSample).map(CallLog::loadText).orElse("unknown")),
         EventField.of("loadAgeMs", target.map(t -> millis(t.sampleAgeNanos(nowNanos))).orElse(-1L)),
         EventField.of("waitedMs", millis(attempts.waitedNanos(nowNanos))),
-        EventField.of("leftMs", millis(call.info().deadlineNanos() - nowNanos)));
+        EventField.of("leftMs", millis(call.info().deadlineNanos() - nowNanos)),
+        EventField.of(
+            "connection", attempts.lastExchange().map(Exchange::connection).orElse("none")),
+        EventField.of(
+            "framing", attempts.lastExchange().map(Exchange::framing).orElse(ResponseFraming.NONE)),
+        EventField.of("end", attempts.lastExchange().map(Exchange::end).orElse(ResponseEnd.NONE)),
+        EventField.of(
+            "skipped", attempts.lastExchange().map(Exchange::skippedIds).orElse(List.of())));
+  }
+
+  private boolean isSampledOut() {
+    return answeredCalls++ % ANSWERED_SAMPLE_INTERVAL != 0;
+  }
+
+  /** Returns whether the connection of a call carried anything else than its response. */
+  private static boolean isNotable(CallAttempts attempts) {
+    return attempts.lastExchange().filter(Exchange::isNotable).isPresent();
   }
 
   private boolean tryCountLine(long nowNanos) {
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -12,6 +12,7 @@
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
+import org.radishpost.http.Exchange;
 import org.radishpost.http.Problem;
 import org.radishpost.http.Problems;
 import org.radishpost.http.RequestHead;
@@ -244,15 +245,22 @@
     coldTargetLimiter.recordSend(target, now());
     attempts.call().body().allowRemainder();
     SentCall sent =
-        new SentCall(chosen, now(), slowdownPercent(target), crashGuard.isSuspected(attempts));
+        new SentCall(
+            chosen,
+            now(),
+            slowdownPercent(target),
+            crashGuard.isSuspected(attempts),
+            new Exchange());
     return sender
         .send(
             target.target().address(),
             head(attempts, target),
             attempts.call().body(),
-            remaining(attempts.call()))
+            remaining(attempts.call()),
+            sent.exchange())
         .flatMap(buffering::bufferIfSmall)
         .doFinally(signal -> target.recordEnd())
+        .doOnTerminate(() -> attempts.recordExchange(sent.exchange()))
         .doOnCancel(() -> release(sent, cancelOutcome(attempts), Optional.empty()))
         .flatMap(response -> handleResponse(attempts, sent, response))
         .onErrorResume(error -> handleError(attempts, sent, error));
@@ -471,7 +479,12 @@
    * @param startNanos when it was sent
    * @param slowdownPercent the slowdown of the target at that time
    * @param suspected whether a target had crashed while it ran a request like this one
+   * @param exchange what is observed of its connection
    */
   private record SentCall(
-      TargetChoice.Chosen chosen, long startNanos, int slowdownPercent, boolean suspected) {}
+      TargetChoice.Chosen chosen,
+      long startNanos,
+      int slowdownPercent,
+      boolean suspected,
+      Exchange exchange) {}
 }
--- a/src/main/java/org/radishpost/http/CallSender.java
+++ b/src/main/java/org/radishpost/http/CallSender.java
@@ -21,6 +21,17 @@
    */
   Mono<Response> send(Endpoint address, RequestHead head, CallBody body, Duration timeout);
 
+  /**
+   * Sends a call like {@link #send(Endpoint, RequestHead, CallBody, Duration)} and records what is
+   * observed of its connection.
+   *
+   * @param exchange receives the observations; stays empty if this sender makes none
+   */
+  default Mono<Response> send(
+      Endpoint address, RequestHead head, CallBody body, Duration timeout, Exchange exchange) {
+    return send(address, head, body, timeout);
+  }
+
   /** Closes all idle connections to the address. Running calls continue. */
   void closeIdle(Endpoint address);
 
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -37,6 +37,7 @@
   private final ConnectionProvider connectionPool;
   private final HttpClient client;
   private final OpenConnections openConnections = new OpenConnections();
+  private final ResponseCounters counters = new ResponseCounters();
 
   /**
    * Creates a sender.
@@ -65,22 +66,35 @@
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
                 (observer, channel, remote) ->
-                    ResponseHandlers.addTo(channel.pipeline(), options.correlationField()))
+                    ResponseHandlers.addTo(
+                        channel.pipeline(), options.correlationField(), counters))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
   }
 
   @Override
   public Mono<Response> send(Endpoint address, RequestHead head, CallBody body, Duration timeout) {
-    return Mono.defer(() -> send(address, head, body, timeout, new SendAttempt()));
+    return send(address, head, body, timeout, new Exchange());
+  }
+
+  @Override
+  public Mono<Response> send(
+      Endpoint address, RequestHead head, CallBody body, Duration timeout, Exchange exchange) {
+    return Mono.defer(() -> send(address, head, body, timeout, exchange, new SendAttempt()));
   }
 
   private Mono<Response> send(
-      Endpoint address, RequestHead head, CallBody body, Duration timeout, SendAttempt attempt) {
+      Endpoint address,
+      RequestHead head,
+      CallBody body,
+      Duration timeout,
+      Exchange exchange,
+      SendAttempt attempt) {
     return client
         .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
         .headers(fields -> fields.set(head.headers()))
         .doOnConnected(connection -> openConnections.add(address, connection))
+        .doOnRequest((request, connection) -> exchange.start(connection.channel()))
         .request(HttpMethod.valueOf(head.method()))
         .uri(head.target())
         .send(
@@ -107,6 +121,11 @@
     return openConnections.closedAddresses();
   }
 
+  /** Returns the counters of the responses that were dropped or cut. */
+  public ResponseCounters counters() {
+    return counters;
+  }
+
   /** Closes all connections. */
   public Mono<Void> close() {
     return connectionPool.disposeLater();
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -32,6 +32,7 @@
   private static final int MAX_SKIPPED_BYTES = 262_144;
 
   private final Optional<String> correlationField;
+  private final ResponseCounters counters;
   private Optional<String> expectedValue = Optional.empty();
   private boolean awaitingResponse;
   private boolean skipping;
@@ -43,9 +44,11 @@
    *
    * @param correlationField the field that targets copy from the request to the response; empty if
    *     targets copy none
+   * @param counters counts the responses that are dropped
    */
-  ResponseCorrelationHandler(Optional<String> correlationField) {
+  ResponseCorrelationHandler(Optional<String> correlationField, ResponseCounters counters) {
     this.correlationField = correlationField;
+    this.counters = counters;
   }
 
   @Override
@@ -67,6 +70,9 @@
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
       skipping = belongsToOtherRequest(response);
+      if (skipping) {
+        recordSkipped(context, response);
+      }
     }
     if (skipping) {
       skip(context, message);
@@ -81,6 +87,12 @@
     context.fireChannelRead(message);
   }
 
+  private void recordSkipped(ChannelHandlerContext context, HttpResponse response) {
+    counters.countSkipped();
+    Exchange.of(context.channel())
+        .ifPresent(exchange -> exchange.recordSkipped(correlationValue(response)));
+  }
+
   private void skip(ChannelHandlerContext context, Object message) {
     if (message instanceof LastHttpContent) {
       skipping = false;
--- /dev/null
+++ b/src/main/java/org/radishpost/http/ResponseEnd.java
@@ -0,0 +1,15 @@
+package org.radishpost.http;
+
+/** What ended a response. */
+public enum ResponseEnd {
+  /** It has not ended. */
+  NONE,
+  /** Its framing: the declared length or the last chunk was received, or it has no body. */
+  FRAMING,
+  /** Its sender closed the connection. */
+  PEER_CLOSED,
+  /** This process closed the connection. */
+  CLOSED_HERE,
+  /** The connection failed. */
+  CONNECTION_FAILED
+}
--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -9,13 +9,23 @@
   private ResponseHandlers() {}
 
   /**
-   * Adds the handlers to a new connection, after the codec.
+   * Adds the handlers to a new connection, before and after the codec.
    *
    * @param correlationField the field that the server copies from the request to the response;
    *     empty if it copies none
+   * @param counters counts the responses that are dropped or cut
    */
-  public static void addTo(ChannelPipeline pipeline, Optional<String> correlationField) {
+  public static void addTo(
+      ChannelPipeline pipeline, Optional<String> correlationField, ResponseCounters counters) {
     pipeline
+        .addBefore(
+            NettyPipeline.HttpCodec,
+            ConnectionEndHandler.class.getName(),
+            new ConnectionEndHandler())
+        .addAfter(
+            NettyPipeline.HttpCodec,
+            ResponseEndHandler.class.getName(),
+            new ResponseEndHandler(counters))
         .addAfter(
             NettyPipeline.HttpCodec,
             InterimResponseFilter.class.getName(),
@@ -23,7 +33,7 @@
         .addAfter(
             NettyPipeline.HttpCodec,
             ResponseCorrelationHandler.class.getName(),
-            new ResponseCorrelationHandler(correlationField))
+            new ResponseCorrelationHandler(correlationField, counters))
         .addAfter(
             NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit());
   }
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -132,7 +132,6 @@
     this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
     this.crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     metrics.registerCrashes(crashes);
-    metrics.registerResponses(responseBudget);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
     this.sender =
         new HttpSender(
@@ -145,6 +144,7 @@
                 true),
             clock,
             loops);
+    metrics.registerResponses(responseBudget, sender.counters());
     this.relay = new Relay(settings.place(), createSlotBroker(), crashes);
     TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
     this.slotClient =
--- a/src/main/java/org/radishpost/node/MeteredSender.java
+++ b/src/main/java/org/radishpost/node/MeteredSender.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.radishpost.http.CallBody;
 import org.radishpost.http.CallSender;
+import org.radishpost.http.Exchange;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
 import org.radishpost.lib.Endpoint;
@@ -23,9 +24,15 @@
     implements CallSender {
   @Override
   public Mono<Response> send(Endpoint address, RequestHead head, CallBody body, Duration limit) {
+    return send(address, head, body, limit, new Exchange());
+  }
+
+  @Override
+  public Mono<Response> send(
+      Endpoint address, RequestHead head, CallBody body, Duration limit, Exchange exchange) {
     boolean probe = !head.headers().contains(deadlineField);
     metrics.countSend(probe);
-    Mono<Response> result = sender.send(address, head, body, limit);
+    Mono<Response> result = sender.send(address, head, body, limit, exchange);
     if (probe) {
       return result;
     }
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -15,6 +15,7 @@
 import org.radishpost.http.ByteBudget;
 import org.radishpost.http.CallResult;
 import org.radishpost.http.Response;
+import org.radishpost.http.ResponseCounters;
 import org.radishpost.lib.Verdict;
 import org.radishpost.link.PeerTraffic;
 import org.radishpost.link.TcpLinks;
@@ -91,9 +92,14 @@
     registerGauge("crashes.known", crashes::size);
   }
 
-  /** Registers the number of bytes of the responses that are being buffered. */
-  void registerResponses(ByteBudget budget) {
+  /**
+   * Registers the number of bytes of the responses that are being buffered, and the numbers of
+   * responses that were dropped or cut.
+   */
+  void registerResponses(ByteBudget budget, ResponseCounters counters) {
     registerGauge("responses.bytes", budget::heldBytes);
+    registry.register("responses.skipped", new SuppliedCounter(counters::skipped));
+    registry.register("responses.cut", new SuppliedCounter(counters::cut));
   }
 
   void recordCall(Response response, long durationNanos) {
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -18,6 +18,7 @@
 import org.radishpost.http.BodyCollector;
 import org.radishpost.http.ByteBudget;
 import org.radishpost.http.NameResolution;
+import org.radishpost.http.ResponseCounters;
 import org.radishpost.http.ResponseHandlers;
 import org.radishpost.http.TcpKeepAlive;
 import org.radishpost.lib.Endpoint;
@@ -76,7 +77,8 @@
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
                 (observer, channel, remote) ->
-                    ResponseHandlers.addTo(channel.pipeline(), Optional.empty()))
+                    ResponseHandlers.addTo(
+                        channel.pipeline(), Optional.empty(), new ResponseCounters()))
             .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_TIMEOUT.toMillis()));
--- a/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
+++ b/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
@@ -32,7 +32,8 @@
   public void open() {
     channel =
         new EmbeddedChannel(
-            new HttpClientCodec(), new ResponseCorrelationHandler(Optional.of("X-Request-Id")));
+            new HttpClientCodec(),
+            new ResponseCorrelationHandler(Optional.of("X-Request-Id"), new ResponseCounters()));
   }
 
   /** Releases the remaining buffers. */
