Never carry the same request id twice on a connection

Cause: responses are matched to requests by their id, and an id names a request, not one try of it. A caller that repeats a request sends the same id, the pool hands out the connection used last, and a copy that the target sends late counts as the response to the second try. A response without an id counted for any request. After HEAD the codec takes the copy of its response for one with a body, or a whole one for none.

Change: a connection remembers the ids it has carried (ConnectionHistory; 1,024 at most, then it is replaced); a try whose id it knows closes it and takes another, before a byte is sent. HEAD has a connection of its own. A response without an id is dropped as a possible late copy, or fails the request on a connection that carried no other; only refusals may lack it, and end their connection. Ruled out: another id on the wire (UNASKED); waiting for copies (no bound is safe); closing a connection after each dropped response (dropped ones are told apart).

EndlessServer sent responses without the id, so its limits would have gone untested; it sends it now.

--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -1,6 +1,7 @@
 package org.radishpost.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,16 +25,20 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
+import reactor.util.retry.Retry;
 
 /**
  * Sends each call once, over pooled HTTP/1.1 connections.
  *
  * <p>Thread-safe. A connection that has been idle for longer than the maximum idle time is not
- * reused. A connection whose call did not end with a complete response is closed.
+ * reused. A connection whose call did not end with a complete response is closed. A connection
+ * never carries two calls with the same ID, because a late copy of the response to the first one
+ * could not be told from the response to the second.
  */
 public final class HttpSender implements CallSender {
   private final Scheduler clock;
   private final boolean acceptsCloseDelimited;
+  private final Optional<String> correlationField;
   private final ConnectionProvider connectionPool;
   private final HttpClient client;
   private final OpenConnections openConnections = new OpenConnections();
@@ -49,6 +54,7 @@
   public HttpSender(SenderOptions options, Scheduler clock, LoopResources loops) {
     this.clock = clock;
     this.acceptsCloseDelimited = options.acceptsCloseDelimited();
+    this.correlationField = options.correlationField();
     this.connectionPool =
         ConnectionProvider.builder(options.name())
             .maxConnections(options.maxConnections())
@@ -66,8 +72,7 @@
             .headers(headers -> headers.remove("user-agent").remove("accept"))
             .doOnChannelInit(
                 (observer, channel, remote) ->
-                    ResponseHandlers.addTo(
-                        channel.pipeline(), options.correlationField(), counters))
+                    ResponseHandlers.addTo(channel.pipeline(), correlationField, counters))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
   }
@@ -94,19 +99,37 @@
         .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
         .headers(fields -> fields.set(head.headers()))
         .doOnConnected(connection -> openConnections.add(address, connection))
-        .doOnRequest((request, connection) -> exchange.start(connection.channel()))
+        .doOnRequest(
+            (request, connection) -> startExchange(exchange, attempt, head, connection.channel()))
         .request(HttpMethod.valueOf(head.method()))
         .uri(head.target())
         .send(
             (request, out) ->
-                attempt.tryStart() ? writeBody(out, body, attempt) : attempt.abandoned())
+                attempt.tryStart() ? writeBody(out, body, attempt) : attempt.notStarted())
         .responseConnection(
             (response, connection) -> toResponse(head.method(), response, connection))
         .next()
+        .retryWhen(onOtherConnection(attempt))
         .timeout(timeout, Mono.error(SendAttempt.ResponseTimeoutSignal::new), clock)
         .onErrorMap(error -> attempt.toException(error, address));
   }
 
+  private void startExchange(
+      Exchange exchange, SendAttempt attempt, RequestHead head, Channel channel) {
+    exchange.start(channel);
+    HttpMethod method = HttpMethod.valueOf(head.method());
+    Optional<String> id = correlationField.map(head.headers()::get);
+    if (!ConnectionHistory.of(channel).tryAdd(method, id)) {
+      attempt.rejectConnection(channel);
+    }
+  }
+
+  private static Retry onOtherConnection(SendAttempt attempt) {
+    return Retry.indefinitely()
+        .filter(SendAttempt.OtherConnectionSignal.class::isInstance)
+        .doBeforeRetryAsync(signal -> attempt.closeRejectedConnection());
+  }
+
   private static Publisher<Void> writeBody(NettyOutbound out, CallBody body, SendAttempt attempt) {
     return body.isEmpty() ? out : out.send(body.stream().doOnError(attempt::recordBodyFailure));
   }
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.ProtocolException;
 import java.util.Optional;
 import java.util.Set;
 
@@ -18,11 +19,12 @@
  * Prevents a response from being taken for the response to another request.
  *
  * <p>A response whose correlation field names another request is dropped, and the handler waits for
- * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. Bytes that arrive while
- * no request awaits a response close the connection. A connection is not reused after a refusal
- * without the correlation field: were the target to send it once more, the copy could not be told
- * from the refusal of the next request. There is one instance per connection to a target, placed
- * after the codec.
+ * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. So is a response without
+ * the field, which may be a late copy; on a connection that has carried no other request it can be
+ * none, and fails the request. Bytes that arrive while no request awaits a response close the
+ * connection. Only a refusal may lack the field. The connection is not reused after it: were the
+ * target to send it once more, the copy could not be told from the refusal of the next request.
+ * There is one instance per connection to a target, placed after the codec.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
   /** Statuses of responses that may state that the target did not run the request. */
@@ -69,9 +71,10 @@
       return;
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
-      skipping = belongsToOtherRequest(response);
+      skipping = !mayAnswerRequest(response);
       if (skipping) {
         recordSkipped(context, response);
+        failIfFirst(context, response);
       }
     }
     if (skipping) {
@@ -87,6 +90,16 @@
     context.fireChannelRead(message);
   }
 
+  /** No late copy can arrive on a connection that has carried no earlier request. */
+  private void failIfFirst(ChannelHandlerContext context, HttpResponse response) {
+    boolean first = ConnectionHistory.of(context.channel()).requestCount() <= 1;
+    if (first && correlationValue(response).isEmpty()) {
+      context.fireExceptionCaught(
+          new ProtocolException("the response does not name its request: check the target"));
+      context.close();
+    }
+  }
+
   private void recordSkipped(ChannelHandlerContext context, HttpResponse response) {
     counters.countSkipped();
     Exchange.of(context.channel())
@@ -109,10 +122,11 @@
     }
   }
 
-  private boolean belongsToOtherRequest(HttpResponse response) {
+  private boolean mayAnswerRequest(HttpResponse response) {
     interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    Optional<String> receivedValue = correlationValue(response);
-    return !interim && receivedValue.isPresent() && !receivedValue.equals(expectedValue);
+    return interim
+        || correlationValue(response).equals(expectedValue)
+        || isUnidentifiedRefusal(response);
   }
 
   private boolean isUnidentifiedRefusal(HttpResponse response) {
--- a/src/main/java/org/radishpost/http/SendAttempt.java
+++ b/src/main/java/org/radishpost/http/SendAttempt.java
@@ -1,5 +1,7 @@
 package org.radishpost.http;
 
+import io.netty.channel.Channel;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
@@ -8,6 +10,7 @@
 import org.radishpost.errors.ResponseTimeoutException;
 import org.radishpost.lib.Endpoint;
 import reactor.core.publisher.Mono;
+import reactor.netty.FutureMono;
 
 /**
  * One attempt to send a call. Guarantees that an attempt that failed before it was sent never sends
@@ -18,6 +21,7 @@
 final class SendAttempt {
   private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
   private volatile Throwable bodyFailure;
+  private volatile Optional<Channel> rejectedConnection = Optional.empty();
 
   private enum Stage {
     WAITING,
@@ -25,14 +29,30 @@
     ABANDONED
   }
 
-  /** Starts sending. Returns false if the attempt has already failed. */
+  /** Rejects the connection that was obtained: it must not carry the request. */
+  void rejectConnection(Channel connection) {
+    rejectedConnection = Optional.of(connection);
+  }
+
+  /** Closes the rejected connection, so that the pool does not return it again. */
+  Mono<Void> closeRejectedConnection() {
+    Channel connection = rejectedConnection.orElseThrow();
+    rejectedConnection = Optional.empty();
+    return FutureMono.deferFuture(connection::close);
+  }
+
+  /**
+   * Starts sending. Returns false if the attempt has already failed, or if it needs another
+   * connection.
+   */
   boolean tryStart() {
-    return stage.compareAndSet(Stage.WAITING, Stage.SENDING);
+    return rejectedConnection.isEmpty() && stage.compareAndSet(Stage.WAITING, Stage.SENDING);
   }
 
-  /** Returns the error for an attempt that failed before it obtained a connection. */
-  Mono<Void> abandoned() {
-    return Mono.error(ResponseTimeoutSignal::new);
+  /** Returns the error for an attempt that was not started. */
+  Mono<Void> notStarted() {
+    return Mono.error(
+        rejectedConnection.isPresent() ? OtherConnectionSignal::new : ResponseTimeoutSignal::new);
   }
 
   /** Records that the request body failed. */
@@ -67,6 +87,15 @@
     };
   }
 
+  /** Signals that the request needs another connection. Used only inside this package. */
+  static final class OtherConnectionSignal extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    OtherConnectionSignal() {
+      super("the connection has carried the same request before", null, false, false);
+    }
+  }
+
   /** Signals that no response arrived before the timeout. Used only inside this package. */
   static final class ResponseTimeoutSignal extends Exception {
     private static final long serialVersionUID = 1L;
--- a/src/test/java/org/radishpost/http/EndlessResponse.java
+++ b/src/test/java/org/radishpost/http/EndlessResponse.java
@@ -1,5 +1,6 @@
 package org.radishpost.http;
 
+import java.util.Optional;
 import org.radishpost.platform.WireNames;
 
 /** Responses of which one part never ends. */
@@ -35,18 +36,29 @@
     return this == BODY_AFTER_DECLARED_LENGTH || this == RESPONSES_AFTER_COMPLETE_ONE;
   }
 
-  String start() {
-    return start;
+  /** Returns the part before the one that never ends, in response to the given request. */
+  String start(Optional<String> requestId) {
+    return withId(start, requestId);
   }
 
-  String repeated() {
-    return repeated;
+  /** Returns the part that is repeated, in response to the given request. */
+  String repeated(Optional<String> requestId) {
+    return withId(repeated, requestId);
+  }
+
+  private static String withId(String text, Optional<String> requestId) {
+    String field = requestId.map(id -> WireNames.REQUEST_ID + ": " + id + "\r\n").orElse("");
+    return text.replace(Texts.OWN_ID_FIELD, field);
   }
 
   private static final class Texts {
-    private static final String HEAD =
+    /** Stands for the field with the ID of the request, if it has one. */
+    private static final String OWN_ID_FIELD = "{own id}";
+
+    private static final String SIGNED =
         "HTTP/1.1 200 OK\r\n" + WireNames.UPSTREAM_SIGNATURE + ": proof\r\n";
-    private static final String OTHER = HEAD + WireNames.REQUEST_ID + ": another\r\n";
+    private static final String HEAD = SIGNED + OWN_ID_FIELD;
+    private static final String OTHER = SIGNED + WireNames.REQUEST_ID + ": another\r\n";
     private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
     private static final String CHUNK = "1000\r\n" + "a".repeat(4_096) + "\r\n";
   }
--- a/src/test/java/org/radishpost/http/EndlessServer.java
+++ b/src/test/java/org/radishpost/http/EndlessServer.java
@@ -7,10 +7,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.radishpost.lib.Endpoint;
+import org.radishpost.platform.WireNames;
 
 /**
  * A server whose responses do not end before its peer closes the connection, or before {@value
@@ -80,19 +83,27 @@
         head = readHead(socket.getInputStream());
       }
       if (!head.isEmpty()) {
-        sendEndlessly(socket.getOutputStream());
+        sendEndlessly(socket.getOutputStream(), requestId(head));
       }
     } catch (IOException e) {
       // The peer closed the connection.
     }
   }
 
-  private void sendEndlessly(OutputStream out) {
-    String unit = response.repeated();
+  private static Optional<String> requestId(String head) {
+    String prefix = WireNames.REQUEST_ID.toLowerCase(Locale.ROOT) + ":";
+    return head.lines()
+        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(prefix))
+        .map(line -> line.substring(prefix.length()).strip())
+        .findFirst();
+  }
+
+  private void sendEndlessly(OutputStream out, Optional<String> requestId) {
+    String unit = response.repeated(requestId);
     String block = unit.repeat(Math.ceilDiv(WRITE_BYTES, unit.length()));
     long sent = 0;
     try {
-      write(out, response.start());
+      write(out, response.start(requestId));
       while (sent < MAX_BYTES && !server.isClosed()) {
         write(out, block);
         sent += block.length();
--- a/src/test/java/org/radishpost/http/LateResponseTest.java
+++ b/src/test/java/org/radishpost/http/LateResponseTest.java
@@ -23,6 +23,8 @@
 public class LateResponseTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  private static final int MAX_CONNECTIONS = 8;
+
   private LoopResources loops;
   private Scheduler clock;
   private HttpSender sender;
@@ -35,7 +37,12 @@
     sender =
         new HttpSender(
             new SenderOptions(
-                "target", 8, TIMEOUT, Duration.ofSeconds(1), Optional.of("x-request-id"), true),
+                "target",
+                MAX_CONNECTIONS,
+                TIMEOUT,
+                Duration.ofSeconds(1),
+                Optional.of("x-request-id"),
+                true),
             clock,
             loops);
   }
@@ -81,6 +88,22 @@
     }
   }
 
+  /** More tries than connections: each try replaces one that has carried the ID. */
+  @Test
+  public void sameIdManyTimesAtOnceIsAnsweredOverNewConnections() throws Exception {
+    int tries = 5 * MAX_CONNECTIONS;
+    try (RepeatingTarget target = new RepeatingTarget(RepeatingTarget.Ids.ALL)) {
+      List<String> results =
+          Flux.range(0, tries)
+              .flatMap(number -> send(target, "GET", "a"), MAX_CONNECTIONS)
+              .distinct()
+              .collectList()
+              .block(TIMEOUT);
+      assertEquals(results.size(), tries);
+      assertEquals(target.connectionCount(), tries);
+    }
+  }
+
   @Test
   public void lateSuccessWithoutIdIsNotResponseToNextRequest() throws Exception {
     try (RepeatingTarget target = new RepeatingTarget(RepeatingTarget.Ids.FIRST_ONLY)) {
