Take a body without a length as complete only with the end of its peer

Cause: the codec completes such a body when its channel ends, whoever ended it.

Change: connections are half-closable, so that Netty reports the peer's end as an event of its own; the handler before the codec records it unless an error, a failed write or a close came first, and then closes. The last content of a body without a length passes only with that record, and only if the whole request had been sent; in every other case it becomes an error. Connections of such bodies are not kept. One function, ResponseHandlers.protect, for targets, hops and the store. Ruled out: waiting for a reset after the end (no bound is safe). What stays: a peer that has the whole request, ends half of its body cleanly and declares nothing cannot be told from one that is done.

--- a/src/main/java/org/radishpost/http/ConnectionEndHandler.java
+++ b/src/main/java/org/radishpost/http/ConnectionEndHandler.java
@@ -4,12 +4,16 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.AttributeKey;
 
 /**
  * Records what ended a connection, where its bytes come in.
  *
- * <p>There is one instance per connection, placed before the codec.
+ * <p>Only the end of the stream, received before any error, failed write or close, is the end of
+ * the peer. The connection must be half-closable, because Netty reports the end of the stream only
+ * then; this handler closes it after the event. There is one instance per connection, placed before
+ * the codec.
  */
 final class ConnectionEndHandler extends ChannelDuplexHandler {
   private static final AttributeKey<ResponseEnd> KEY =
@@ -46,8 +50,19 @@
   }
 
   @Override
-  public void channelInactive(ChannelHandlerContext context) {
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (!(event instanceof ChannelInputShutdownEvent)) {
+      context.fireUserEventTriggered(event);
+      return;
+    }
     recordEnd(context, ResponseEnd.PEER_CLOSED);
+    context.fireUserEventTriggered(event);
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    recordEnd(context, ResponseEnd.CONNECTION_FAILED);
     context.fireChannelInactive();
   }
 
--- a/src/main/java/org/radishpost/http/Exchange.java
+++ b/src/main/java/org/radishpost/http/Exchange.java
@@ -46,11 +46,12 @@
   }
 
   /**
-   * Returns whether responses were dropped, or the connection ended the response otherwise than by
-   * its peer.
+   * Returns whether responses were dropped, or the connection ended the response otherwise than its
+   * peer would after a whole one.
    */
   public boolean isNotable() {
     return !skippedIds.isEmpty()
+        || end == ResponseEnd.PEER_CLOSED_EARLY
         || end == ResponseEnd.CLOSED_HERE
         || end == ResponseEnd.CONNECTION_FAILED;
   }
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -63,16 +63,15 @@
             .pendingAcquireTimeout(options.connectTimeout())
             .lifo()
             .build();
+    HttpClient protectedClient =
+        ResponseHandlers.protect(HttpClient.create(connectionPool), correlationField, counters);
     this.client =
-        NameResolution.disable(TcpKeepAlive.enable(HttpClient.create(connectionPool)))
+        NameResolution.disable(TcpKeepAlive.enable(protectedClient))
             .runOn(loops)
             .disableRetry(true)
             .followRedirect(false)
             .compress(false)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
-            .doOnChannelInit(
-                (observer, channel, remote) ->
-                    ResponseHandlers.addTo(channel.pipeline(), correlationField, counters))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
   }
--- a/src/main/java/org/radishpost/http/ResponseEnd.java
+++ b/src/main/java/org/radishpost/http/ResponseEnd.java
@@ -8,6 +8,8 @@
   FRAMING,
   /** Its sender closed the connection. */
   PEER_CLOSED,
+  /** Its sender closed the connection before it had received the whole request. */
+  PEER_CLOSED_EARLY,
   /** This process closed the connection. */
   CLOSED_HERE,
   /** The connection failed. */
--- a/src/main/java/org/radishpost/http/ResponseEndHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseEndHandler.java
@@ -3,13 +3,18 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Records how each response is framed and what ended it.
+ * Records how each response is framed and what ended it, and turns the end of a body without a
+ * length into an error unless the peer ended it: the codec completes such a body whenever the
+ * connection ends, also by an error, a failed write or a close of this process. A peer that closes
+ * before it has received the request resets the connection, even if its end arrives before that.
  *
  * <p>There is one instance per connection, placed after the handlers that drop responses.
  */
@@ -17,6 +22,7 @@
   private final ResponseCounters counters;
   private HttpMethod method = HttpMethod.GET;
   private ResponseFraming framing = ResponseFraming.NONE;
+  private boolean requestSent;
 
   /**
    * Creates a handler for one connection.
@@ -32,6 +38,13 @@
     if (message instanceof HttpRequest request) {
       method = request.method();
       framing = ResponseFraming.NONE;
+      requestSent = false;
+    }
+    if (message instanceof LastHttpContent) {
+      ChannelPromise observed = promise.unvoid();
+      observed.addListener(result -> requestSent = result.isSuccess());
+      context.write(message, observed);
+      return;
     }
     context.write(message, promise);
   }
@@ -41,17 +54,38 @@
     if (message instanceof HttpResponse response) {
       framing = ResponseFraming.of(method, response);
       Exchange.of(context.channel()).ifPresent(exchange -> exchange.recordFraming(framing));
+      if (framing == ResponseFraming.CLOSE) {
+        HttpUtil.setKeepAlive(response, false);
+      }
     }
-    if (message instanceof LastHttpContent) {
-      recordEnd(context, endOf(context));
+    if (message instanceof LastHttpContent content
+        && content.decoderResult().isSuccess()
+        && !endedByPeer(context)) {
+      content.release();
+      context.fireExceptionCaught(
+          new PrematureChannelClosureException("the connection ended before its peer closed it"));
+      context.close();
+      return;
     }
     context.fireChannelRead(message);
   }
 
+  private boolean endedByPeer(ChannelHandlerContext context) {
+    ResponseEnd end = endOf(context);
+    Exchange.of(context.channel()).ifPresent(exchange -> exchange.recordEnd(end));
+    if (end == ResponseEnd.FRAMING || end == ResponseEnd.PEER_CLOSED) {
+      return true;
+    }
+    counters.countCut();
+    return false;
+  }
+
   private ResponseEnd endOf(ChannelHandlerContext context) {
-    return framing == ResponseFraming.CLOSE
-        ? ConnectionEndHandler.endOf(context.channel())
-        : ResponseEnd.FRAMING;
+    if (framing != ResponseFraming.CLOSE) {
+      return ResponseEnd.FRAMING;
+    }
+    ResponseEnd end = ConnectionEndHandler.endOf(context.channel());
+    return end == ResponseEnd.PEER_CLOSED && !requestSent ? ResponseEnd.PEER_CLOSED_EARLY : end;
   }
 
   @Override
@@ -61,11 +95,4 @@
         .ifPresent(exchange -> exchange.recordEnd(ConnectionEndHandler.endOf(context.channel())));
     context.fireChannelInactive();
   }
-
-  private void recordEnd(ChannelHandlerContext context, ResponseEnd end) {
-    if (end != ResponseEnd.FRAMING && end != ResponseEnd.PEER_CLOSED) {
-      counters.countCut();
-    }
-    Exchange.of(context.channel()).ifPresent(exchange -> exchange.recordEnd(end));
-  }
 }
--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -1,13 +1,31 @@
 package org.radishpost.http;
 
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import java.util.Optional;
 import reactor.netty.NettyPipeline;
+import reactor.netty.http.client.HttpClient;
 
 /** Protects an HTTP client from responses that it did not ask for or that do not end. */
 public final class ResponseHandlers {
   private ResponseHandlers() {}
 
+  /**
+   * Returns the client with the handlers on each of its connections.
+   *
+   * @param client the client
+   * @param correlationField the field that the server copies from the request to the response;
+   *     empty if it copies none
+   * @param counters counts the responses that are dropped or cut
+   */
+  public static HttpClient protect(
+      HttpClient client, Optional<String> correlationField, ResponseCounters counters) {
+    return client
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .doOnChannelInit(
+            (observer, channel, remote) -> addTo(channel.pipeline(), correlationField, counters));
+  }
+
   /**
    * Adds the handlers to a new connection, before and after the codec.
    *
@@ -15,7 +33,7 @@
    *     empty if it copies none
    * @param counters counts the responses that are dropped or cut
    */
-  public static void addTo(
+  static void addTo(
       ChannelPipeline pipeline, Optional<String> correlationField, ResponseCounters counters) {
     pipeline
         .addBefore(
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -68,17 +68,16 @@
    */
   public StoreClient(Endpoint address, Scheduler clock, LoopResources loops) {
     this.clock = clock;
+    HttpClient protectedClient =
+        ResponseHandlers.protect(
+            HttpClient.create(ConnectionProvider.create("store", MAX_CONNECTIONS)),
+            Optional.empty(),
+            new ResponseCounters());
     this.client =
-        NameResolution.disable(
-                TcpKeepAlive.enable(
-                    HttpClient.create(ConnectionProvider.create("store", MAX_CONNECTIONS))))
+        NameResolution.disable(TcpKeepAlive.enable(protectedClient))
             .runOn(loops)
             .disableRetry(true)
             .headers(headers -> headers.remove("user-agent").remove("accept"))
-            .doOnChannelInit(
-                (observer, channel, remote) ->
-                    ResponseHandlers.addTo(
-                        channel.pipeline(), Optional.empty(), new ResponseCounters()))
             .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_TIMEOUT.toMillis()));
