Move the final responses of calls from DirectRouter to FinalResponses

Moved: refusals, Retry-After with its constants, the deadline, lost responses, and the log lines 4205, 4206 and 4209 and the refusal of calls that crash targets, letter for letter. The time left of a call and whether its deadline has passed are methods of CallAttempts. TrafficSplitter comes in by the constructor.

--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -1,5 +1,6 @@
 package org.radishpost.direct;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -68,6 +69,16 @@
     return placementRequest;
   }
 
+  /** Returns the time until the deadline of the call; positive even if the deadline has passed. */
+  Duration remaining(long nowNanos) {
+    return Duration.ofNanos(Math.max(1, call.info().deadlineNanos() - nowNanos));
+  }
+
+  /** Returns whether the deadline of the call has passed. */
+  boolean deadlineReached(long nowNanos) {
+    return call.info().deadlineNanos() - nowNanos <= 0;
+  }
+
   /** Returns the time from the arrival of the call until it was first sent, or until now. */
   long waitedNanos(long nowNanos) {
     return (lastTarget.isPresent() ? firstSendNanos : nowNanos) - arrivedNanos;
--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.radishpost.admission.ServiceBudget;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
@@ -13,8 +12,6 @@
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.CallSender;
 import org.radishpost.http.Exchange;
-import org.radishpost.http.Problem;
-import org.radishpost.http.Problems;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
 import org.radishpost.http.ResponseBuffering;
@@ -27,7 +24,6 @@
 import org.radishpost.placement.TargetSelector;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.TrafficSplitter;
-import org.radishpost.pool.HandBackReason;
 import org.radishpost.slots.SlotOutcome;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -51,34 +47,28 @@
   private static final int SERVER_ERROR = 500;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int TOO_MANY_REQUESTS = 429;
-  private static final int BAD_GATEWAY = 502;
-  private static final int GATEWAY_TIMEOUT = 504;
-  private static final int MIN_RETRY_AFTER_MILLIS = 100;
-  private static final int RETRY_AFTER_JITTER_MILLIS = 300;
-
-  /** Additional {@code Retry-After} of a late call as a fraction of its remaining time. */
-  private static final double LATE_RETRY_DELAY_FRACTION = 0.3;
 
   private final CallCandidates candidates;
+  private final TrafficSplitter splitter;
   private final TargetChooser chooser;
   private final TargetSelector selector;
   private final ColdTargetLimiter coldTargetLimiter;
   private final RouteServiceTimes serviceTimes;
-  private final TrafficSplitter splitter;
   private final TargetProtocol protocol;
   private final CallSender sender;
   private final ResponseBuffering buffering;
   private final ServiceBudget retryBudget;
   private final CrashGuard crashGuard;
+  private final FinalResponses finalResponses;
   private final CallLog log;
   private final Scheduler clock;
-  private final RandomGenerator random;
   private final Mono<Void> stopSending;
 
   /**
    * Creates a router from its components.
    *
    * @param candidates finds the targets that a call may be sent to
+   * @param splitter distributes calls over the services of a route
    * @param chooser chooses the target of each attempt
    * @param selector decides when a call is hedged
    * @param coldTargetLimiter limits the calls to cold targets; notified of each call sent
@@ -88,13 +78,14 @@
    * @param buffering keeps small responses in memory until they are complete
    * @param retryBudget the retry budget of this VM
    * @param crashGuard decides whether a call that may crash targets is sent
+   * @param finalResponses the responses to calls that are not sent any further
    * @param log receives a line for each notable event of a call
    * @param clock provides time and timers
-   * @param random the source of jitter for {@code Retry-After}
    * @param stopSending completes when no further call may be sent; calls that wait are refused then
    */
   DirectRouter(
       CallCandidates candidates,
+      TrafficSplitter splitter,
       TargetChooser chooser,
       TargetSelector selector,
       ColdTargetLimiter coldTargetLimiter,
@@ -104,24 +95,24 @@
       ResponseBuffering buffering,
       ServiceBudget retryBudget,
       CrashGuard crashGuard,
+      FinalResponses finalResponses,
       CallLog log,
       Scheduler clock,
-      RandomGenerator random,
       Mono<Void> stopSending) {
     this.candidates = candidates;
+    this.splitter = splitter;
     this.chooser = chooser;
     this.selector = selector;
     this.coldTargetLimiter = coldTargetLimiter;
     this.serviceTimes = serviceTimes;
-    this.splitter = new TrafficSplitter(random);
     this.protocol = protocol;
     this.sender = sender;
     this.buffering = buffering;
     this.retryBudget = retryBudget;
     this.crashGuard = crashGuard;
+    this.finalResponses = finalResponses;
     this.log = log;
     this.clock = clock;
-    this.random = random;
     this.stopSending = stopSending;
   }
 
@@ -132,23 +123,30 @@
           ServiceName service = splitter.next(call.match().route());
           retryBudget.recordCall(service);
           chooser.recordCall(service);
-          long holdNanos = (long) (MAX_HOLD_FRACTION * remaining(call).toNanos());
-          CallAttempts attempts =
-              new CallAttempts(
-                  call,
-                  service,
-                  placementRequest(call),
-                  now(),
-                  now() + Math.min(holdNanos, MAX_UNCERTAIN_HOLD.toNanos()),
-                  now() + holdNanos);
+          CallAttempts attempts = newAttempts(call, service);
           return chooseAndSend(attempts)
-              .timeout(remaining(call), Mono.fromSupplier(() -> deadlineExceeded(attempts)), clock)
+              .timeout(
+                  attempts.remaining(now()),
+                  Mono.fromSupplier(() -> finalResponses.deadlineExceeded(attempts)),
+                  clock)
               .doOnCancel(() -> logAbandoned(attempts));
         });
   }
 
-  private PlacementRequest placementRequest(Call call) {
+  private CallAttempts newAttempts(Call call, ServiceName service) {
     long now = now();
+    long remainingNanos = Math.max(0, call.info().deadlineNanos() - now);
+    long holdNanos = (long) (MAX_HOLD_FRACTION * remainingNanos);
+    return new CallAttempts(
+        call,
+        service,
+        placementRequest(call, now),
+        now,
+        now + Math.min(holdNanos, MAX_UNCERTAIN_HOLD.toNanos()),
+        now + holdNanos);
+  }
+
+  private static PlacementRequest placementRequest(Call call, long now) {
     long respondByNanos =
         call.match()
             .route()
@@ -177,7 +175,7 @@
                 switch (choice) {
                   case TargetChoice.Chosen chosen -> sendWithHedge(attempts, chosen);
                   case TargetChoice.None none ->
-                      Mono.just(endWithoutResponse(attempts, none.reason()));
+                      Mono.just(finalResponses.withoutResponse(attempts, none.reason()));
                 });
   }
 
@@ -230,9 +228,9 @@
   }
 
   private Mono<Response> send(CallAttempts attempts, TargetChoice.Chosen chosen) {
-    if (attempts.call().info().deadlineNanos() - now() <= 0) {
+    if (attempts.deadlineReached(now())) {
       chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
-      return Mono.just(deadlineExceeded(attempts));
+      return Mono.just(finalResponses.deadlineExceeded(attempts));
     }
     Optional<Response> blocked = refusalIfBlocked(attempts);
     if (blocked.isPresent()) {
@@ -256,7 +254,7 @@
             target.target().address(),
             head(attempts, target),
             attempts.call().body(),
-            remaining(attempts.call()),
+            attempts.remaining(now()),
             sent.exchange())
         .flatMap(buffering::bufferIfSmall)
         .doFinally(signal -> target.recordEnd())
@@ -266,21 +264,11 @@
         .onErrorResume(error -> handleError(attempts, sent, error));
   }
 
-  /**
-   * Returns the refusal of a call that has crashed its targets; empty if it may be sent. It may
-   * have been sent before, to a target that has not responded.
-   */
+  /** Returns the response to a call that has crashed its targets; empty if it may be sent. */
   private Optional<Response> refusalIfBlocked(CallAttempts attempts) {
-    return crashGuard.blockedFor(attempts).map(duration -> refuseBlocked(attempts, duration));
-  }
-
-  private Response refuseBlocked(CallAttempts attempts, Duration duration) {
-    String reason = "targets crashed, fingerprint " + attempts.fingerprint().shortHex();
-    log.write(EventCode.SUSPECT_REFUSED, attempts, reason, attempts.lastTarget(), now());
-    if (attempts.mayHaveRun()) {
-      return lostResponse(BAD_GATEWAY, "Targets have crashed while they ran this request.");
-    }
-    return Response.of(Problems.handedBack(HandBackReason.SUSPECT)).withRetryAfter(duration);
+    return crashGuard
+        .blockedFor(attempts)
+        .map(duration -> finalResponses.blocked(attempts, duration));
   }
 
   /** Returns the slot before the outcome is acted on, because a retry needs another slot. */
@@ -291,13 +279,12 @@
 
   /** A call that is cancelled at its deadline was not answered by its target. */
   private SlotOutcome cancelOutcome(CallAttempts attempts) {
-    boolean deadlineReached = attempts.call().info().deadlineNanos() - now() <= 0;
-    return deadlineReached ? SlotOutcome.FAILED : SlotOutcome.UNUSED;
+    return attempts.deadlineReached(now()) ? SlotOutcome.FAILED : SlotOutcome.UNUSED;
   }
 
   private RequestHead head(CallAttempts attempts, TrackedTarget target) {
-    Call call = attempts.call();
-    return protocol.callHead(call.head(), target.target().id(), remaining(call).toMillis());
+    long remainingMillis = attempts.remaining(now()).toMillis();
+    return protocol.callHead(attempts.call().head(), target.target().id(), remainingMillis);
   }
 
   private static int slowdownPercent(TrackedTarget target) {
@@ -328,31 +315,19 @@
       target.recordSuccess();
       serviceTimes.record(
           attempts.placementRequest().route(), now() - sent.startNanos(), sent.slowdownPercent());
-      log.write(
-          EventCode.CALL_ANSWERED,
-          attempts,
-          "status " + response.status(),
-          Optional.of(target),
-          now());
-      return Mono.just(response);
+      return Mono.just(finalResponses.succeeded(attempts, target, response));
     }
     target.recordFailure(now());
     String reason =
         authenticatedOrFailure
             ? "target failed, status " + response.status()
             : "unauthenticated response";
+    Response fallback =
+        canForward(response, authenticatedOrFailure) ? response : FinalResponses.lost(reason);
     if (attempts.call().info().idempotent()) {
-      Response fallback =
-          canForward(response, authenticatedOrFailure)
-              ? response
-              : lostResponse(BAD_GATEWAY, reason);
       return retryOrElse(attempts, reason, target, fallback);
     }
-    log.write(EventCode.CALL_FAILED, attempts, reason, Optional.of(target), now());
-    return Mono.just(
-        canForward(response, authenticatedOrFailure)
-            ? response
-            : lostResponse(BAD_GATEWAY, reason));
+    return Mono.just(finalResponses.failed(attempts, target, reason, fallback));
   }
 
   /**
@@ -380,13 +355,15 @@
       crashGuard.recordConnectionLost(attempts, target, sent.startNanos());
     }
     boolean timedOut = error instanceof ResponseTimeoutException;
-    Response fallback = lostResponse(timedOut ? GATEWAY_TIMEOUT : BAD_GATEWAY, error.getMessage());
+    Response fallback =
+        timedOut
+            ? FinalResponses.timedOut(error.getMessage())
+            : FinalResponses.lost(error.getMessage());
     boolean mayRetry = attempts.call().info().idempotent() && !timedOut;
     if (mayRetry && !sent.suspected()) {
       return retryOrElse(attempts, error.getMessage(), target, fallback);
     }
-    log.write(EventCode.CALL_FAILED, attempts, error.getMessage(), Optional.of(target), now());
-    return Mono.just(fallback);
+    return Mono.just(finalResponses.failed(attempts, target, error.getMessage(), fallback));
   }
 
   private Mono<Response> retry(CallAttempts attempts, String reason, TrackedTarget target) {
@@ -404,50 +381,9 @@
       return chooseAndSend(attempts);
     }
     if (fallback != null) {
-      log.write(EventCode.CALL_FAILED, attempts, reason, Optional.of(target), now());
-      return Mono.just(fallback);
-    }
-    return Mono.just(endWithoutResponse(attempts, reason));
-  }
-
-  /** Returns the final response to a call that is not sent to any further target. */
-  private Response endWithoutResponse(CallAttempts attempts, String reason) {
-    EventCode code = attempts.mayHaveRun() ? EventCode.CALL_FAILED : EventCode.CALL_REFUSED;
-    log.write(code, attempts, reason, attempts.lastTarget(), now());
-    if (attempts.mayHaveRun()) {
-      return lostResponse(BAD_GATEWAY, reason);
-    }
-    return Response.of(Problems.handedBack(HandBackReason.NO_TARGET))
-        .withRetryAfter(retryAfter(attempts));
-  }
-
-  /**
-   * Returns when a caller should retry. A call that is late already returns later, so that it does
-   * not take the slots of calls that can still be in time.
-   */
-  private Duration retryAfter(CallAttempts attempts) {
-    boolean late = selector.expectedLate(attempts.placementRequest(), now());
-    long lateNanos = (long) (LATE_RETRY_DELAY_FRACTION * remaining(attempts.call()).toNanos());
-    return late ? retryAfter().plusNanos(lateNanos) : retryAfter();
-  }
-
-  private Duration retryAfter() {
-    return Duration.ofMillis(MIN_RETRY_AFTER_MILLIS + random.nextInt(RETRY_AFTER_JITTER_MILLIS));
-  }
-
-  private Response deadlineExceeded(CallAttempts attempts) {
-    boolean sent = attempts.mayHaveRun();
-    log.write(
-        sent ? EventCode.CALL_FAILED : EventCode.CALL_REFUSED,
-        attempts,
-        "time is over",
-        attempts.lastTarget(),
-        now());
-    if (sent) {
-      attempts.lastTarget().ifPresent(target -> target.recordFailure(now()));
-      return lostResponse(GATEWAY_TIMEOUT, "The target did not respond in time.");
+      return Mono.just(finalResponses.failed(attempts, target, reason, fallback));
     }
-    return Response.of(Problems.handedBack(HandBackReason.TOO_LATE)).withRetryAfter(retryAfter());
+    return Mono.just(finalResponses.withoutResponse(attempts, reason));
   }
 
   private void logAbandoned(CallAttempts attempts) {
@@ -459,15 +395,6 @@
         now());
   }
 
-  private static Response lostResponse(int status, String reason) {
-    Problem problem = Problems.responseLost(status, reason);
-    return Response.of(problem);
-  }
-
-  private Duration remaining(Call call) {
-    return Duration.ofNanos(Math.max(1, call.info().deadlineNanos() - now()));
-  }
-
   private long now() {
     return clock.now(TimeUnit.NANOSECONDS);
   }
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -14,6 +14,7 @@
 import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetSelector;
+import org.radishpost.placement.TrafficSplitter;
 import org.radishpost.suspects.CrashHistory;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -77,8 +78,10 @@
     CrashDetector crashDetector =
         new CrashDetector(new LivenessCheck(sender, protocol, clock), crashes, clock, events);
     TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
+    CallLog log = new CallLog(events, requestIdField);
     return new DirectRouter(
         candidates,
+        new TrafficSplitter(random),
         new SlotTargetChooser(
             localPlace, candidates, brokers, selector, prober, probing, clock, random),
         selector,
@@ -89,9 +92,9 @@
         buffering,
         retryBudget,
         new CrashGuard(crashes, crashDetector, requestIdField),
-        new CallLog(events, requestIdField),
+        new FinalResponses(selector, log, clock, random),
+        log,
         clock,
-        random,
         stopSending);
   }
 }
