Send and evaluate attempts outside DirectRouter

DirectRouter still sent each attempt and judged its outcome beside the choice and the retries. Without a change of behaviour:

- AttemptSender counts an attempt as sent, builds its head, sends it and returns its slot when it is cancelled;
- AttemptEvaluator records what a response or an error says of the call and its target, and returns an AttemptResult: succeeded, failed, or retryable with the response if no retry is possible (a null before);
- DirectRouter acts on the result.
The retry stays inside onErrorResume, as it was: an error of a retry still counts for the attempt before it.

SentCall has its own file and returns its slot. The reasons and statuses are the same letter for letter.

--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -4,23 +4,13 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.radishpost.admission.ServiceBudget;
-import org.radishpost.errors.ConnectionLostException;
-import org.radishpost.errors.NotConnectedException;
-import org.radishpost.errors.ResponseTimeoutException;
 import org.radishpost.events.EventCode;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
-import org.radishpost.http.CallSender;
-import org.radishpost.http.Exchange;
-import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
-import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.Verdict;
-import org.radishpost.placement.ColdTargetLimiter;
-import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.PlacementRequest;
-import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetSelector;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.TrafficSplitter;
@@ -45,18 +35,13 @@
   private static final Duration MAX_UNCERTAIN_HOLD = Duration.ofMillis(150);
 
   private static final int SERVER_ERROR = 500;
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final int TOO_MANY_REQUESTS = 429;
 
   private final CallCandidates candidates;
   private final TrafficSplitter splitter;
   private final TargetChooser chooser;
   private final TargetSelector selector;
-  private final ColdTargetLimiter coldTargetLimiter;
-  private final RouteServiceTimes serviceTimes;
-  private final TargetProtocol protocol;
-  private final CallSender sender;
-  private final ResponseBuffering buffering;
+  private final AttemptSender attemptSender;
+  private final AttemptEvaluator evaluator;
   private final ServiceBudget retryBudget;
   private final CrashGuard crashGuard;
   private final FinalResponses finalResponses;
@@ -71,11 +56,8 @@
    * @param splitter distributes calls over the services of a route
    * @param chooser chooses the target of each attempt
    * @param selector decides when a call is hedged
-   * @param coldTargetLimiter limits the calls to cold targets; notified of each call sent
-   * @param serviceTimes the mean service times of the routes; updated from responses
-   * @param protocol builds requests for targets and parses their responses
-   * @param sender sends calls to targets
-   * @param buffering keeps small responses in memory until they are complete
+   * @param attemptSender sends each attempt to its target
+   * @param evaluator evaluates the response or error of each attempt
    * @param retryBudget the retry budget of this VM
    * @param crashGuard decides whether a call that may crash targets is sent
    * @param finalResponses the responses to calls that are not sent any further
@@ -88,11 +70,8 @@
       TrafficSplitter splitter,
       TargetChooser chooser,
       TargetSelector selector,
-      ColdTargetLimiter coldTargetLimiter,
-      RouteServiceTimes serviceTimes,
-      TargetProtocol protocol,
-      CallSender sender,
-      ResponseBuffering buffering,
+      AttemptSender attemptSender,
+      AttemptEvaluator evaluator,
       ServiceBudget retryBudget,
       CrashGuard crashGuard,
       FinalResponses finalResponses,
@@ -103,11 +82,8 @@
     this.splitter = splitter;
     this.chooser = chooser;
     this.selector = selector;
-    this.coldTargetLimiter = coldTargetLimiter;
-    this.serviceTimes = serviceTimes;
-    this.protocol = protocol;
-    this.sender = sender;
-    this.buffering = buffering;
+    this.attemptSender = attemptSender;
+    this.evaluator = evaluator;
     this.retryBudget = retryBudget;
     this.crashGuard = crashGuard;
     this.finalResponses = finalResponses;
@@ -237,31 +213,14 @@
       chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
       return Mono.just(blocked.get());
     }
-    TrackedTarget target = chosen.target();
-    attempts.recordSend(target, now());
-    target.recordSend();
-    coldTargetLimiter.recordSend(target, now());
-    attempts.call().body().allowRemainder();
-    SentCall sent =
-        new SentCall(
-            chosen,
-            now(),
-            slowdownPercent(target),
-            crashGuard.isSuspected(attempts),
-            new Exchange());
-    return sender
-        .send(
-            target.target().address(),
-            head(attempts, target),
-            attempts.call().body(),
-            attempts.remaining(now()),
-            sent.exchange())
-        .flatMap(buffering::bufferIfSmall)
-        .doFinally(signal -> target.recordEnd())
-        .doOnTerminate(() -> attempts.recordExchange(sent.exchange()))
-        .doOnCancel(() -> release(sent, cancelOutcome(attempts), Optional.empty()))
-        .flatMap(response -> handleResponse(attempts, sent, response))
-        .onErrorResume(error -> handleError(attempts, sent, error));
+    SentCall sent = attemptSender.start(attempts, chosen);
+    return attemptSender
+        .send(attempts, sent)
+        .flatMap(
+            response ->
+                conclude(attempts, sent, evaluator.evaluateResponse(attempts, sent, response)))
+        .onErrorResume(
+            error -> conclude(attempts, sent, evaluator.evaluateError(attempts, sent, error)));
   }
 
   /** Returns the response to a call that has crashed its targets; empty if it may be sent. */
@@ -271,119 +230,37 @@
         .map(duration -> finalResponses.blocked(attempts, duration));
   }
 
-  /** Returns the slot before the outcome is acted on, because a retry needs another slot. */
-  private void release(SentCall sent, SlotOutcome outcome, Optional<LoadSample> load) {
-    Duration serviceTime = Duration.ofNanos(now() - sent.startNanos());
-    sent.chosen().slot().release(outcome, serviceTime, load);
-  }
-
-  /** A call that is cancelled at its deadline was not answered by its target. */
-  private SlotOutcome cancelOutcome(CallAttempts attempts) {
-    return attempts.deadlineReached(now()) ? SlotOutcome.FAILED : SlotOutcome.UNUSED;
-  }
-
-  private RequestHead head(CallAttempts attempts, TrackedTarget target) {
-    long remainingMillis = attempts.remaining(now()).toMillis();
-    return protocol.callHead(attempts.call().head(), target.target().id(), remainingMillis);
-  }
-
-  private static int slowdownPercent(TrackedTarget target) {
-    return target
-        .lastSample()
-        .map(LoadSample::slowdownPercent)
-        .orElse(LoadSample.NO_SLOWDOWN_PERCENT);
+  private Mono<Response> conclude(CallAttempts attempts, SentCall sent, AttemptResult result) {
+    TrackedTarget target = sent.target();
+    return switch (result) {
+      case AttemptResult.Succeeded succeeded ->
+          Mono.just(finalResponses.succeeded(attempts, target, succeeded.response()));
+      case AttemptResult.Failed failed ->
+          Mono.just(finalResponses.failed(attempts, target, failed.reason(), failed.response()));
+      case AttemptResult.Retryable failed -> retryOrEnd(attempts, target, failed);
+    };
   }
 
-  private Mono<Response> handleResponse(CallAttempts attempts, SentCall sent, Response response) {
-    TrackedTarget target = sent.chosen().target();
-    TargetResponseInfo info = protocol.parse(response);
-    info.currentLoad().ifPresent(load -> target.recordSample(load, now()));
-    if (info.notRun()) {
-      release(sent, SlotOutcome.NOT_RUN, info.currentLoad());
-      attempts.recordNotRun();
-      return retry(attempts, "target did not run the call, status " + response.status(), target);
-    }
-    attempts.recordPossiblyRun();
-    boolean failure = response.status() >= SERVER_ERROR || response.status() == TOO_MANY_REQUESTS;
-    boolean authenticatedOrFailure = failure || info.authenticated();
-    boolean success = !failure && authenticatedOrFailure;
-    if (info.authenticated()) {
-      crashGuard.recordResponse(attempts);
-    }
-    release(sent, success ? SlotOutcome.SUCCEEDED : SlotOutcome.FAILED, info.currentLoad());
-    if (success) {
-      target.recordSuccess();
-      serviceTimes.record(
-          attempts.placementRequest().route(), now() - sent.startNanos(), sent.slowdownPercent());
-      return Mono.just(finalResponses.succeeded(attempts, target, response));
-    }
-    target.recordFailure(now());
-    String reason =
-        authenticatedOrFailure
-            ? "target failed, status " + response.status()
-            : "unauthenticated response";
-    Response fallback =
-        canForward(response, authenticatedOrFailure) ? response : FinalResponses.lost(reason);
-    if (attempts.call().info().idempotent()) {
-      return retryOrElse(attempts, reason, target, fallback);
-    }
-    return Mono.just(finalResponses.failed(attempts, target, reason, fallback));
-  }
-
-  /**
-   * Returns whether a failed response may be forwarded to the caller. Status 429 and 503 are not
-   * forwarded, because callers conclude from them that the call did not run.
-   */
-  private static boolean canForward(Response response, boolean authenticatedOrFailure) {
-    return authenticatedOrFailure
-        && response.status() != SERVICE_UNAVAILABLE
-        && response.status() != TOO_MANY_REQUESTS;
-  }
-
-  private Mono<Response> handleError(CallAttempts attempts, SentCall sent, Throwable error) {
-    TrackedTarget target = sent.chosen().target();
-    if (error instanceof NotConnectedException) {
-      release(sent, SlotOutcome.UNREACHABLE, Optional.empty());
-      attempts.recordNotConnected();
-      target.recordUnreachable(now());
-      return retry(attempts, error.getMessage(), target);
-    }
-    release(sent, SlotOutcome.FAILED, Optional.empty());
-    attempts.recordPossiblyRun();
-    target.recordFailure(now());
-    if (error instanceof ConnectionLostException) {
-      crashGuard.recordConnectionLost(attempts, target, sent.startNanos());
-    }
-    boolean timedOut = error instanceof ResponseTimeoutException;
-    Response fallback =
-        timedOut
-            ? FinalResponses.timedOut(error.getMessage())
-            : FinalResponses.lost(error.getMessage());
-    boolean mayRetry = attempts.call().info().idempotent() && !timedOut;
-    if (mayRetry && !sent.suspected()) {
-      return retryOrElse(attempts, error.getMessage(), target, fallback);
+  private Mono<Response> retryOrEnd(
+      CallAttempts attempts, TrackedTarget target, AttemptResult.Retryable failed) {
+    if (tryStartRetry(attempts)) {
+      log.write(EventCode.CALL_RESENT, attempts, failed.reason(), Optional.of(target), now());
+      return chooseAndSend(attempts);
     }
-    return Mono.just(finalResponses.failed(attempts, target, error.getMessage(), fallback));
-  }
-
-  private Mono<Response> retry(CallAttempts attempts, String reason, TrackedTarget target) {
-    return retryOrElse(attempts, reason, target, null);
+    return Mono.just(
+        failed
+            .fallback()
+            .map(response -> finalResponses.failed(attempts, target, failed.reason(), response))
+            .orElseGet(() -> finalResponses.withoutResponse(attempts, failed.reason())));
   }
 
-  private Mono<Response> retryOrElse(
-      CallAttempts attempts, String reason, TrackedTarget target, Response fallback) {
+  /** Returns whether a call may be sent again; takes it from the retry budget if it was sent. */
+  private boolean tryStartRetry(CallAttempts attempts) {
     boolean reachedTarget = attempts.connectedAttempts() > 0;
     boolean canResend = attempts.call().body().canReroute() && !candidates.of(attempts).isEmpty();
-    if (attempts.hasAttemptsLeft()
+    return attempts.hasAttemptsLeft()
         && canResend
-        && (!reachedTarget || retryBudget.tryAcquire(attempts.service()))) {
-      log.write(EventCode.CALL_RESENT, attempts, reason, Optional.of(target), now());
-      return chooseAndSend(attempts);
-    }
-    if (fallback != null) {
-      return Mono.just(finalResponses.failed(attempts, target, reason, fallback));
-    }
-    return Mono.just(finalResponses.withoutResponse(attempts, reason));
+        && (!reachedTarget || retryBudget.tryAcquire(attempts.service()));
   }
 
   private void logAbandoned(CallAttempts attempts) {
@@ -398,20 +275,4 @@
   private long now() {
     return clock.now(TimeUnit.NANOSECONDS);
   }
-
-  /**
-   * An attempt that was sent.
-   *
-   * @param chosen the target and its slot
-   * @param startNanos when it was sent
-   * @param slowdownPercent the slowdown of the target at that time
-   * @param suspected whether a target had crashed while it ran a request like this one
-   * @param exchange what is observed of its connection
-   */
-  private record SentCall(
-      TargetChoice.Chosen chosen,
-      long startNanos,
-      int slowdownPercent,
-      boolean suspected,
-      Exchange exchange) {}
 }
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -78,6 +78,7 @@
     CrashDetector crashDetector =
         new CrashDetector(new LivenessCheck(sender, protocol, clock), crashes, clock, events);
     TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
+    CrashGuard crashGuard = new CrashGuard(crashes, crashDetector, requestIdField);
     CallLog log = new CallLog(events, requestIdField);
     return new DirectRouter(
         candidates,
@@ -85,13 +86,10 @@
         new SlotTargetChooser(
             localPlace, candidates, brokers, selector, prober, probing, clock, random),
         selector,
-        coldTargetLimiter,
-        serviceTimes,
-        protocol,
-        sender,
-        buffering,
+        new AttemptSender(coldTargetLimiter, protocol, sender, buffering, crashGuard, clock),
+        new AttemptEvaluator(protocol, serviceTimes, crashGuard, clock),
         retryBudget,
-        new CrashGuard(crashes, crashDetector, requestIdField),
+        crashGuard,
         new FinalResponses(selector, log, clock, random),
         log,
         clock,
