--- a/src/main/java/org/radishpost/direct/DirectRouter.java
+++ b/src/main/java/org/radishpost/direct/DirectRouter.java
@@ -9,9 +9,7 @@
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.Response;
 import org.radishpost.lib.ServiceName;
-import org.radishpost.lib.Verdict;
 import org.radishpost.placement.PlacementRequest;
-import org.radishpost.placement.TargetSelector;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.placement.TrafficSplitter;
 import org.radishpost.slots.SlotOutcome;
@@ -34,14 +32,12 @@
   /** Maximum hold time of a call to a service whose targets do not report their load. */
   private static final Duration MAX_UNCERTAIN_HOLD = Duration.ofMillis(150);
 
-  private static final int SERVER_ERROR = 500;
-
   private final CallCandidates candidates;
   private final TrafficSplitter splitter;
   private final TargetChooser chooser;
-  private final TargetSelector selector;
   private final AttemptSender attemptSender;
   private final AttemptEvaluator evaluator;
+  private final CallHedger hedger;
   private final ServiceBudget retryBudget;
   private final CrashGuard crashGuard;
   private final FinalResponses finalResponses;
@@ -55,9 +51,9 @@
    * @param candidates finds the targets that a call may be sent to
    * @param splitter distributes calls over the services of a route
    * @param chooser chooses the target of each attempt
-   * @param selector decides when a call is hedged
    * @param attemptSender sends each attempt to its target
    * @param evaluator evaluates the response or error of each attempt
+   * @param hedger sends a call to a second target if its response takes too long
    * @param retryBudget the retry budget of this VM
    * @param crashGuard decides whether a call that may crash targets is sent
    * @param finalResponses the responses to calls that are not sent any further
@@ -69,9 +65,9 @@
       CallCandidates candidates,
       TrafficSplitter splitter,
       TargetChooser chooser,
-      TargetSelector selector,
       AttemptSender attemptSender,
       AttemptEvaluator evaluator,
+      CallHedger hedger,
       ServiceBudget retryBudget,
       CrashGuard crashGuard,
       FinalResponses finalResponses,
@@ -81,9 +77,9 @@
     this.candidates = candidates;
     this.splitter = splitter;
     this.chooser = chooser;
-    this.selector = selector;
     this.attemptSender = attemptSender;
     this.evaluator = evaluator;
+    this.hedger = hedger;
     this.retryBudget = retryBudget;
     this.crashGuard = crashGuard;
     this.finalResponses = finalResponses;
@@ -155,52 +151,9 @@
                 });
   }
 
-  /** Sends a call; an idempotent one is hedged if the response takes too long. */
   private Mono<Response> sendWithHedge(CallAttempts attempts, TargetChoice.Chosen chosen) {
     Mono<Response> first = send(attempts, chosen);
-    if (!attempts.call().info().idempotent()
-        || !attempts.hasAttemptsLeft()
-        || crashGuard.isSuspected(attempts)) {
-      return first;
-    }
-    Duration delay = Duration.ofNanos(selector.hedgeDelayNanos(attempts.placementRequest(), now()));
-    Mono<Response> second = Mono.defer(() -> sendHedge(attempts, chosen.target()));
-    return HedgedRequest.of(
-        first, Mono.delay(delay, clock), second, DirectRouter::succeeded, DirectRouter::preferred);
-  }
-
-  private Mono<Response> sendHedge(CallAttempts attempts, TrackedTarget firstTarget) {
-    if (!attempts.hasAttemptsLeft()) {
-      return Mono.empty();
-    }
-    return chooser
-        .chooseForHedge(attempts)
-        .ofType(TargetChoice.Chosen.class)
-        .flatMap(chosen -> sendHedge(attempts, firstTarget, chosen));
-  }
-
-  private Mono<Response> sendHedge(
-      CallAttempts attempts, TrackedTarget firstTarget, TargetChoice.Chosen chosen) {
-    if (!retryBudget.tryAcquire(attempts.service())) {
-      chosen.slot().release(SlotOutcome.UNUSED, Duration.ZERO, Optional.empty());
-      return Mono.empty();
-    }
-    log.write(EventCode.CALL_HEDGED, attempts, "no response yet", Optional.of(firstTarget), now());
-    return send(attempts, chosen);
-  }
-
-  private static boolean succeeded(Response response) {
-    return response.refusalVerdict().isEmpty() && response.status() < SERVER_ERROR;
-  }
-
-  /**
-   * Returns the better of two responses. A response that may come from a completed run takes
-   * precedence over one that states that the call did not run.
-   */
-  private static Response preferred(Response first, Response second) {
-    boolean preferSecond =
-        succeeded(second) || first.refusalVerdict().filter(Verdict.NOT_RUN::equals).isPresent();
-    return preferSecond ? second : first;
+    return hedger.hedge(attempts, chosen.target(), first, second -> send(attempts, second));
   }
 
   private Mono<Response> send(CallAttempts attempts, TargetChoice.Chosen chosen) {
--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -78,16 +78,18 @@
     CrashDetector crashDetector =
         new CrashDetector(new LivenessCheck(sender, protocol, clock), crashes, clock, events);
     TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
+    TargetChooser chooser =
+        new SlotTargetChooser(
+            localPlace, candidates, brokers, selector, prober, probing, clock, random);
     CrashGuard crashGuard = new CrashGuard(crashes, crashDetector, requestIdField);
     CallLog log = new CallLog(events, requestIdField);
     return new DirectRouter(
         candidates,
         new TrafficSplitter(random),
-        new SlotTargetChooser(
-            localPlace, candidates, brokers, selector, prober, probing, clock, random),
-        selector,
+        chooser,
         new AttemptSender(coldTargetLimiter, protocol, sender, buffering, crashGuard, clock),
         new AttemptEvaluator(protocol, serviceTimes, crashGuard, clock),
+        new CallHedger(chooser, selector, retryBudget, crashGuard, log, clock),
         retryBudget,
         crashGuard,
         new FinalResponses(selector, log, clock, random),
