Read request heads of test targets in one place

ScriptedTarget, EndlessServer, RepeatingTarget and ResettingTarget each had a copy of readHead; HeadReader replaces them. EdgeFixture.readHead stays: it reads responses, and unlike the others never returns when the peer closes.

EndlessResponseProcessTest (soak) was not run.

--- a/src/test/java/org/radishpost/http/EndlessServer.java
+++ b/src/test/java/org/radishpost/http/EndlessServer.java
@@ -1,7 +1,6 @@
 package org.radishpost.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -74,10 +73,10 @@
 
   private void serve(Socket socket) {
     try (socket) {
-      String head = readHead(socket.getInputStream());
+      String head = HeadReader.read(socket.getInputStream());
       while (!healthPath.isEmpty() && head.startsWith("GET " + healthPath + " ")) {
         write(socket.getOutputStream(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-        head = readHead(socket.getInputStream());
+        head = HeadReader.read(socket.getInputStream());
       }
       if (!head.isEmpty()) {
         sendEndlessly(socket.getOutputStream());
@@ -108,16 +107,4 @@
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
   }
-
-  private static String readHead(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = in.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    return head.toString();
-  }
 }
--- a/src/test/java/org/radishpost/http/RepeatingTarget.java
+++ b/src/test/java/org/radishpost/http/RepeatingTarget.java
@@ -72,7 +72,7 @@
       InputStream in = socket.getInputStream();
       OutputStream out = socket.getOutputStream();
       String lateCopies = "";
-      for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
+      for (String head = HeadReader.read(in); !head.isEmpty(); head = HeadReader.read(in)) {
         int number = requests.incrementAndGet();
         String response = response(head, number, ids != Ids.NONE);
         out.write((lateCopies + response).getBytes(StandardCharsets.ISO_8859_1));
@@ -100,16 +100,4 @@
         .findFirst()
         .orElse("");
   }
-
-  private static String readHead(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = in.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    return head.toString();
-  }
 }
--- a/src/test/java/org/radishpost/http/ResettingTarget.java
+++ b/src/test/java/org/radishpost/http/ResettingTarget.java
@@ -67,7 +67,7 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = socket.getInputStream();
-      readHead(in);
+      HeadReader.read(in);
       if (how == Break.RESET_AFTER_REQUEST) {
         in.skipNBytes(CutResponseTest.UPLOAD_BYTES);
       }
@@ -81,15 +81,4 @@
       // The sender closed the connection.
     }
   }
-
-  private static void readHead(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = in.read();
-      if (next < 0) {
-        return;
-      }
-      head.append((char) next);
-    }
-  }
 }
--- a/src/test/java/org/radishpost/http/ScriptedTarget.java
+++ b/src/test/java/org/radishpost/http/ScriptedTarget.java
@@ -1,7 +1,6 @@
 package org.radishpost.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -74,7 +73,7 @@
 
   private void serve(Socket socket) {
     try {
-      String head = readHead(socket.getInputStream());
+      String head = HeadReader.read(socket.getInputStream());
       while (!head.isEmpty()) {
         receivedHeads.add(head);
         String response = responses.poll();
@@ -95,23 +94,11 @@
           socket.getInputStream().transferTo(java.io.OutputStream.nullOutputStream());
           break;
         }
-        head = readHead(socket.getInputStream());
+        head = HeadReader.read(socket.getInputStream());
       }
       closedConnections.add("end");
     } catch (IOException e) {
       closedConnections.add("reset");
     }
   }
-
-  private static String readHead(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = in.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    return head.toString();
-  }
 }
