--- a/src/main/java/org/radishpost/direct/DirectRouterFactory.java
+++ b/src/main/java/org/radishpost/direct/DirectRouterFactory.java
@@ -14,6 +14,7 @@
 import org.radishpost.placement.RouteServiceTimes;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetSelector;
+import org.radishpost.placement.TrafficSplitter;
 import org.radishpost.suspects.CrashHistory;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -77,21 +78,23 @@
     CrashDetector crashDetector =
         new CrashDetector(new LivenessCheck(sender, protocol, clock), crashes, clock, events);
     TargetChooser probing = new ProbingTargetChooser(candidates, selector, prober, clock, random);
+    TargetChooser chooser =
+        new SlotTargetChooser(
+            localPlace, candidates, brokers, selector, prober, probing, clock, random);
+    CrashGuard crashGuard = new CrashGuard(crashes, crashDetector, requestIdField);
+    CallLog log = new CallLog(events, requestIdField);
     return new DirectRouter(
         candidates,
-        new SlotTargetChooser(
-            localPlace, candidates, brokers, selector, prober, probing, clock, random),
-        selector,
-        coldTargetLimiter,
-        serviceTimes,
-        protocol,
-        sender,
-        buffering,
+        new TrafficSplitter(random),
+        chooser,
+        new AttemptSender(coldTargetLimiter, protocol, sender, buffering, crashGuard, clock),
+        new AttemptEvaluator(protocol, serviceTimes, crashGuard, clock),
+        new CallHedger(chooser, selector, retryBudget, crashGuard, log, clock),
         retryBudget,
-        new CrashGuard(crashes, crashDetector, requestIdField),
-        new CallLog(events, requestIdField),
+        crashGuard,
+        new FinalResponses(selector, log, clock, random),
+        log,
         clock,
-        random,
         stopSending);
   }
 }
--- a/src/test/java/org/radishpost/http/LateResponseTest.java
+++ b/src/test/java/org/radishpost/http/LateResponseTest.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import org.radishpost.errors.RadishpostException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -15,44 +14,23 @@
 import org.testng.annotations.Test;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Scheduler;
-import reactor.core.scheduler.Schedulers;
-import reactor.netty.resources.LoopResources;
 
 /** Tests that a late copy of a response is never taken for the response to a later request. */
 public class LateResponseTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
-  private static final int MAX_CONNECTIONS = 8;
-
-  private LoopResources loops;
-  private Scheduler clock;
-  private HttpSender sender;
+  private SenderFixture fixture;
 
   /** Creates a sender with the options of an entry. */
   @BeforeMethod
   public void createSender() {
-    loops = LoopResources.create("late-response-test", 1, true);
-    clock = Schedulers.newSingle("late-response-test", true);
-    sender =
-        new HttpSender(
-            new SenderOptions(
-                "target",
-                MAX_CONNECTIONS,
-                TIMEOUT,
-                Duration.ofSeconds(1),
-                Optional.of("x-request-id"),
-                true),
-            clock,
-            loops);
+    fixture = new SenderFixture("late-response-test");
   }
 
   /** Closes the connections and threads. */
   @AfterMethod
   public void close() {
-    sender.close().block();
-    loops.disposeLater().block();
-    clock.dispose();
+    fixture.close();
   }
 
   /**
@@ -91,11 +69,11 @@
   /** More tries than connections: each try replaces one that has carried the ID. */
   @Test
   public void sameIdManyTimesAtOnceIsAnsweredOverNewConnections() throws Exception {
-    int tries = 5 * MAX_CONNECTIONS;
+    int tries = 5 * SenderFixture.MAX_CONNECTIONS;
     try (RepeatingTarget target = new RepeatingTarget(RepeatingTarget.Ids.ALL)) {
       List<String> results =
           Flux.range(0, tries)
-              .flatMap(number -> send(target, "GET", "a"), MAX_CONNECTIONS)
+              .flatMap(number -> send(target, "GET", "a"), SenderFixture.MAX_CONNECTIONS)
               .distinct()
               .collectList()
               .block(TIMEOUT);
@@ -148,7 +126,8 @@
   private Mono<String> send(RepeatingTarget target, String method, String id) {
     RequestHead get = RequestHead.get("/a").withField("x-request-id", id);
     RequestHead head = new RequestHead(method, get.target(), get.headers());
-    return sender
+    return fixture
+        .sender()
         .send(target.address(), head, CallBody.buffered(new byte[0]), TIMEOUT)
         .flatMap(LateResponseTest::text)
         .onErrorResume(
