Keep late pages of the store out of later reads

Callers could see: requests on routes or targets of the wrong records, at all entries that a relay feeds. A late copy of a page of the store that came while the next read waited on the same connection was taken for the page of that read: of another topic, or of the same topic with records at offsets of later ones, which then were never read.

Cause: responses of the store name neither topic nor offset, four kept connections were shared by all topics, and the end offset in a page was not compared with the records.

Change: each topic has connections of its own. A page whose records lie after the end of the topic is an error.

--- a/src/main/java/org/radishpost/platform/KeyedPage.java
+++ b/src/main/java/org/radishpost/platform/KeyedPage.java
@@ -13,8 +13,9 @@
  *
  * @param records the records in ascending order of offset
  * @param nextOffset the offset from which to read the next page
+ * @param endsWithTopic whether the topic had no more records when the page was created
  */
-record KeyedPage(List<KeyedRecord> records, long nextOffset) {
+record KeyedPage(List<KeyedRecord> records, long nextOffset, boolean endsWithTopic) {
   private static final int BYTE_MASK = 0xff;
 
   KeyedPage {
@@ -29,14 +30,15 @@
    *
    * @param bytes the body of the response
    * @param from the requested offset
-   * @throws StoreException if the response is truncated
+   * @throws StoreException if the response is truncated, or holds records that would lie after the
+   *     end of the topic, as a late response to an earlier request does
    */
   static KeyedPage decode(byte[] bytes, long from) throws StoreException {
     ByteBuffer buffer = ByteBuffer.wrap(bytes);
     if (buffer.remaining() < 2 * Long.BYTES) {
       throw new StoreException("The store's response is too short: check the store.");
     }
-    buffer.getLong();
+    long endOffset = buffer.getLong();
     long firstRetained = buffer.getLong();
     long offset = Math.max(from, firstRetained);
     List<KeyedRecord> records = new ArrayList<>();
@@ -49,8 +51,12 @@
       buffer.get(record);
       decodeRecord(offset, record).ifPresent(records::add);
       offset++;
+      if (offset > endOffset) {
+        throw new StoreException(
+            "A record in the store's response lies after the end of its topic: check the store.");
+      }
     }
-    return new KeyedPage(records, offset);
+    return new KeyedPage(records, offset, offset >= endOffset);
   }
 
   /** Returns the decoded record; empty if its key is missing or truncated. */
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -8,8 +8,11 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.RadishpostException;
 import org.radishpost.errors.RecordsDeletedException;
@@ -25,6 +28,7 @@
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -32,12 +36,15 @@
 /**
  * The client of the platform's store; thread-safe.
  *
- * <p>A request that times out closes its connection, because the connection cannot be reused.
+ * <p>Responses do not name their requests. So that a late one is not taken for the response to
+ * another request, each topic has its own connections, and a connection is only reused after a
+ * response after which a late copy can be told from the next one: a page that ends with its topic.
+ * A page that contradicts the requested offset is an error.
  */
 public final class StoreClient {
   private static final int OK = 200;
   private static final int GONE = 410;
-  private static final int MAX_CONNECTIONS = 4;
+  private static final int MAX_CONNECTIONS_PER_TOPIC = 4;
 
   /** The store sends at most 1 MiB of records in a response, encoded as Base64 in some. */
   private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
@@ -53,8 +60,10 @@
   private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(900);
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
+  private final Endpoint address;
   private final Scheduler clock;
-  private final HttpClient client;
+  private final LoopResources loops;
+  private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
   private final BodyCollector collector =
       new BodyCollector(
           new ByteBudget(MAX_HELD_BYTES), MAX_RESPONSE_BYTES, StoreClient::responseTooLarge);
@@ -67,21 +76,24 @@
    * @param loops the event loop threads
    */
   public StoreClient(Endpoint address, Scheduler clock, LoopResources loops) {
+    this.address = address;
     this.clock = clock;
-    this.client =
-        NameResolution.disable(
-                TcpKeepAlive.enable(
-                    HttpClient.create(ConnectionProvider.create("store", MAX_CONNECTIONS))))
-            .runOn(loops)
-            .disableRetry(true)
-            .headers(headers -> headers.remove("user-agent").remove("accept"))
-            .doOnChannelInit(
-                (observer, channel, remote) ->
-                    ResponseHandlers.addTo(
-                        channel.pipeline(), Optional.empty(), new ResponseCounters()))
-            .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
-            .option(
-                ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_TIMEOUT.toMillis()));
+    this.loops = loops;
+  }
+
+  private HttpClient createClient(String topic) {
+    ConnectionProvider connections =
+        ConnectionProvider.create("store-" + topic, MAX_CONNECTIONS_PER_TOPIC);
+    return NameResolution.disable(TcpKeepAlive.enable(HttpClient.create(connections)))
+        .runOn(loops)
+        .disableRetry(true)
+        .headers(headers -> headers.remove("user-agent").remove("accept"))
+        .doOnChannelInit(
+            (observer, channel, remote) ->
+                ResponseHandlers.addTo(
+                    channel.pipeline(), Optional.empty(), new ResponseCounters()))
+        .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(CONNECT_TIMEOUT.toMillis()));
   }
 
   /**
@@ -101,8 +113,12 @@
             + "&part=0&from="
             + from
             + (wait.isZero() ? "" : "&wait-ms=" + wait.toMillis());
-    return get(uri, RESPONSE_TIMEOUT.plus(wait))
-        .map(bytes -> decode(() -> KeyedPage.decode(bytes, from)));
+    return get(
+        topic,
+        uri,
+        RESPONSE_TIMEOUT.plus(wait),
+        bytes -> KeyedPage.decode(bytes, from),
+        KeyedPage::endsWithTopic);
   }
 
   /**
@@ -130,10 +146,9 @@
             + lastKey
                 .map(key -> "&after=" + URLEncoder.encode(key, StandardCharsets.UTF_8))
                 .orElse("");
-    return get(uri, RESPONSE_TIMEOUT)
+    return get(topic, uri, RESPONSE_TIMEOUT, SnapshotPage::decode, page -> !page.hasMore())
         .flatMap(
-            bytes -> {
-              SnapshotPage page = decode(() -> SnapshotPage.decode(bytes));
+            page -> {
               records.addAll(page.records());
               if (bytes(records) > MAX_SNAPSHOT_BYTES) {
                 return Mono.error(snapshotTooLarge(topic));
@@ -144,24 +159,41 @@
                 return readSnapshot(
                     topic, Optional.of(lastKeyOfPage), records, Optional.of(firstEndOffset));
               }
-              return Mono.just(new KeyedPage(records, firstEndOffset));
+              return Mono.just(new KeyedPage(records, firstEndOffset, true));
             });
   }
 
-  private Mono<byte[]> get(String uri, Duration timeout) {
-    return client
+  /**
+   * Sends a request.
+   *
+   * @param decoder decodes the body of the response
+   * @param allowsReuse returns whether the connection can be reused after this page
+   */
+  private <T> Mono<T> get(
+      String topic, String uri, Duration timeout, Decoder<T> decoder, Predicate<T> allowsReuse) {
+    return clients
+        .computeIfAbsent(topic, this::createClient)
         .get()
         .uri(uri)
-        .response(
-            (response, body) ->
+        .responseConnection(
+            (response, connection) ->
                 collector
-                    .collect(body.retain())
-                    .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray())))
+                    .collect(connection.inbound().receive().retain())
+                    .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray()))
+                    .map(bytes -> decode(decoder, bytes))
+                    .doOnNext(page -> closeUnless(allowsReuse.test(page), connection))
+                    .doOnError(error -> closeUnless(false, connection)))
         .next()
         .timeout(timeout, clock)
         .onErrorMap(StoreClient::toStoreException);
   }
 
+  private static void closeUnless(boolean reusable, Connection connection) {
+    if (!reusable) {
+      connection.channel().close();
+    }
+  }
+
   private static Mono<byte[]> checkStatus(int status, byte[] bytes) {
     if (status == OK) {
       return Mono.just(bytes);
@@ -211,16 +243,16 @@
     };
   }
 
-  private static <T> T decode(Decoder<T> decoder) {
+  private static <T> T decode(Decoder<T> decoder, byte[] bytes) {
     try {
-      return decoder.decode();
+      return decoder.decode(bytes);
     } catch (RadishpostException e) {
       throw Exceptions.propagate(e);
     }
   }
 
   private interface Decoder<T> {
-    T decode() throws RadishpostException;
+    T decode(byte[] bytes) throws RadishpostException;
   }
 
   /**
