Keep late responses of the platform's log out of later calls

VMs could see: an append that failed looked appended, at the offset of another record, and the page of one stream was applied to another.

Cause: responses of the log and of the list of VMs name no request, and their clients shared kept connections without a handler for responses that nobody awaits. A late copy was taken for the response to the next call.

Change: these clients never reuse a connection and say so to the server. The price is a handshake for each call.

The price was not measured.

--- a/src/main/java/org/radishpost/store/http/PlatformHttp.java
+++ b/src/main/java/org/radishpost/store/http/PlatformHttp.java
@@ -17,11 +17,16 @@
 
   private PlatformHttp() {}
 
-  /** Returns a client that never retries a request. */
+  /**
+   * Returns a client that never retries a request and never reuses a connection. Responses do not
+   * name their requests, so a late one on a reused connection could be taken for that of another.
+   */
   static HttpClient client(ConnectionProvider connections, Endpoint server) {
     String host = server.ip().indexOf(':') >= 0 ? "[" + server.ip() + "]" : server.ip();
     return HttpClient.create(connections)
         .baseUrl("http://" + host + ":" + server.port())
+        .keepAlive(false)
+        .doOnRequest((request, connection) -> connection.markPersistent(false))
         .disableRetry(true);
   }
 
--- /dev/null
+++ b/src/test/java/org/radishpost/store/http/LateLogResponseTest.java
@@ -0,0 +1,69 @@
+package org.radishpost.store.http;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.radishpost.http.LateServer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Tests that a late response of the platform is never taken for the response to a later call. */
+public class LateLogResponseTest {
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final byte[] BYTES = "a record".getBytes(StandardCharsets.UTF_8);
+
+  private final AtomicInteger requests = new AtomicInteger();
+  private ConnectionProvider connections;
+
+  /** Creates a pool that never has more than one connection, so that it is reused if it can be. */
+  @BeforeMethod
+  public void createPool() {
+    requests.set(0);
+    connections = ConnectionProvider.create("late-log-test", 1);
+  }
+
+  /** Closes the connections. */
+  @AfterMethod(alwaysRun = true)
+  public void closePool() {
+    connections.dispose();
+  }
+
+  /** Returns the answer to an append: the number of the request as the offset of the record. */
+  private LateServer.Answer appended(String head) {
+    int number = requests.incrementAndGet();
+    return LateServer.Answer.repeated(
+        LateServer.response("200 OK", "{\"offset\":" + number + ",\"timeMillis\":1}"));
+  }
+
+  /** An append that failed would look appended, at the offset of another record. */
+  @Test
+  public void lateResponseToAppendIsNotResponseToNextAppend() throws Exception {
+    try (LateServer server = new LateServer(this::appended)) {
+      HttpPlatformLog log = new HttpPlatformLog(connections, server.address(), LIMIT);
+      assertEquals(log.append("a", BYTES).block().offset(), 1);
+      assertEquals(log.append("b", BYTES).block().offset(), 2);
+      assertEquals(log.append("a", BYTES).block().offset(), 3);
+    }
+  }
+
+  /** Returns a page without records, whose next offset is the number of the request. */
+  private LateServer.Answer page(String head) {
+    int number = requests.incrementAndGet();
+    return LateServer.Answer.repeated(
+        LateServer.response("200 OK", "{\"records\":[],\"nextOffset\":" + number + "}"));
+  }
+
+  /** The page of one stream would be taken for the page of another one. */
+  @Test
+  public void latePageOfOneStreamIsNotPageOfAnother() throws Exception {
+    try (LateServer server = new LateServer(this::page)) {
+      HttpPlatformLog log = new HttpPlatformLog(connections, server.address(), LIMIT);
+      assertEquals(log.read("a", 1, 10, Duration.ZERO).block().nextOffset(), 1);
+      assertEquals(log.read("b", 1, 10, Duration.ZERO).block().nextOffset(), 2);
+    }
+  }
+}
