Never send the library's empty success for a call without a response

Callers could see: status 200 with a problem document of ours where a call ended without a response, alone or behind another on its connection.

Cause: the library ends a request whose handler wrote nothing with an empty success; ErrorResponseRewriter gave it a body and kept its status. No way to such a call is known; the rewriter is the last place that can tell.

Evidence: callThatEndsWithoutResponseIsNotSuccess of the new PipelinedResponseTest failed before, in both of its cases, with status 200 and "answer-lost". Its other tests passed before: equal requests with the same id, a HEAD among them, on one connection and on two, and a failed one before an equal one, get their own responses.

Change: a success that the library wrote itself becomes 502.

--- a/src/main/java/org/radishpost/http/ErrorResponseRewriter.java
+++ b/src/main/java/org/radishpost/http/ErrorResponseRewriter.java
@@ -15,7 +15,7 @@
 import org.radishpost.lib.Verdict;
 
 /**
- * Replaces error responses of the HTTP library with problem documents.
+ * Replaces responses of the HTTP library's own with problem documents.
  *
  * <p>Responses that this program writes carry a marker field, which this handler removes. There is
  * one instance per connection, placed after the codec.
@@ -47,7 +47,14 @@
       return response;
     }
     full.release();
-    return problemResponse(context, response.status().code());
+    return problemResponse(context, errorStatus(response));
+  }
+
+  /** The library sends an empty success for a call that ended without a response. */
+  private static int errorStatus(HttpResponse response) {
+    return response.status().codeClass() == HttpStatusClass.SUCCESS
+        ? HttpResponseStatus.BAD_GATEWAY.code()
+        : response.status().code();
   }
 
   private static HttpResponse problemResponse(ChannelHandlerContext context, int status) {
