--- a/src/test/java/org/radishpost/direct/SlotClientTest.java
+++ b/src/test/java/org/radishpost/direct/SlotClientTest.java
@@ -141,6 +141,26 @@
     assertEquals(relays.get(LOCAL).requests(), 1);
   }
 
+  /** A relay that has started again numbers nothing itself: the numbers are those of this VM. */
+  @Test
+  public void lateOfferOfEarlierConnectionIsNotOfferOfLaterRequest() {
+    FakeRelay first = relays.get(LOCAL);
+    request();
+    first.listener.closed();
+    clock.advanceTimeBy(Duration.ofSeconds(2));
+    client.tick();
+    relays.get(LOCAL).listener.received(new FeedMessage.Hello(LOCAL_PLACE));
+    request();
+    SlotMessage.Offer late =
+        new SlotMessage.Offer(
+            1, List.of(new SlotMessage.OfferedTarget(new TargetId("t"), Optional.empty())));
+    first.reply(late);
+    relays.get(LOCAL).reply(late);
+    assertEquals(replies, List.of(new SlotReply.Unavailable()));
+    relays.get(LOCAL).reply(new SlotMessage.Refusal(2, SlotRefusalReason.FULL));
+    assertEquals(replies.getLast(), new SlotReply.Full());
+  }
+
   @Test
   public void connectionWithoutFirstMessageIsClosed() {
     FakeRelay first = relays.get(LOCAL);
--- a/src/test/java/org/radishpost/platform/KeyedPageTest.java
+++ b/src/test/java/org/radishpost/platform/KeyedPageTest.java
@@ -2,11 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
 import org.radishpost.errors.StoreException;
+import org.radishpost.feed.KeyedRecord;
 import org.testng.annotations.Test;
 
 /** Decoding of the store's binary record format. */
@@ -56,8 +60,38 @@
   @Test
   public void rejectsTruncatedRecord() {
     byte[] complete = page(8, 0, record("a", "1"));
-    byte[] truncated = java.util.Arrays.copyOf(complete, complete.length - 1);
+    byte[] truncated = Arrays.copyOf(complete, complete.length - 1);
     expectThrows(StoreException.class, () -> KeyedPage.decode(truncated, 7));
     expectThrows(StoreException.class, () -> KeyedPage.decode(new byte[3], 7));
   }
+
+  /** A page that was cut and looks complete lacks records, which the next read returns. */
+  @Test
+  public void cutPageHoldsTheFirstRecordsOrIsRejected() throws Exception {
+    byte[] complete = page(10, 0, record("a", "1"), record("b", ""), record("c", "3"));
+    List<KeyedRecord> records = KeyedPage.decode(complete, 7).records();
+    int rejected = 0;
+    for (int length = 0; length < complete.length; length++) {
+      byte[] cut = Arrays.copyOf(complete, length);
+      try {
+        KeyedPage page = KeyedPage.decode(cut, 7);
+        int count = (int) page.nextOffset() - 7;
+        assertFalse(page.endsWithTopic(), "cut at " + length);
+        assertEquals(page.records().size(), count, "cut at " + length);
+        for (int i = 0; i < count; i++) {
+          assertEquals(page.records().get(i).key(), records.get(i).key());
+          assertEquals(page.records().get(i).offset(), records.get(i).offset());
+        }
+      } catch (StoreException e) {
+        rejected++;
+      }
+    }
+    assertTrue(rejected > 0);
+  }
+
+  @Test
+  public void rejectsRecordsAfterTheEndOfTheTopic() {
+    byte[] late = page(9, 0, record("a", "1"), record("b", "2"));
+    expectThrows(StoreException.class, () -> KeyedPage.decode(late, 8));
+  }
 }
