Do not report a change as accepted after an empty response

Operators could see: "accepted at version 0" and exit code 0 for a change whose response was cut before its first byte.

Cause: AdminClient read an empty body as a missing document, whose version is 0.

Evidence: AdminClientTest#cutResponseIsNoResponse failed before for the empty body; bodies cut later were rejected already.

Change: a success without a document counts as no response, so that the outcome is reported as unknown.

Result: AdminClientTest, AdminApiTest and CommandsTest pass (21 tests).

--- a/src/main/java/org/radishpost/pgm/AdminClient.java
+++ b/src/main/java/org/radishpost/pgm/AdminClient.java
@@ -91,13 +91,19 @@
                       .asByteArray()
                       .defaultIfEmpty(new byte[0])
                       .flatMap(bytes -> Mono.fromCallable(() -> mapper.readTree(bytes)))
-                      .map(json -> new AdminClientResponse(response.status().code(), json)))
+                      .map(json -> new AdminClientResponse(response.status().code(), json))
+                      .filter(AdminClient::isWhole))
           .blockOptional();
     } catch (RuntimeException e) {
       return handleFailure(Exceptions.unwrap(e));
     }
   }
 
+  /** Returns whether the response is whole: a success always has a document. */
+  private static boolean isWhole(AdminClientResponse response) {
+    return response.status() != OK || !response.json().isMissingNode();
+  }
+
   private Optional<AdminClientResponse> handleFailure(Throwable cause)
       throws AdminRequestException {
     if (isConnectFailure(cause)) {
