--- a/src/main/java/org/radishpost/pgm/AdminClient.java
+++ b/src/main/java/org/radishpost/pgm/AdminClient.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.radishpost.errors.AdminRequestException;
+import org.radishpost.http.ResponseCounters;
+import org.radishpost.http.ResponseHandlers;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Mono;
@@ -72,7 +74,8 @@
   private Optional<AdminClientResponse> exchange(HttpMethod method, String path, byte[] body)
       throws AdminRequestException {
     try {
-      return HttpClient.newConnection()
+      return ResponseHandlers.protect(
+              HttpClient.newConnection(), Optional.empty(), new ResponseCounters())
           .host(admin.ip())
           .port(admin.port())
           .disableRetry(true)
@@ -91,13 +94,19 @@
                       .asByteArray()
                       .defaultIfEmpty(new byte[0])
                       .flatMap(bytes -> Mono.fromCallable(() -> mapper.readTree(bytes)))
-                      .map(json -> new AdminClientResponse(response.status().code(), json)))
+                      .map(json -> new AdminClientResponse(response.status().code(), json))
+                      .filter(AdminClient::isWhole))
           .blockOptional();
     } catch (RuntimeException e) {
       return handleFailure(Exceptions.unwrap(e));
     }
   }
 
+  /** Returns whether the response is whole: a success always has a document. */
+  private static boolean isWhole(AdminClientResponse response) {
+    return response.status() != OK || !response.json().isMissingNode();
+  }
+
   private Optional<AdminClientResponse> handleFailure(Throwable cause)
       throws AdminRequestException {
     if (isConnectFailure(cause)) {
--- a/src/main/java/org/radishpost/store/http/PlatformHttp.java
+++ b/src/main/java/org/radishpost/store/http/PlatformHttp.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.Optional;
+import org.radishpost.http.ResponseCounters;
+import org.radishpost.http.ResponseHandlers;
 import org.radishpost.lib.Endpoint;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -17,11 +20,17 @@
 
   private PlatformHttp() {}
 
-  /** Returns a client that never retries a request. */
+  /**
+   * Returns a client that never retries a request and never reuses a connection. Responses do not
+   * name their requests, so a late one on a reused connection could be taken for that of another.
+   */
   static HttpClient client(ConnectionProvider connections, Endpoint server) {
     String host = server.ip().indexOf(':') >= 0 ? "[" + server.ip() + "]" : server.ip();
-    return HttpClient.create(connections)
+    return ResponseHandlers.protect(
+            HttpClient.create(connections), Optional.empty(), new ResponseCounters())
         .baseUrl("http://" + host + ":" + server.port())
+        .keepAlive(false)
+        .doOnRequest((request, connection) -> connection.markPersistent(false))
         .disableRetry(true);
   }
 
