Let the soak mix, repeat and cut responses, and check each attempt

Cause: its targets sent a second response only at once, never late nor without a length; its callers took a new id for each request and sent no upload; bodies and signatures were the same for each run of an id, so a copy of an earlier response could not be told from the right one.

Callers send HEAD and uploads of some hundred KB to 1 MB, and repeat ids after a lost response, after they gave up, at once on another connection, and after a response. Each attempt has a name in a header that is passed on, and each run a number in its signature and in its body, so every check is made per attempt: MIXED accepts only the response of a run of this attempt, with its status and whole body; TWICE, REFUSED and BUDGET count the runs of one attempt. An id of a write that its caller itself sends twice may run twice, each attempt once: before, no id was sent twice, so nothing that was found before is let through.

--- a/src/test/java/org/radishpost/soak/Caller.java
+++ b/src/test/java/org/radishpost/soak/Caller.java
@@ -1,7 +1,10 @@
 package org.radishpost.soak;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,7 +15,12 @@
 import org.radishpost.lib.Endpoint;
 import org.radishpost.platform.WireNames;
 
-/** Sends random requests and keeps each connection open until the entry or the link closes it. */
+/**
+ * Sends random requests and keeps each connection open until the entry or the link closes it.
+ *
+ * <p>Some requests are sent again with the same id: after a response was lost, after the caller
+ * gave up, at the same time on another connection, and after a response, as if it had been lost.
+ */
 final class Caller implements Runnable {
   private static final int DEADLINE_MILLIS = 2_000;
   private static final int READ_TIMEOUT_MILLIS = 5_000;
@@ -20,6 +28,15 @@
   private static final int MAX_PAUSE_MILLIS = 40;
   private static final int PAUSE_AFTER_FAILURE_MILLIS = 50;
   private static final int PIPELINE_LENGTH = 3;
+  private static final double SECOND_ATTEMPT_PROBABILITY = 0.1;
+  private static final double IMPATIENCE_PROBABILITY = 0.1;
+  private static final double REPEAT_PROBABILITY = 0.3;
+  private static final int MAX_IMPATIENCE_MILLIS = 200;
+  private static final String UPLOAD_PREFIX = "/uploads/";
+  private static final int MIN_UPLOAD_LINES = 20_000;
+  private static final int MAX_UPLOAD_LINES = 90_000;
+  private static final int UPLOAD_PART_BYTES = 16_384;
+  private static final int UPLOAD_PAUSE_MILLIS = 4;
 
   private final String name;
   private final Random random;
@@ -27,6 +44,7 @@
   private final Map<String, Endpoint> entryAddresses;
   private final BooleanSupplier keepRunning;
   private int requestCount;
+  private Optional<RequestTracker.Request> repeat = Optional.empty();
 
   Caller(
       String name,
@@ -45,13 +63,15 @@
   public void run() {
     List<String> entries = List.copyOf(entryAddresses.keySet());
     while (keepRunning.getAsBoolean()) {
-      String entry = entries.get(random.nextInt(entries.size()));
-      Endpoint address = entryAddresses.get(entry);
-      try (Socket socket = new Socket(address.ip(), address.port())) {
-        socket.setTcpNoDelay(true);
-        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      String entry =
+          repeat
+              .map(RequestTracker.Request::entry)
+              .orElseGet(() -> entries.get(random.nextInt(entries.size())));
+      try (Socket socket = connect(entry)) {
         while (keepRunning.getAsBoolean() && exchangeBatch(entry, socket)) {
-          Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+          if (repeat.isEmpty()) {
+            Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+          }
         }
       } catch (IOException e) {
         // The entry or the link is down; the outcome of each request sent is already recorded.
@@ -64,13 +84,9 @@
 
   /** Sends one read on a new connection; returns whether the response has status 200. */
   boolean sendRead(String entry, String pathPrefix) {
-    Endpoint address = entryAddresses.get(entry);
-    String id = name + "-" + requestCount++;
-    RequestTracker.Request request =
-        new RequestTracker.Request(id, entry, "GET", pathPrefix + id, true, "reading", "");
+    RequestTracker.Request request = newRead(entry, "GET", pathPrefix);
     tracker.recordRequest(request);
-    try (Socket socket = new Socket(address.ip(), address.port())) {
-      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    try (Socket socket = connect(entry)) {
       send(List.of(request), socket);
       Optional<HttpCodec.Message> response = HttpCodec.read(socket.getInputStream());
       return response.filter(message -> message.status() == 200).isPresent();
@@ -79,6 +95,14 @@
     }
   }
 
+  private Socket connect(String entry) throws IOException {
+    Endpoint address = entryAddresses.get(entry);
+    Socket socket = new Socket(address.ip(), address.port());
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    return socket;
+  }
+
   private void pauseAfterFailure() {
     try {
       Thread.sleep(PAUSE_AFTER_FAILURE_MILLIS);
@@ -87,32 +111,91 @@
     }
   }
 
-  /** Sends one request or several pipelined reads; returns whether the connection remains open. */
-  private boolean exchangeBatch(String entry, Socket socket) throws IOException {
+  /**
+   * Sends one request or several pipelined reads, sometimes a second attempt with the same id at
+   * the same time, or next; returns whether the connection remains open.
+   */
+  private boolean exchangeBatch(String entry, Socket socket)
+      throws IOException, InterruptedException {
     List<RequestTracker.Request> batch = nextBatch(entry);
     for (RequestTracker.Request request : batch) {
       tracker.recordRequest(request);
     }
+    RequestTracker.Request last = batch.getLast();
+    List<Thread> second =
+        batch.size() == 1 && draws(SECOND_ATTEMPT_PROBABILITY)
+            ? List.of(Thread.ofVirtual().start(attemptOnNewConnection(again(last))))
+            : List.of();
+    try {
+      boolean open = exchange(batch, socket);
+      if (open && draws(REPEAT_PROBABILITY)) {
+        repeat = Optional.of(again(last));
+        return random.nextBoolean();
+      }
+      return open;
+    } finally {
+      for (Thread attempt : second) {
+        attempt.join();
+      }
+    }
+  }
+
+  private boolean exchange(List<RequestTracker.Request> batch, Socket socket) throws IOException {
+    boolean impatient = batch.size() == 1 && draws(IMPATIENCE_PROBABILITY);
+    socket.setSoTimeout(
+        impatient ? 1 + random.nextInt(MAX_IMPATIENCE_MILLIS) : READ_TIMEOUT_MILLIS);
+    Optional<Thread> upload = Optional.empty();
     for (int index = 0; index < batch.size(); index++) {
+      RequestTracker.Request request = batch.get(index);
       try {
         if (index == 0) {
-          send(batch, socket);
+          upload = send(batch, socket);
         }
-        if (!receive(batch.get(index), socket)) {
+        if (!receive(request, socket)) {
           return false;
         }
+      } catch (SocketTimeoutException e) {
+        tracker.recordOutcome(request, impatient ? RequestTracker.ABANDONED : RequestTracker.LOST);
+        repeat = Optional.of(again(request));
+        return false;
       } catch (IOException e) {
-        tracker.recordOutcome(batch.get(index).id(), 0);
+        tracker.recordOutcome(request, RequestTracker.LOST);
+        repeat = random.nextBoolean() ? Optional.of(again(request)) : Optional.empty();
         throw e;
       }
     }
-    return true;
+    return upload.filter(Thread::isAlive).isEmpty();
+  }
+
+  private Runnable attemptOnNewConnection(RequestTracker.Request request) {
+    tracker.recordRequest(request);
+    return () -> {
+      try (Socket socket = connect(request.entry())) {
+        send(List.of(request), socket);
+        receive(request, socket);
+      } catch (IOException e) {
+        tracker.recordOutcome(request, RequestTracker.LOST);
+      }
+    };
+  }
+
+  private boolean draws(double probability) {
+    return random.nextDouble() < probability;
+  }
+
+  private RequestTracker.Request again(RequestTracker.Request request) {
+    return request.repeated(requestCount++);
   }
 
   private List<RequestTracker.Request> nextBatch(String entry) {
+    if (repeat.isPresent()) {
+      List<RequestTracker.Request> batch = List.of(repeat.get());
+      repeat = Optional.empty();
+      return batch;
+    }
     List<RequestTracker.Request> batch = new ArrayList<>();
-    int draw = random.nextInt(10);
-    int size = draw == 0 ? PIPELINE_LENGTH : 1;
+    int draw = random.nextInt(30);
+    int size = draw < 3 ? PIPELINE_LENGTH : 1;
     for (int number = 0; number < size; number++) {
       batch.add(nextRequest(entry, draw));
     }
@@ -120,31 +203,69 @@
   }
 
   private RequestTracker.Request nextRequest(String entry, int draw) {
-    String id = name + "-" + requestCount++;
-    if (draw < 6) {
-      return new RequestTracker.Request(id, entry, "GET", "/reads/" + id, true, "reading", "");
+    if (draw < 18) {
+      return newRead(entry, draw < 15 ? "GET" : "HEAD", "/reads/");
     }
-    String body = (id + "\n").repeat(draw == 9 ? random.nextInt(MAX_BODY_LINES) : 1);
-    return new RequestTracker.Request(id, entry, "POST", "/writes/" + id, false, "writing", body);
+    if (draw < 28) {
+      return newWrite(entry, "/writes/", draw < 26 ? 1 : random.nextInt(MAX_BODY_LINES));
+    }
+    int range = MAX_UPLOAD_LINES - MIN_UPLOAD_LINES;
+    return newWrite(entry, UPLOAD_PREFIX, MIN_UPLOAD_LINES + random.nextInt(range));
+  }
+
+  private RequestTracker.Request newRead(String entry, String method, String pathPrefix) {
+    String id = name + "-" + requestCount++;
+    return new RequestTracker.Request(id, 0, entry, method, pathPrefix + id, true, "reading", "");
+  }
+
+  private RequestTracker.Request newWrite(String entry, String pathPrefix, int lineCount) {
+    String id = name + "-" + requestCount++;
+    String body = (id + "\n").repeat(lineCount);
+    return new RequestTracker.Request(
+        id, 0, entry, "POST", pathPrefix + id, false, "writing", body);
   }
 
-  private void send(List<RequestTracker.Request> batch, Socket socket) throws IOException {
+  /** Sends requests; returns the thread that still sends if the last one is an upload. */
+  private static Optional<Thread> send(List<RequestTracker.Request> batch, Socket socket)
+      throws IOException {
     for (RequestTracker.Request request : batch) {
-      Map<String, String> headers = new LinkedHashMap<>();
-      headers.put("Host", SoakSystem.HOST);
-      headers.put(WireNames.REQUEST_ID, request.id());
-      headers.put(WireNames.DEADLINE_MILLIS, String.valueOf(DEADLINE_MILLIS));
-      String requestLine = request.method() + " " + request.path() + " HTTP/1.1";
-      socket
-          .getOutputStream()
-          .write(HttpCodec.encode(requestLine, headers, request.body().getBytes()));
+      byte[] message = encode(request);
+      if (request.path().startsWith(UPLOAD_PREFIX)) {
+        return Optional.of(Thread.ofVirtual().start(() -> sendSlowly(message, socket)));
+      }
+      socket.getOutputStream().write(message);
+    }
+    return Optional.empty();
+  }
+
+  private static byte[] encode(RequestTracker.Request request) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Host", SoakSystem.HOST);
+    headers.put(WireNames.REQUEST_ID, request.id());
+    headers.put(WireNames.DEADLINE_MILLIS, String.valueOf(DEADLINE_MILLIS));
+    headers.put(SoakTarget.ATTEMPT_HEADER, request.attempt());
+    String requestLine = request.method() + " " + request.path() + " HTTP/1.1";
+    return HttpCodec.encode(requestLine, headers, request.body().getBytes());
+  }
+
+  private static void sendSlowly(byte[] message, Socket socket) {
+    try {
+      OutputStream out = socket.getOutputStream();
+      for (int start = 0; start < message.length; start += UPLOAD_PART_BYTES) {
+        out.write(message, start, Math.min(UPLOAD_PART_BYTES, message.length - start));
+        Thread.sleep(UPLOAD_PAUSE_MILLIS);
+      }
+    } catch (IOException | InterruptedException e) {
+      // The connection ended; the thread that reads the response records the outcome.
     }
   }
 
   private boolean receive(RequestTracker.Request request, Socket socket) throws IOException {
-    Optional<HttpCodec.Message> response = HttpCodec.read(socket.getInputStream());
+    InputStream in = socket.getInputStream();
+    Optional<HttpCodec.Message> response =
+        request.method().equals("HEAD") ? HttpCodec.readHead(in) : HttpCodec.read(in);
     if (response.isEmpty()) {
-      tracker.recordOutcome(request.id(), 0);
+      tracker.recordOutcome(request, RequestTracker.LOST);
       return false;
     }
     tracker.recordResponse(request, response.get());
--- a/src/test/java/org/radishpost/soak/FaultInjector.java
+++ b/src/test/java/org/radishpost/soak/FaultInjector.java
@@ -22,6 +22,16 @@
   private static final int GRACE_RANGE_SECONDS = 3;
   private static final List<FaultyLink.Fault> LINK_FAULTS = List.of(FaultyLink.Fault.values());
   private static final List<SoakTarget.Fault> TARGET_FAULTS = List.of(SoakTarget.Fault.values());
+
+  /** The faults that can mix or cut responses; one of them starts with each step. */
+  private static final List<SoakTarget.Fault> RESPONSE_FAULTS =
+      List.of(
+          SoakTarget.Fault.EXTRA_RESPONSE,
+          SoakTarget.Fault.LATE_COPY,
+          SoakTarget.Fault.NO_LENGTH,
+          SoakTarget.Fault.CUT_NO_LENGTH,
+          SoakTarget.Fault.CUT_CHUNKED);
+
   private static final List<StoreFault> STORE_FAULTS =
       List.of(
           new StoreFault.NoResponse(),
@@ -68,11 +78,12 @@
       case 2 -> terminateEntry();
       case 3 -> reloadEntry();
       case 4, 5 -> injectLinkFault();
-      case 6 -> injectTargetFault();
+      case 6 -> injectTargetFault(TARGET_FAULTS);
       case 7 -> replaceTarget();
       case 8 -> injectStoreFault();
       default -> publishConfiguration();
     }
+    injectTargetFault(RESPONSE_FAULTS);
   }
 
   /** Ends all active faults and starts every entry that is not running. */
@@ -152,11 +163,19 @@
         () -> link.setFault(FaultyLink.Fault.NONE, true));
   }
 
-  private void injectTargetFault() {
+  private void injectTargetFault(List<SoakTarget.Fault> faults) {
     SoakTarget target = anyTarget();
-    SoakTarget.Fault fault = TARGET_FAULTS.get(random.nextInt(TARGET_FAULTS.size()));
-    target.setFault(fault);
-    addFault("target " + target.id() + " " + fault, () -> target.setFault(SoakTarget.Fault.NONE));
+    boolean all = random.nextBoolean();
+    SoakTarget.Fault fault = faults.get(random.nextInt(faults.size()));
+    List<SoakTarget> targets =
+        system.activeTargets().stream()
+            .filter(each -> each == target || each.service().equals(target.service()) && all)
+            .toList();
+    targets.forEach(each -> each.setFault(fault));
+    String description = all ? "targets of " + target.service() : "target " + target.id();
+    addFault(
+        description + " " + fault,
+        () -> targets.forEach(each -> each.setFault(SoakTarget.Fault.NONE)));
   }
 
   private void replaceTarget() throws IOException {
--- a/src/test/java/org/radishpost/soak/HttpCodec.java
+++ b/src/test/java/org/radishpost/soak/HttpCodec.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -52,6 +53,12 @@
    * Reads a message. Returns an empty {@code Optional} if the stream ends before the first byte.
    */
   static Optional<Message> read(InputStream in) throws IOException {
+    Optional<Message> head = readHead(in);
+    return head.isPresent() ? Optional.of(readBody(in, head.get())) : head;
+  }
+
+  /** Reads a message up to its body, as {@link #read} does; the body is left in the stream. */
+  static Optional<Message> readHead(InputStream in) throws IOException {
     Optional<String> startLine = readLine(in, true);
     if (startLine.isEmpty()) {
       return Optional.empty();
@@ -65,14 +72,20 @@
       headers.put(
           line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
     }
-    return Optional.of(new Message(startLine.get(), headers, readBody(in, headers)));
+    return Optional.of(new Message(startLine.get(), headers, new byte[0]));
   }
 
-  private static byte[] readBody(InputStream in, Map<String, String> headers) throws IOException {
-    if (headers.containsKey(TRANSFER_ENCODING)) {
-      return readChunked(in);
+  /** Returns the message with its body. A response without a length ends with its stream. */
+  static Message readBody(InputStream in, Message head) throws IOException {
+    byte[] body;
+    if (head.headers().containsKey(TRANSFER_ENCODING)) {
+      body = readChunked(in);
+    } else if (head.startLine().startsWith("HTTP/") && head.header(CONTENT_LENGTH).isEmpty()) {
+      body = in.readAllBytes();
+    } else {
+      body = readExactly(in, Integer.parseInt(head.headers().getOrDefault(CONTENT_LENGTH, "0")));
     }
-    return readExactly(in, Integer.parseInt(headers.getOrDefault(CONTENT_LENGTH, "0")));
+    return new Message(head.startLine(), head.headers(), body);
   }
 
   private static byte[] readChunked(InputStream in) throws IOException {
@@ -115,12 +128,18 @@
 
   /** Encodes a message with a {@code Content-Length} header. */
   static byte[] encode(String startLine, Map<String, String> headers, byte[] body) {
-    StringBuilder head = new StringBuilder(startLine).append("\r\n");
-    headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
-    head.append("Content-Length: ").append(body.length).append("\r\n\r\n");
+    Map<String, String> allHeaders = new LinkedHashMap<>(headers);
+    allHeaders.put("Content-Length", String.valueOf(body.length));
     ByteArrayOutputStream message = new ByteArrayOutputStream();
-    message.writeBytes(head.toString().getBytes(StandardCharsets.UTF_8));
+    message.writeBytes(encodeHead(startLine, allHeaders));
     message.writeBytes(body);
     return message.toByteArray();
   }
+
+  /** Encodes the start line and exactly the given headers. */
+  static byte[] encodeHead(String startLine, Map<String, String> headers) {
+    StringBuilder head = new StringBuilder(startLine).append("\r\n");
+    headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+    return head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
+  }
 }
--- a/src/test/java/org/radishpost/soak/RequestTracker.java
+++ b/src/test/java/org/radishpost/soak/RequestTracker.java
@@ -21,17 +21,25 @@
   /** Statuses that guarantee that the request has not run and will not run. */
   private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+  /** The status of an attempt whose connection ended without a complete response. */
+  static final int LOST = 0;
+
+  /** The status of an attempt that its caller ended before there was a complete response. */
+  static final int ABANDONED = -1;
+
   private static final Set<Integer> DENIAL_STATUSES = Set.of(400, 401, 403, 404, 405, 413, 431);
 
+  // The keys of the maps are attempts.
   private final Map<String, Request> requests = new ConcurrentHashMap<>();
   private final Map<String, Queue<Run>> runs = new ConcurrentHashMap<>();
   private final Map<String, Outcome> outcomes = new ConcurrentHashMap<>();
   private final Queue<Violation> recordedViolations = new ConcurrentLinkedQueue<>();
 
   /**
-   * A request of a caller.
+   * One attempt of a caller to get a response to a request. Attempts may share a request id.
    *
    * @param id the request id
+   * @param attemptNumber the number of the attempt among those with this id
    * @param entry the entry to which it was sent
    * @param method the HTTP method
    * @param path the request path
@@ -41,44 +49,84 @@
    */
   record Request(
       String id,
+      int attemptNumber,
       String entry,
       String method,
       String path,
       boolean idempotent,
       String service,
-      String body) {}
+      String body) {
+
+    /** Returns the name of this attempt, which the caller sends in a header of its own. */
+    String attempt() {
+      return id + "/" + attemptNumber;
+    }
+
+    /** Returns another attempt with the same id. */
+    Request repeated(int newNumber) {
+      return new Request(id, newNumber, entry, method, path, idempotent, service, body);
+    }
+  }
 
   /**
    * One execution of a request at a target.
    *
+   * @param number a number that no other execution has
+   * @param id the request id as received
    * @param target the target id
    * @param service the service of the target
    * @param method the HTTP method as received
    * @param path the request path as received
-   * @param body the request body as received
+   * @param body the request body as received; empty if the target did not read it
+   * @param status the status with which the target responds, if it does
    * @param startNanos the start time
    */
   record Run(
-      String target, String service, String method, String path, String body, long startNanos) {}
+      int number,
+      String id,
+      String target,
+      String service,
+      String method,
+      String path,
+      Optional<String> body,
+      int status,
+      long startNanos) {
+
+    /** Returns this execution without the memory that its body takes. */
+    Run withoutBody() {
+      return new Run(
+          number, id, target, service, method, path, Optional.empty(), status, startNanos);
+    }
+
+    boolean matches(Request request) {
+      return id.equals(request.id())
+          && method.equals(request.method())
+          && path.equals(request.path())
+          && body.orElse(request.body()).equals(request.body());
+    }
+  }
 
   /**
-   * The outcome of a request as its caller observed it.
+   * The outcome of an attempt as its caller observed it.
    *
-   * @param status the response status, or 0 if the connection closed without a complete response
+   * @param status the response status, {@link #LOST} or {@link #ABANDONED}
    * @param endNanos the time of the outcome
    */
   record Outcome(int status, long endNanos) {}
 
   void recordRequest(Request request) {
-    requests.put(request.id(), request);
+    requests.put(request.attempt(), request);
   }
 
-  void recordRun(String id, Run run) {
-    runs.computeIfAbsent(id, unused -> new ConcurrentLinkedQueue<>()).add(run);
+  void recordRun(String attempt, Run run) {
+    Request request = requests.get(attempt);
+    boolean unchanged = request != null && run.matches(request);
+    runs.computeIfAbsent(attempt, unused -> new ConcurrentLinkedQueue<>())
+        .add(unchanged ? run.withoutBody() : run);
   }
 
-  void recordOutcome(String id, int status) {
-    outcomes.put(id, new Outcome(status, System.nanoTime()));
+  void recordOutcome(Request request, int status) {
+    outcomes.put(request.attempt(), new Outcome(status, System.nanoTime()));
   }
 
   void recordViolation(String promise, String description) {
@@ -86,29 +134,64 @@
   }
 
   /**
-   * Records a response and checks that it belongs to the request and that its body is complete and
-   * unchanged.
+   * Records a response and checks that it is the response of an execution of this very attempt,
+   * with the status of that execution, and that its body is complete and unchanged.
    */
   void recordResponse(Request request, HttpCodec.Message response) {
-    recordOutcome(request.id(), response.status());
+    recordOutcome(request, response.status());
     String signature = response.header("X-Upstream-Signature");
-    boolean fromTarget = !signature.isEmpty();
     boolean successful = response.status() / 100 == 2;
-    if (fromTarget || successful) {
-      String target = response.header("X-Instance-Id");
-      String expectedBody =
-          successful ? SoakTarget.responseBody(target, request.id()) : SoakTarget.FAILURE_BODY;
-      if (!signature.equals(SoakTarget.signature(request.id()))
-          || !response.bodyText().equals(expectedBody)) {
-        recordViolation(
-            "MIXED", request.id() + " of " + request.entry() + " got " + response.startLine());
-      }
+    if (!signature.isEmpty() || successful) {
+      checkOrigin(request, response, signature);
     } else if (DENIAL_STATUSES.contains(response.status())) {
       recordViolation(
-          "DENIED", request.id() + " of " + request.entry() + " got " + response.bodyText());
+          "DENIED", request.attempt() + " of " + request.entry() + " got " + response.bodyText());
+    }
+  }
+
+  private void checkOrigin(Request request, HttpCodec.Message response, String signature) {
+    Optional<Run> origin =
+        runs(request.attempt()).stream()
+            .filter(run -> SoakTarget.signature(run).equals(signature))
+            .findFirst();
+    String expectedBody =
+        origin.filter(run -> !run.method().equals("HEAD")).map(SoakTarget::responseBody).orElse("");
+    if (origin.isEmpty()
+        || origin.get().status() != response.status()
+        || !response.bodyText().equals(expectedBody)) {
+      recordViolation(
+          "MIXED",
+          "%s %s of %s got %s, signature %s of %s, body %d of %d characters; its runs: %s"
+              .formatted(
+                  request.method(),
+                  request.attempt(),
+                  request.entry(),
+                  response.startLine(),
+                  signature,
+                  attemptsWith(signature),
+                  response.bodyText().length(),
+                  expectedBody.length(),
+                  describe(runs(request.attempt()))));
     }
   }
 
+  private List<String> attemptsWith(String signature) {
+    return runs.entrySet().stream()
+        .filter(
+            entry ->
+                entry.getValue().stream()
+                    .anyMatch(run -> SoakTarget.signature(run).equals(signature)))
+        .map(Map.Entry::getKey)
+        .map(attempt -> attempt + " " + outcome(attempt).map(Outcome::status))
+        .toList();
+  }
+
+  private static String describe(Collection<Run> runs) {
+    return runs.stream()
+        .map(run -> SoakTarget.signature(run) + " at " + run.target() + " with " + run.status())
+        .collect(Collectors.joining(", ", "[", "]"));
+  }
+
   /** Returns the number of requests with response status 200. */
   long successCount() {
     return outcomes.values().stream().filter(outcome -> outcome.status() == 200).count();
@@ -125,12 +208,12 @@
         .collect(Collectors.groupingBy(Outcome::status, Collectors.counting()));
   }
 
-  Optional<Outcome> outcome(String id) {
-    return Optional.ofNullable(outcomes.get(id));
+  Optional<Outcome> outcome(String attempt) {
+    return Optional.ofNullable(outcomes.get(attempt));
   }
 
-  Collection<Run> runs(String id) {
-    return List.copyOf(runs.getOrDefault(id, new ConcurrentLinkedQueue<>()));
+  Collection<Run> runs(String attempt) {
+    return List.copyOf(runs.getOrDefault(attempt, new ConcurrentLinkedQueue<>()));
   }
 
   /** Returns the number of executions that started at a target after the given time. */
@@ -148,37 +231,39 @@
   /** Returns all violations. Call this only after all callers and targets have stopped. */
   List<Violation> violations(int maxAttempts) {
     List<Violation> found = new ArrayList<>(recordedViolations);
-    runs.forEach((id, requestRuns) -> checkRuns(id, List.copyOf(requestRuns), maxAttempts, found));
+    runs.forEach(
+        (attempt, itsRuns) -> checkRuns(attempt, List.copyOf(itsRuns), maxAttempts, found));
     return found;
   }
 
-  private void checkRuns(String id, List<Run> requestRuns, int maxAttempts, List<Violation> found) {
-    Request request = requests.get(id);
+  private void checkRuns(
+      String attempt, List<Run> itsRuns, int maxAttempts, List<Violation> found) {
+    Request request = requests.get(attempt);
     if (request == null) {
-      found.add(new Violation("UNASKED", "No caller sent " + id + ", but it ran: " + requestRuns));
+      found.add(
+          new Violation("UNASKED", "No caller sent " + attempt + ", but: " + describe(itsRuns)));
       return;
     }
-    for (Run run : requestRuns) {
-      if (!run.method().equals(request.method())
-          || !run.path().equals(request.path())
-          || !run.body().equals(request.body())) {
-        found.add(
-            new Violation("UNASKED", id + " ran with a changed method, path or body: " + run));
+    for (Run run : itsRuns) {
+      if (!run.matches(request)) {
+        found.add(new Violation("UNASKED", attempt + " ran with another id, method, path or body"));
       }
       if (!run.service().equals(request.service())) {
-        found.add(new Violation("ROUTE", id + " ran at service " + run.service()));
+        found.add(new Violation("ROUTE", attempt + " ran at service " + run.service()));
       }
     }
-    if (!request.idempotent() && requestRuns.size() > 1) {
-      found.add(new Violation("TWICE", id + " ran " + requestRuns.size() + " times"));
+    if (!request.idempotent() && itsRuns.size() > 1) {
+      found.add(new Violation("TWICE", attempt + " ran " + itsRuns.size() + " times"));
     }
-    if (requestRuns.size() > maxAttempts) {
-      found.add(new Violation("BUDGET", id + " ran " + requestRuns.size() + " times"));
+    if (itsRuns.size() > maxAttempts) {
+      found.add(new Violation("BUDGET", attempt + " ran " + itsRuns.size() + " times"));
     }
     boolean rejected =
-        outcome(id).filter(outcome -> NOT_RUN_STATUSES.contains(outcome.status())).isPresent();
+        outcome(attempt).filter(outcome -> NOT_RUN_STATUSES.contains(outcome.status())).isPresent();
     if (!request.idempotent() && rejected) {
-      found.add(new Violation("REFUSED", id + " was rejected as not run, but ran: " + requestRuns));
+      found.add(
+          new Violation(
+              "REFUSED", attempt + " was rejected as not run, but: " + describe(itsRuns)));
     }
   }
 }
--- a/src/test/java/org/radishpost/soak/RequestTrackerTest.java
+++ b/src/test/java/org/radishpost/soak/RequestTrackerTest.java
@@ -5,17 +5,19 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests which outcomes {@link RequestTracker} reports as violations. */
 public class RequestTrackerTest {
   private static final RequestTracker.Request READ =
-      new RequestTracker.Request("r-1", "e-0", "GET", "/reads/r-1", true, "reading", "");
+      new RequestTracker.Request("r-1", 0, "e-0", "GET", "/reads/r-1", true, "reading", "");
   private static final RequestTracker.Request WRITE =
-      new RequestTracker.Request("w-1", "e-0", "POST", "/writes/w-1", false, "writing", "text");
+      new RequestTracker.Request("w-1", 0, "e-0", "POST", "/writes/w-1", false, "writing", "text");
 
   private RequestTracker tracker;
+  private int runCount;
 
   /** Records a read and a write as sent. */
   @BeforeMethod
@@ -25,17 +27,36 @@
     tracker.recordRequest(WRITE);
   }
 
-  private void recordRun(RequestTracker.Request request, String service, String body) {
-    tracker.recordRun(
-        request.id(),
+  private RequestTracker.Run recordRun(
+      RequestTracker.Request request, String service, String body) {
+    return recordRun(request, service, body, 200);
+  }
+
+  private RequestTracker.Run recordRun(
+      RequestTracker.Request request, String service, String body, int status) {
+    RequestTracker.Run run =
         new RequestTracker.Run(
-            "i-1", service, request.method(), request.path(), body, System.nanoTime()));
+            ++runCount,
+            request.id(),
+            "i-1",
+            service,
+            request.method(),
+            request.path(),
+            Optional.of(body),
+            status,
+            System.nanoTime());
+    tracker.recordRun(request.attempt(), run);
+    return run;
   }
 
   private List<String> violatedPromises() {
     return tracker.violations(SoakSystem.MAX_ATTEMPTS).stream().map(Violation::promise).toList();
   }
 
+  private static HttpCodec.Message response(RequestTracker.Run run) {
+    return response(run.status(), SoakTarget.signature(run), SoakTarget.responseBody(run));
+  }
+
   private static HttpCodec.Message response(int status, String signature, String body) {
     return new HttpCodec.Message(
         "HTTP/1.1 " + status + " Said",
@@ -46,11 +67,8 @@
   @Test
   public void retriedReadAndAnsweredWriteAreAllowed() {
     recordRun(READ, "reading", "");
-    recordRun(READ, "reading", "");
-    recordRun(WRITE, "writing", "text");
-    tracker.recordResponse(
-        READ, response(200, "proof-of-r-1", SoakTarget.responseBody("i-1", "r-1")));
-    tracker.recordResponse(WRITE, response(500, "proof-of-w-1", SoakTarget.FAILURE_BODY));
+    tracker.recordResponse(READ, response(recordRun(READ, "reading", "")));
+    tracker.recordResponse(WRITE, response(recordRun(WRITE, "writing", "text", 500)));
     assertEquals(violatedPromises(), List.of());
   }
 
@@ -86,7 +104,7 @@
   public void changedBodyOrUnknownRequestIsReported() {
     recordRun(WRITE, "writing", "tex");
     recordRun(
-        new RequestTracker.Request("x-1", "", "GET", "/", true, "reading", ""), "reading", "");
+        new RequestTracker.Request("x-1", 0, "", "GET", "/", true, "reading", ""), "reading", "");
     assertEquals(violatedPromises(), List.of("UNASKED", "UNASKED"));
   }
 
@@ -97,14 +115,108 @@
   }
 
   @Test
-  public void mismatchedOrTruncatedResponseIsReported() {
+  public void responseOfAnotherRequestIsReported() {
+    RequestTracker.Run run = recordRun(READ, "reading", "");
+    RequestTracker.Run otherRun = recordRun(WRITE, "writing", "text");
+    tracker.recordResponse(READ, response(otherRun));
+    tracker.recordResponse(
+        READ, response(200, SoakTarget.signature(otherRun), SoakTarget.responseBody(run)));
+    tracker.recordResponse(READ, response(200, "", SoakTarget.responseBody(run)));
+    assertEquals(violatedPromises(), List.of("MIXED", "MIXED", "MIXED"));
+  }
+
+  @Test
+  public void responseWithPartOfBodyIsReported() {
+    RequestTracker.Run run = recordRun(READ, "reading", "");
+    String body = SoakTarget.responseBody(run);
+    String signature = SoakTarget.signature(run);
+    tracker.recordResponse(READ, response(200, signature, body.substring(1)));
+    tracker.recordResponse(READ, response(200, signature, body.substring(0, body.length() / 2)));
+    tracker.recordResponse(READ, response(200, signature, body + body));
+    assertEquals(violatedPromises(), List.of("MIXED", "MIXED", "MIXED"));
+  }
+
+  @Test
+  public void responseOfEarlierAttemptIsReported() {
+    RequestTracker.Run firstRun = recordRun(READ, "reading", "");
+    RequestTracker.Request second = READ.repeated(1);
+    tracker.recordRequest(second);
+    recordRun(second, "reading", "", 500);
+    tracker.recordResponse(READ, response(firstRun));
+    tracker.recordResponse(second, response(firstRun));
+    assertEquals(violatedPromises(), List.of("MIXED"));
+  }
+
+  @Test
+  public void bodyOfAnotherRunOfSameAttemptIsReported() {
+    RequestTracker.Run firstRun = recordRun(READ, "reading", "");
+    RequestTracker.Run secondRun = recordRun(READ, "reading", "");
+    tracker.recordResponse(
+        READ, response(200, SoakTarget.signature(secondRun), SoakTarget.responseBody(firstRun)));
+    assertEquals(violatedPromises(), List.of("MIXED"));
+  }
+
+  @Test
+  public void statusThatTargetDidNotGiveIsReported() {
+    RequestTracker.Run failed = recordRun(READ, "reading", "", 500);
+    RequestTracker.Run succeeded = recordRun(WRITE, "writing", "text");
+    String body = SoakTarget.responseBody(failed);
+    tracker.recordResponse(READ, response(200, SoakTarget.signature(failed), body));
     tracker.recordResponse(
-        READ, response(200, "proof-of-w-1", SoakTarget.responseBody("i-1", "r-1")));
-    String fullBody = SoakTarget.responseBody("i-1", "r-1");
-    tracker.recordResponse(READ, response(200, "proof-of-r-1", fullBody.substring(1)));
+        WRITE, response(500, SoakTarget.signature(succeeded), SoakTarget.responseBody(succeeded)));
     assertEquals(violatedPromises(), List.of("MIXED", "MIXED"));
   }
 
+  @Test
+  public void responseToHeadWithBodyIsReported() {
+    RequestTracker.Request head =
+        new RequestTracker.Request("h-1", 0, "e-0", "HEAD", "/reads/h-1", true, "reading", "");
+    tracker.recordRequest(head);
+    RequestTracker.Run run = recordRun(head, "reading", "");
+    tracker.recordResponse(head, response(200, SoakTarget.signature(run), ""));
+    assertEquals(violatedPromises(), List.of());
+    tracker.recordResponse(head, response(run));
+    assertEquals(violatedPromises(), List.of("MIXED"));
+  }
+
+  @Test
+  public void eachAttemptOfWriteMayRunOnce() {
+    RequestTracker.Request second = WRITE.repeated(1);
+    tracker.recordRequest(second);
+    recordRun(WRITE, "writing", "text");
+    recordRun(second, "writing", "text");
+    assertEquals(violatedPromises(), List.of());
+  }
+
+  @Test
+  public void runWithoutAttemptOrUnderAnotherIdIsReported() {
+    RequestTracker.Request second = WRITE.repeated(1);
+    recordRun(second, "writing", "text");
+    RequestTracker.Run run = recordRun(READ, "reading", "");
+    tracker.recordRun(WRITE.attempt(), run);
+    assertEquals(
+        violatedPromises().stream().sorted().toList(), List.of("ROUTE", "UNASKED", "UNASKED"));
+  }
+
+  @Test
+  public void secondRunOfOneAttemptAmongSeveralIsReported() {
+    RequestTracker.Request second = WRITE.repeated(1);
+    tracker.recordRequest(second);
+    recordRun(second, "writing", "text");
+    recordRun(second, "writing", "text");
+    assertEquals(violatedPromises(), List.of("TWICE"));
+  }
+
+  @Test
+  public void rejectedAttemptThatRanIsReportedThoughAnotherWasServed() {
+    RequestTracker.Request second = WRITE.repeated(1);
+    tracker.recordRequest(second);
+    tracker.recordResponse(WRITE, response(recordRun(WRITE, "writing", "text")));
+    recordRun(second, "writing", "text");
+    tracker.recordResponse(second, response(503, "", "later"));
+    assertEquals(violatedPromises(), List.of("REFUSED"));
+  }
+
   @Test
   public void deniedRequestIsReported() {
     tracker.recordResponse(READ, response(404, "", "no such route"));
--- a/src/test/java/org/radishpost/soak/SoakRun.java
+++ b/src/test/java/org/radishpost/soak/SoakRun.java
@@ -72,6 +72,8 @@
       writeSummary(faultInjector.events());
     }
     violations.addAll(tracker.violations(SoakSystem.MAX_ATTEMPTS));
+    Files.write(
+        directory.resolve("violations.txt"), violations.stream().map(Violation::toString).toList());
     return violations;
   }
 
@@ -162,13 +164,15 @@
     for (RequestTracker.Request request : tracker.requestsTo(entry)) {
       boolean connectionLost =
           tracker
-              .outcome(request.id())
-              .filter(outcome -> outcome.status() == 0 && outcome.endNanos() > stopNanos)
+              .outcome(request.attempt())
+              .filter(
+                  outcome ->
+                      outcome.status() == RequestTracker.LOST && outcome.endNanos() > stopNanos)
               .isPresent();
-      boolean executed = !tracker.runs(request.id()).isEmpty();
+      boolean executed = !tracker.runs(request.attempt()).isEmpty();
       if (connectionLost && executed) {
         violations.add(
-            new Violation("LOST", request.id() + " lost its response when stopping " + entry));
+            new Violation("LOST", request.attempt() + " lost its response when stopping " + entry));
       }
     }
   }
--- a/src/test/java/org/radishpost/soak/SoakSystem.java
+++ b/src/test/java/org/radishpost/soak/SoakSystem.java
@@ -141,6 +141,8 @@
         "target-latency-s":0.25,"service":"reading","max-attempts":%3$d},
         "writes":{"host":"%2$s","path-prefix":"/writes/","kind":"non_idempotent","timeout-s":4,
         "target-latency-s":0.3,"service":"writing","max-attempts":%3$d},
+        "uploads":{"host":"%2$s","path-prefix":"/uploads/","kind":"upload","timeout-s":4,
+        "target-latency-s":0.5,"service":"writing","max-attempts":%3$d},
         "more":{"host":"%2$s","path-prefix":"/more-%1$d/","kind":"idempotent",
         "service":"reading","max-attempts":1}},
         "services":{"reading":{"health-path":"/healthz"},"writing":{"health-path":"/healthz"}},
--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -26,8 +28,8 @@
  * <p>Each execution is recorded in the {@link RequestTracker} before it starts.
  */
 final class SoakTarget implements AutoCloseable {
-  /** The body of responses with status 500. */
-  static final String FAILURE_BODY = "failed";
+  /** The header in which callers name their attempt; entries forward it as they got it. */
+  static final String ATTEMPT_HEADER = "X-Soak-Attempt";
 
   static final String HEALTH_PATH = "/healthz";
   static final int SLOTS = 2;
@@ -42,14 +44,35 @@
     CLOSE_WITHOUT_RESPONSE,
     TRUNCATE,
     MALFORMED_RESPONSE,
-    EXTRA_RESPONSE
+    /** Sends each response twice. */
+    EXTRA_RESPONSE,
+    /** Responds after a random time, with a success or a failure, and sends a copy of it later. */
+    LATE_COPY,
+    /** The end of the connection ends the body. */
+    NO_LENGTH,
+    /** Sends half of a body without a length and resets; may leave the request body unread. */
+    CUT_NO_LENGTH,
+    /** Sends half of a body in chunks and closes. */
+    CUT_CHUNKED
   }
 
+  /** The faults after which a connection carries further requests. */
+  private static final Set<Fault> OPEN_AFTER =
+      EnumSet.of(Fault.NONE, Fault.SLOW, Fault.ERROR_STATUS, Fault.EXTRA_RESPONSE, Fault.LATE_COPY);
+
+  private static final Map<String, String> CHUNKED = Map.of("Transfer-Encoding", "chunked");
+  private static final Duration HANG_TIME = Duration.ofSeconds(3);
   private static final Duration SERVICE_TIME = Duration.ofMillis(15);
   private static final Duration SLOW_SERVICE_TIME = Duration.ofMillis(600);
   private static final int MAX_QUEUED = 4;
+  private static final int BACKLOG = 100;
   private static final double FAULT_PROBABILITY = 0.5;
   private static final int MAX_BODY_LINES = 400;
+  private static final int MIN_COPY_DELAY_MILLIS = 20;
+  private static final int MAX_COPY_DELAY_MILLIS = 300;
+  private static final int MAX_RESET_DELAY_MILLIS = 200;
+  private static final int RECEIVE_BUFFER_BYTES = 32_768;
+  private static final AtomicInteger RUN_COUNT = new AtomicInteger();
 
   private final String id;
   private final String service;
@@ -66,19 +89,21 @@
     this.service = service;
     this.tracker = tracker;
     this.random = new Random(seed);
-    this.server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+    this.server = new ServerSocket();
+    server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES); // So an upload waits for its reader.
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
     Thread.ofVirtual().start(this::accept);
   }
 
-  /** Returns the body of a successful response. */
-  static String responseBody(String target, String request) {
-    String line = target + " " + request + "\n";
-    return line.repeat(1 + Math.floorMod(request.hashCode(), MAX_BODY_LINES));
+  /** Returns the whole body of the response of an execution, which no other execution has. */
+  static String responseBody(RequestTracker.Run run) {
+    String line = run.status() + " " + run.target() + " " + signature(run) + "\n";
+    return line.repeat(1 + Math.floorMod(line.hashCode(), MAX_BODY_LINES));
   }
 
-  /** Returns the signature that marks a response as written by a target. */
-  static String signature(String request) {
-    return "proof-of-" + request;
+  /** Returns the signature of the response of an execution, which no other execution has. */
+  static String signature(RequestTracker.Run run) {
+    return "proof-of-" + run.id() + "." + run.number();
   }
 
   String id() {
@@ -127,10 +152,9 @@
     try (socket) {
       socket.setTcpNoDelay(true);
       InputStream in = socket.getInputStream();
-      OutputStream out = socket.getOutputStream();
-      Optional<HttpCodec.Message> request = HttpCodec.read(in);
-      while (request.isPresent() && respond(request.get(), out)) {
-        request = HttpCodec.read(in);
+      Optional<HttpCodec.Message> head = HttpCodec.readHead(in);
+      while (head.isPresent() && respond(head.get(), socket)) {
+        head = HttpCodec.readHead(in);
       }
     } catch (IOException | InterruptedException e) {
       // The entry closed the connection, or this target was closed. Executions are already
@@ -141,25 +165,37 @@
   }
 
   /** Responds to a request; returns whether the connection remains open. */
-  private boolean respond(HttpCodec.Message request, OutputStream out)
+  private boolean respond(HttpCodec.Message head, Socket socket)
       throws IOException, InterruptedException {
-    if (request.startLineWord(1).equals(HEALTH_PATH)) {
-      return sendResponse(out, 200, Map.of(), "ok");
-    }
-    String expectedTargetId = request.header(WireNames.EXPECTED_TARGET);
-    if (!expectedTargetId.isEmpty() && !expectedTargetId.equals(id)) {
-      return sendResponse(out, 421, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+    if (head.startLineWord(1).equals(HEALTH_PATH)) {
+      return sendResponse(socket, 200, Map.of(), "ok");
     }
+    String expectedTargetId = head.header(WireNames.EXPECTED_TARGET);
+    boolean expected = expectedTargetId.isEmpty() || expectedTargetId.equals(id);
     Fault activeFault = random.nextDouble() < FAULT_PROBABILITY ? fault : Fault.NONE;
+    if (expected && activeFault == Fault.CUT_NO_LENGTH) {
+      return cutWithoutLength(head, socket);
+    }
+    HttpCodec.Message request = HttpCodec.readBody(socket.getInputStream(), head);
+    if (!expected) {
+      return sendResponse(socket, 421, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+    }
+    return respondInSlot(request, activeFault, socket);
+  }
+
+  private boolean respondInSlot(HttpCodec.Message request, Fault activeFault, Socket socket)
+      throws IOException, InterruptedException {
     try {
       if (pendingRequests.incrementAndGet() > SLOTS + MAX_QUEUED || activeFault == Fault.NOT_RUN) {
-        return sendResponse(out, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+        return sendResponse(socket, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
       }
       if (!slots.tryAcquire(1, TimeUnit.SECONDS)) {
-        return sendResponse(out, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+        return sendResponse(socket, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
       }
       try {
-        return execute(request, activeFault, out);
+        RequestTracker.Run run = startRun(request, Optional.of(request.bodyText()), activeFault);
+        Thread.sleep(serviceTime(activeFault));
+        return finishRun(run, activeFault, socket);
       } finally {
         slots.release();
       }
@@ -168,55 +204,145 @@
     }
   }
 
-  private boolean execute(HttpCodec.Message request, Fault activeFault, OutputStream out)
-      throws IOException, InterruptedException {
-    String requestId = request.header(WireNames.REQUEST_ID);
-    tracker.recordRun(
-        requestId,
+  private RequestTracker.Run startRun(
+      HttpCodec.Message request, Optional<String> body, Fault activeFault) {
+    boolean failing =
+        activeFault == Fault.ERROR_STATUS
+            || activeFault == Fault.LATE_COPY && random.nextInt(4) == 0;
+    RequestTracker.Run run =
         new RequestTracker.Run(
+            RUN_COUNT.incrementAndGet(),
+            request.header(WireNames.REQUEST_ID),
             id,
             service,
             request.startLineWord(0),
             request.startLineWord(1),
-            request.bodyText(),
-            System.nanoTime()));
-    Thread.sleep(activeFault == Fault.SLOW ? SLOW_SERVICE_TIME : SERVICE_TIME);
-    Map<String, String> signedHeaders = new LinkedHashMap<>();
-    signedHeaders.put(WireNames.REQUEST_ID, requestId);
-    signedHeaders.put(WireNames.UPSTREAM_SIGNATURE, signature(requestId));
-    byte[] response = encode(200, signedHeaders, responseBody(id, requestId));
+            body,
+            failing ? 500 : 200,
+            System.nanoTime());
+    tracker.recordRun(request.header(ATTEMPT_HEADER), run);
+    return run;
+  }
+
+  private Duration serviceTime(Fault activeFault) {
+    return switch (activeFault) {
+      case SLOW -> SLOW_SERVICE_TIME;
+      case LATE_COPY -> Duration.ofMillis(random.nextInt(MAX_COPY_DELAY_MILLIS));
+      default -> SERVICE_TIME;
+    };
+  }
+
+  /** Sends the response of a run; returns whether the connection remains open. */
+  private boolean finishRun(RequestTracker.Run run, Fault activeFault, Socket socket)
+      throws IOException, InterruptedException {
+    byte[] response = encode(run);
     switch (activeFault) {
-      case NONE, SLOW, NOT_RUN -> out.write(response);
-      case ERROR_STATUS -> out.write(encode(500, signedHeaders, FAILURE_BODY));
-      case HANG -> Thread.sleep(Duration.ofSeconds(3));
-      case TRUNCATE -> out.write(response, 0, response.length - 2);
-      case MALFORMED_RESPONSE -> out.write("no answer at all\n\n\n".getBytes());
       case EXTRA_RESPONSE -> {
-        out.write(response);
-        out.write(encode(200, signedHeaders, responseBody(id, requestId)));
+        send(socket, response);
+        send(socket, response);
+      }
+      case LATE_COPY -> {
+        send(socket, response);
+        sendLater(socket, response);
       }
-      default -> {
+      case HANG -> Thread.sleep(HANG_TIME);
+      case TRUNCATE -> sendLast(socket, Arrays.copyOf(response, response.length - 2));
+      case MALFORMED_RESPONSE -> sendLast(socket, "no answer at all\n\n\n".getBytes());
+      case NO_LENGTH -> sendLast(socket, encodeUnframed(run, Map.of(), responseBody(run)));
+      case CUT_CHUNKED -> sendLast(socket, encodeUnframed(run, CHUNKED, firstChunk(run)));
+      case CLOSE_WITHOUT_RESPONSE -> {
         // The connection is closed without a response.
       }
+      default -> send(socket, response);
     }
-    return activeFault == Fault.NONE
-        || activeFault == Fault.SLOW
-        || activeFault == Fault.ERROR_STATUS
-        || activeFault == Fault.EXTRA_RESPONSE;
+    return OPEN_AFTER.contains(activeFault);
   }
 
-  private boolean sendResponse(
-      OutputStream out, int status, Map<String, String> headers, String body) throws IOException {
-    out.write(encode(status, headers, body));
+  private boolean cutWithoutLength(HttpCodec.Message head, Socket socket)
+      throws IOException, InterruptedException {
+    Optional<String> requestBody =
+        random.nextBoolean()
+            ? Optional.of(HttpCodec.readBody(socket.getInputStream(), head).bodyText())
+            : Optional.empty();
+    RequestTracker.Run run = startRun(head, requestBody, Fault.CUT_NO_LENGTH);
+    String body = responseBody(run);
+    send(socket, encodeUnframed(run, Map.of(), body.substring(0, body.length() / 2)));
+    Thread.sleep(random.nextInt(MAX_RESET_DELAY_MILLIS));
+    reset(socket);
+    return false;
+  }
+
+  private static String firstChunk(RequestTracker.Run run) {
+    String body = responseBody(run);
+    String half = body.substring(0, body.length() / 2);
+    return Integer.toHexString(half.length()) + "\r\n" + half + "\r\n";
+  }
+
+  private void sendLater(Socket socket, byte[] bytes) {
+    int range = MAX_COPY_DELAY_MILLIS - MIN_COPY_DELAY_MILLIS;
+    int delayMillis = MIN_COPY_DELAY_MILLIS + random.nextInt(range);
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                Thread.sleep(delayMillis);
+                send(socket, bytes);
+              } catch (IOException | InterruptedException e) {
+                // The connection ended before the copy was due.
+              }
+            });
+  }
+
+  /** Sends bytes, never within other bytes of this connection nor after its last ones. */
+  private static void send(Socket socket, byte[] bytes) throws IOException {
+    synchronized (socket) {
+      socket.getOutputStream().write(bytes);
+    }
+  }
+
+  private static void sendLast(Socket socket, byte[] bytes) throws IOException {
+    synchronized (socket) {
+      socket.getOutputStream().write(bytes);
+      socket.shutdownOutput();
+    }
+  }
+
+  private boolean sendResponse(Socket socket, int status, Map<String, String> headers, String body)
+      throws IOException {
+    send(socket, HttpCodec.encode(statusLine(status), allHeaders(headers), body.getBytes()));
     return true;
   }
 
-  private byte[] encode(int status, Map<String, String> extraHeaders, String body) {
+  private byte[] encode(RequestTracker.Run run) {
+    byte[] body = responseBody(run).getBytes();
+    byte[] whole = HttpCodec.encode(statusLine(run.status()), signedHeaders(run), body);
+    return run.method().equals("HEAD") ? Arrays.copyOf(whole, whole.length - body.length) : whole;
+  }
+
+  /** Encodes a response without a length, with the body bytes as given. */
+  private byte[] encodeUnframed(
+      RequestTracker.Run run, Map<String, String> framing, String bodyBytes) {
+    Map<String, String> headers = signedHeaders(run);
+    headers.putAll(framing);
+    String head = new String(HttpCodec.encodeHead(statusLine(run.status()), headers));
+    return (run.method().equals("HEAD") ? head : head + bodyBytes).getBytes();
+  }
+
+  private Map<String, String> signedHeaders(RequestTracker.Run run) {
+    return allHeaders(
+        Map.of(WireNames.REQUEST_ID, run.id(), WireNames.UPSTREAM_SIGNATURE, signature(run)));
+  }
+
+  private static String statusLine(int status) {
+    return "HTTP/1.1 " + status + " Said";
+  }
+
+  private Map<String, String> allHeaders(Map<String, String> extraHeaders) {
     Map<String, String> headers = new LinkedHashMap<>(extraHeaders);
     headers.put(WireNames.RESPONDING_TARGET, id);
     int running = SLOTS - slots.availablePermits();
     int waiting = Math.max(0, pendingRequests.get() - running);
     headers.put(WireNames.LOAD_REPORT, running + "," + waiting + "," + SLOTS + ",100");
-    return HttpCodec.encode("HTTP/1.1 " + status + " Said", headers, body.getBytes());
+    return headers;
   }
 }
