Cut responses of uploads that fill the buffers, and keep resets as resets

Cause: an upload of up to 1 MB fits the send buffer of the entry's socket (2.5 MB on loopback), so no write of it waits or fails. And the proxy passed on a clean end in place of a reset if its own write had received the reset, and reset the other side before what it had read had been passed on: it could hide a cut, and make a false one.

Change: a quarter of the uploads has 5 MB, all go out in 64 parts; targets and the proxy have small buffers. The proxy tells a reset from an end, and passes on first what was sent before.

--- a/src/test/java/org/radishpost/soak/Caller.java
+++ b/src/test/java/org/radishpost/soak/Caller.java
@@ -35,8 +35,12 @@
   private static final String UPLOAD_PREFIX = "/uploads/";
   private static final int MIN_UPLOAD_LINES = 20_000;
   private static final int MAX_UPLOAD_LINES = 90_000;
-  private static final int UPLOAD_PART_BYTES = 16_384;
-  private static final int UPLOAD_PAUSE_MILLIS = 4;
+
+  /** About 5 MB: more than the socket buffers between an entry and a target take. */
+  private static final int HUGE_UPLOAD_LINES = 500_000;
+
+  private static final int UPLOAD_PARTS = 64;
+  private static final int UPLOAD_PAUSE_MILLIS = 2;
 
   private final String name;
   private final Random random;
@@ -210,7 +214,8 @@
       return newWrite(entry, "/writes/", draw < 26 ? 1 : random.nextInt(MAX_BODY_LINES));
     }
     int range = MAX_UPLOAD_LINES - MIN_UPLOAD_LINES;
-    return newWrite(entry, UPLOAD_PREFIX, MIN_UPLOAD_LINES + random.nextInt(range));
+    int lineCount = MIN_UPLOAD_LINES + random.nextInt(range);
+    return newWrite(entry, UPLOAD_PREFIX, random.nextInt(4) == 0 ? HUGE_UPLOAD_LINES : lineCount);
   }
 
   private RequestTracker.Request newRead(String entry, String method, String pathPrefix) {
@@ -251,8 +256,9 @@
   private static void sendSlowly(byte[] message, Socket socket) {
     try {
       OutputStream out = socket.getOutputStream();
-      for (int start = 0; start < message.length; start += UPLOAD_PART_BYTES) {
-        out.write(message, start, Math.min(UPLOAD_PART_BYTES, message.length - start));
+      int partSize = 1 + message.length / UPLOAD_PARTS;
+      for (int start = 0; start < message.length; start += partSize) {
+        out.write(message, start, Math.min(partSize, message.length - start));
         Thread.sleep(UPLOAD_PAUSE_MILLIS);
       }
     } catch (IOException | InterruptedException e) {
--- a/src/test/java/org/radishpost/soak/FaultyLink.java
+++ b/src/test/java/org/radishpost/soak/FaultyLink.java
@@ -52,7 +52,10 @@
   }
 
   private static final Duration DELAY = Duration.ofMillis(150);
+  private static final Duration RESET_DELAY = Duration.ofMillis(50);
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(2);
   private static final int BUFFER_BYTES = 16_384;
+  private static final int SEND_BUFFER_BYTES = 65_536;
   private static final int BACKLOG = 500;
 
   private final ServerSocket server;
@@ -124,6 +127,7 @@
     try {
       callerSocket.setTcpNoDelay(true);
       targetSocket.setTcpNoDelay(true);
+      targetSocket.setSendBufferSize(SEND_BUFFER_BYTES); // So a sender waits for a slow target.
       targetSocket.connect(new InetSocketAddress(target.ip(), target.port()));
     } catch (IOException e) {
       connection.reset(); // The target does not listen; a reset reports this to the caller.
@@ -141,6 +145,8 @@
     private final Socket callerSocket;
     private final Socket targetSocket;
     private final int number;
+    private final AtomicInteger writes = new AtomicInteger();
+    private volatile boolean failed;
     private volatile boolean dropsToTarget;
     private volatile boolean dropsFromTarget;
 
@@ -164,20 +170,48 @@
             Thread.sleep(DELAY);
           }
           if (!isDropping(directionFault)) {
+            writes.incrementAndGet();
             out.write(buffer, 0, size);
+            writes.decrementAndGet();
           }
         }
         if (!isDropping(directionFault)) {
-          to.shutdownOutput();
+          passOnEnd(to);
         }
       } catch (IOException | InterruptedException e) {
-        reset(); // One side failed; the reset reports this to the other side.
+        failed = true;
+        resetAfterDelay();
       }
       if (from.isInputShutdown() && to.isInputShutdown()) {
         connections.remove(this);
       }
     }
 
+    /**
+     * Ends the output cleanly, unless this end is a reset that a write in the other direction has
+     * received in place of this read.
+     */
+    private void passOnEnd(Socket to) throws IOException, InterruptedException {
+      while (writes.get() > 0 && !failed) {
+        Thread.sleep(POLL_INTERVAL);
+      }
+      if (failed) {
+        reset();
+      } else {
+        to.shutdownOutput();
+      }
+    }
+
+    /** Reports a failure of one side to the other, which first gets what was sent before. */
+    private void resetAfterDelay() {
+      try {
+        Thread.sleep(RESET_DELAY);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      reset();
+    }
+
     private boolean isDropping(Fault directionFault) {
       boolean toTarget = directionFault == Fault.DROP_TO_TARGET;
       if (isAffectedBy(Fault.DROP_BOTH_WAYS) || isAffectedBy(directionFault)) {
--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -70,7 +70,7 @@
   private static final int MAX_BODY_LINES = 400;
   private static final int MIN_COPY_DELAY_MILLIS = 20;
   private static final int MAX_COPY_DELAY_MILLIS = 300;
-  private static final int MAX_RESET_DELAY_MILLIS = 200;
+  private static final int MAX_RESET_DELAY_MILLIS = 400;
   private static final int RECEIVE_BUFFER_BYTES = 32_768;
   private static final AtomicInteger RUN_COUNT = new AtomicInteger();
 
@@ -261,7 +261,7 @@
   private boolean cutWithoutLength(HttpCodec.Message head, Socket socket)
       throws IOException, InterruptedException {
     Optional<String> requestBody =
-        random.nextBoolean()
+        random.nextInt(4) == 0
             ? Optional.of(HttpCodec.readBody(socket.getInputStream(), head).bodyText())
             : Optional.empty();
     RequestTracker.Run run = startRun(head, requestBody, Fault.CUT_NO_LENGTH);
