--- a/src/test/java/org/radishpost/soak/Caller.java
+++ b/src/test/java/org/radishpost/soak/Caller.java
@@ -210,24 +210,24 @@
     if (draw < 18) {
       return newRead(entry, draw < 15 ? "GET" : "HEAD", "/reads/");
     }
-    if (draw < 28) {
-      return newWrite(entry, "/writes/", draw < 26 ? 1 : random.nextInt(MAX_BODY_LINES));
+    if (draw < 27) {
+      return newWrite(entry, "/writes/", draw < 25 ? 1 : random.nextInt(MAX_BODY_LINES));
     }
     int range = MAX_UPLOAD_LINES - MIN_UPLOAD_LINES;
     int lineCount = MIN_UPLOAD_LINES + random.nextInt(range);
-    return newWrite(entry, UPLOAD_PREFIX, random.nextInt(4) == 0 ? HUGE_UPLOAD_LINES : lineCount);
+    return newWrite(entry, UPLOAD_PREFIX, random.nextBoolean() ? HUGE_UPLOAD_LINES : lineCount);
   }
 
   private RequestTracker.Request newRead(String entry, String method, String pathPrefix) {
     String id = name + "-" + requestCount++;
-    return new RequestTracker.Request(id, 0, entry, method, pathPrefix + id, true, "reading", "");
+    return new RequestTracker.Request(
+        id, 0, entry, method, pathPrefix + id, true, "reading", "", 0);
   }
 
   private RequestTracker.Request newWrite(String entry, String pathPrefix, int lineCount) {
     String id = name + "-" + requestCount++;
-    String body = (id + "\n").repeat(lineCount);
     return new RequestTracker.Request(
-        id, 0, entry, "POST", pathPrefix + id, false, "writing", body);
+        id, 0, entry, "POST", pathPrefix + id, false, "writing", id + "\n", lineCount);
   }
 
   /** Sends requests; returns the thread that still sends if the last one is an upload. */
--- a/src/test/java/org/radishpost/soak/RequestTracker.java
+++ b/src/test/java/org/radishpost/soak/RequestTracker.java
@@ -45,7 +45,8 @@
    * @param path the request path
    * @param idempotent whether the request may run more than once
    * @param service the service of the route
-   * @param body the request body
+   * @param bodyLine the text that the request body repeats
+   * @param lineCount how many times the request body has the line
    */
   record Request(
       String id,
@@ -55,7 +56,13 @@
       String path,
       boolean idempotent,
       String service,
-      String body) {
+      String bodyLine,
+      int lineCount) {
+
+    /** Returns the request body, which is not kept, because many are large. */
+    String body() {
+      return bodyLine.repeat(lineCount);
+    }
 
     /** Returns the name of this attempt, which the caller sends in a header of its own. */
     String attempt() {
@@ -64,7 +71,8 @@
 
     /** Returns another attempt with the same id. */
     Request repeated(int newNumber) {
-      return new Request(id, newNumber, entry, method, path, idempotent, service, body);
+      return new Request(
+          id, newNumber, entry, method, path, idempotent, service, bodyLine, lineCount);
     }
   }
 
@@ -102,7 +110,7 @@
       return id.equals(request.id())
           && method.equals(request.method())
           && path.equals(request.path())
-          && body.orElse(request.body()).equals(request.body());
+          && body.filter(received -> !received.equals(request.body())).isEmpty();
     }
   }
 
--- a/src/test/java/org/radishpost/soak/RequestTrackerTest.java
+++ b/src/test/java/org/radishpost/soak/RequestTrackerTest.java
@@ -12,9 +12,10 @@
 /** Tests which outcomes {@link RequestTracker} reports as violations. */
 public class RequestTrackerTest {
   private static final RequestTracker.Request READ =
-      new RequestTracker.Request("r-1", 0, "e-0", "GET", "/reads/r-1", true, "reading", "");
+      new RequestTracker.Request("r-1", 0, "e-0", "GET", "/reads/r-1", true, "reading", "", 0);
   private static final RequestTracker.Request WRITE =
-      new RequestTracker.Request("w-1", 0, "e-0", "POST", "/writes/w-1", false, "writing", "text");
+      new RequestTracker.Request(
+          "w-1", 0, "e-0", "POST", "/writes/w-1", false, "writing", "text", 1);
 
   private RequestTracker tracker;
   private int runCount;
@@ -104,7 +105,9 @@
   public void changedBodyOrUnknownRequestIsReported() {
     recordRun(WRITE, "writing", "tex");
     recordRun(
-        new RequestTracker.Request("x-1", 0, "", "GET", "/", true, "reading", ""), "reading", "");
+        new RequestTracker.Request("x-1", 0, "", "GET", "/", true, "reading", "", 0),
+        "reading",
+        "");
     assertEquals(violatedPromises(), List.of("UNASKED", "UNASKED"));
   }
 
@@ -170,7 +173,7 @@
   @Test
   public void responseToHeadWithBodyIsReported() {
     RequestTracker.Request head =
-        new RequestTracker.Request("h-1", 0, "e-0", "HEAD", "/reads/h-1", true, "reading", "");
+        new RequestTracker.Request("h-1", 0, "e-0", "HEAD", "/reads/h-1", true, "reading", "", 0);
     tracker.recordRequest(head);
     RequestTracker.Run run = recordRun(head, "reading", "");
     tracker.recordResponse(head, response(200, SoakTarget.signature(run), ""));
--- a/src/test/java/org/radishpost/soak/SoakTest.java
+++ b/src/test/java/org/radishpost/soak/SoakTest.java
@@ -16,7 +16,12 @@
  */
 public class SoakTest {
   /** The seeds of each CI run. Add each seed that has ever failed, with a comment on the cause. */
-  private static final List<Long> DEFAULT_SEEDS = List.of(1L, 2L);
+  private static final List<Long> DEFAULT_SEEDS =
+      List.of(
+          1L,
+          2L,
+          // Half of the body of an upload's response looked complete; late copies (issue 30).
+          7L);
 
   private static final String FIRST_SEED_PROPERTY = "soak.first";
   private static final int STEPS = Integer.getInteger("soak.steps", 12);
