--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
@@ -12,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.RadishpostException;
@@ -26,6 +28,7 @@
 import org.radishpost.http.TcpKeepAlive;
 import org.radishpost.lib.Endpoint;
 import reactor.core.Exceptions;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
@@ -177,17 +180,27 @@
         .responseConnection(
             (response, connection) ->
                 collector
-                    .collect(connection.inbound().receive().retain())
+                    .collect(body(connection))
                     .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray()))
                     .map(bytes -> decode(decoder, bytes))
                     .doOnNext(page -> closeUnless(allowsReuse.test(page), connection))
-                    .doOnError(error -> closeUnless(false, connection))
-                    .doOnCancel(() -> closeUnless(false, connection)))
+                    .doOnError(error -> closeUnless(false, connection)))
         .next()
         .timeout(timeout, clock)
         .onErrorMap(StoreClient::toStoreException);
   }
 
+  /** Returns the body; the connection is closed if it is cancelled before its end. */
+  private static Flux<ByteBuf> body(Connection connection) {
+    AtomicBoolean whole = new AtomicBoolean();
+    return connection
+        .inbound()
+        .receive()
+        .retain()
+        .doOnComplete(() -> whole.set(true))
+        .doOnCancel(() -> closeUnless(whole.get(), connection));
+  }
+
   private static void closeUnless(boolean reusable, Connection connection) {
     if (!reusable) {
       connection.channel().close();
