Fail a request at once whose response names no request

Change: such a response fails its request and closes the connection; what cannot be decoded is passed on and fails it too. A refusal without an id counts only on a connection that has carried no other request: a late copy of an earlier refusal would make a write look as if it had not run.

--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -19,12 +19,11 @@
  * Prevents a response from being taken for the response to another request.
  *
  * <p>A response whose correlation field names another request is dropped, and the handler waits for
- * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. So is a response without
- * the field, which may be a late copy; on a connection that has carried no other request it can be
- * none, and fails the request. Bytes that arrive while no request awaits a response close the
- * connection. Only a refusal may lack the field. The connection is not reused after it: were the
- * target to send it once more, the copy could not be told from the refusal of the next request.
- * There is one instance per connection to a target, placed after the codec.
+ * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. A response without the
+ * field fails the request and closes the connection: it may be a late copy, or the target faulty.
+ * Only a refusal may lack the field, and only on a connection that has carried no other request;
+ * the connection is not reused after it. Bytes that arrive while no request awaits a response close
+ * the connection. There is one instance per connection to a target, placed after the codec.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
   /** Statuses of responses that may state that the target did not run the request. */
@@ -66,15 +65,22 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (!awaitingResponse) {
+      if (message instanceof HttpResponse) {
+        counters.countSkipped();
+      }
       ReferenceCountUtil.release(message);
       context.close();
       return;
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
-      skipping = !mayAnswerRequest(response);
+      interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      if (lacksRequiredId(context, response)) {
+        failRequest(context, message);
+        return;
+      }
+      skipping = belongsToOtherRequest(response);
       if (skipping) {
         recordSkipped(context, response);
-        failIfFirst(context, response);
       }
     }
     if (skipping) {
@@ -90,14 +96,12 @@
     context.fireChannelRead(message);
   }
 
-  /** No late copy can arrive on a connection that has carried no earlier request. */
-  private void failIfFirst(ChannelHandlerContext context, HttpResponse response) {
-    boolean first = ConnectionHistory.of(context.channel()).requestCount() <= 1;
-    if (first && correlationValue(response).isEmpty()) {
-      context.fireExceptionCaught(
-          new ProtocolException("the response does not name its request: check the target"));
-      context.close();
-    }
+  private void failRequest(ChannelHandlerContext context, Object message) {
+    ReferenceCountUtil.release(message);
+    awaitingResponse = false;
+    context.fireExceptionCaught(
+        new ProtocolException("the response does not name its request: check the target"));
+    context.close();
   }
 
   private void recordSkipped(ChannelHandlerContext context, HttpResponse response) {
@@ -122,11 +126,22 @@
     }
   }
 
-  private boolean mayAnswerRequest(HttpResponse response) {
-    interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    return interim
-        || correlationValue(response).equals(expectedValue)
-        || isUnidentifiedRefusal(response);
+  /** Malformed responses are passed on: the client fails the request. */
+  private boolean lacksRequiredId(ChannelHandlerContext context, HttpResponse response) {
+    return !interim
+        && response.decoderResult().isSuccess()
+        && expectedValue.isPresent()
+        && correlationValue(response).isEmpty()
+        && !(isUnidentifiedRefusal(response) && isFirstRequest(context));
+  }
+
+  private static boolean isFirstRequest(ChannelHandlerContext context) {
+    return ConnectionHistory.of(context.channel()).requestCount() <= 1;
+  }
+
+  private boolean belongsToOtherRequest(HttpResponse response) {
+    Optional<String> receivedValue = correlationValue(response);
+    return !interim && receivedValue.isPresent() && !receivedValue.equals(expectedValue);
   }
 
   private boolean isUnidentifiedRefusal(HttpResponse response) {
--- a/src/main/java/org/radishpost/http/ResponseCounters.java
+++ b/src/main/java/org/radishpost/http/ResponseCounters.java
@@ -7,7 +7,7 @@
   private final LongAdder skipped = new LongAdder();
   private final LongAdder cut = new LongAdder();
 
-  /** Returns the number of responses that were dropped because they belonged to other requests. */
+  /** Returns the number of responses that were dropped: no request waited for them. */
   public long skipped() {
     return skipped.sum();
   }
--- a/src/main/java/org/radishpost/http/ResponseEndHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseEndHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -58,6 +59,9 @@
         HttpUtil.setKeepAlive(response, false);
       }
     }
+    if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+      recordEndIfNone(context);
+    }
     if (message instanceof LastHttpContent content
         && content.decoderResult().isSuccess()
         && !endedByPeer(context)) {
@@ -88,11 +92,24 @@
     return end == ResponseEnd.PEER_CLOSED && !requestSent ? ResponseEnd.PEER_CLOSED_EARLY : end;
   }
 
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    recordEndIfNone(context);
+    context.fireExceptionCaught(cause);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    recordEndIfNone(context);
+    context.fireChannelInactive();
+  }
+
+  /** An error of the codec leaves the connection open at first, but the response has failed. */
+  private static void recordEndIfNone(ChannelHandlerContext context) {
+    ResponseEnd end = ConnectionEndHandler.endOf(context.channel());
+    ResponseEnd known = end == ResponseEnd.NONE ? ResponseEnd.CONNECTION_FAILED : end;
     Exchange.of(context.channel())
         .filter(exchange -> exchange.end() == ResponseEnd.NONE)
-        .ifPresent(exchange -> exchange.recordEnd(ConnectionEndHandler.endOf(context.channel())));
-    context.fireChannelInactive();
+        .ifPresent(exchange -> exchange.recordEnd(known));
   }
 }
--- a/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
+++ b/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.net.ProtocolException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -111,6 +113,28 @@
     assertFalse(HttpUtil.isKeepAlive(channel.<HttpResponse>readInbound()));
   }
 
+  /** A late copy of an earlier refusal would make a request look as if it had not run. */
+  @Test
+  public void refusalWithoutIdOnReusedConnectionFailsRequest() {
+    ConnectionHistory history = ConnectionHistory.of(channel);
+    history.tryAdd(HttpMethod.GET, Optional.of("a"));
+    history.tryAdd(HttpMethod.GET, Optional.of("b"));
+    sendRequest("b");
+    expectThrows(
+        ProtocolException.class,
+        () -> receive("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals(receivedIds(), List.of());
+    assertFalse(channel.isOpen());
+  }
+
+  /** Bytes that are no response must not leave the request waiting until its timeout. */
+  @Test
+  public void malformedResponseIsPassedOn() {
+    sendRequest("a");
+    receive("no response at all\r\n\r\n");
+    assertTrue(channel.<HttpResponse>readInbound().decoderResult().isFailure());
+  }
+
   @Test
   public void connectionIsReusedAfterRefusalWithId() {
     sendRequest("a");
