Send HEAD over a connection outside the pool

What callers could see: one HEAD request closed every idle connection to its target, one after another, until a new one was made; on VMs of our own interface the closed connections made targets look lost, and cold.

Cause: the rule that HEAD has a connection of its own rejected used connections of the pool.

Change: HEAD requests use a client without a pool, whose connections do not count as those of the target. LateResponseTest.headRequestLeavesOtherConnectionsOpen is new; it was not run on the code before.

--- a/src/main/java/org/radishpost/http/ConnectionHistory.java
+++ b/src/main/java/org/radishpost/http/ConnectionHistory.java
@@ -1,7 +1,6 @@
 package org.radishpost.http;
 
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.AttributeKey;
 import java.util.Arrays;
 import java.util.Optional;
@@ -25,7 +24,6 @@
 
   private int idCount;
   private int requestCount;
-  private boolean carriedHead;
 
   /** Returns the history of a connection. */
   static ConnectionHistory of(Channel channel) {
@@ -40,24 +38,16 @@
   }
 
   /**
-   * Adds a request, unless the connection must not carry it: it has carried the same ID before, it
-   * has carried too many IDs, or one of them is a HEAD request. As a copy of a response has the
-   * same fields with and without a body, a HEAD request has a connection of its own.
+   * Adds a request, unless the connection has carried the same ID or too many IDs before.
    *
-   * @param method the method of the request
    * @param id the ID that the response will carry; empty if it will carry none
    * @return whether the connection may carry the request
    */
-  boolean tryAdd(HttpMethod method, Optional<String> id) {
-    boolean head = method.equals(HttpMethod.HEAD);
-    if ((id.isPresent() && idCount >= MAX_IDS)
-        || carriedHead
-        || (head && requestCount > 0)
-        || id.filter(this::contains).isPresent()) {
+  boolean tryAdd(Optional<String> id) {
+    if (id.isPresent() && (idCount >= MAX_IDS || contains(id.get()))) {
       return false;
     }
     id.ifPresent(this::add);
-    carriedHead = head;
     requestCount++;
     return true;
   }
--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -41,6 +41,7 @@
   private final Optional<String> correlationField;
   private final ConnectionProvider connectionPool;
   private final HttpClient client;
+  private final HttpClient headClient;
   private final OpenConnections openConnections = new OpenConnections();
   private final ResponseCounters counters = new ResponseCounters();
 
@@ -63,17 +64,21 @@
             .pendingAcquireTimeout(options.connectTimeout())
             .lifo()
             .build();
+    this.client = createClient(connectionPool, options, loops);
+    this.headClient = createClient(ConnectionProvider.newConnection(), options, loops);
+  }
+
+  private HttpClient createClient(
+      ConnectionProvider connections, SenderOptions options, LoopResources loops) {
     HttpClient protectedClient =
-        ResponseHandlers.protect(HttpClient.create(connectionPool), correlationField, counters);
-    this.client =
-        NameResolution.disable(TcpKeepAlive.enable(protectedClient))
-            .runOn(loops)
-            .disableRetry(true)
-            .followRedirect(false)
-            .compress(false)
-            .headers(headers -> headers.remove("user-agent").remove("accept"))
-            .option(
-                ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
+        ResponseHandlers.protect(HttpClient.create(connections), correlationField, counters);
+    return NameResolution.disable(TcpKeepAlive.enable(protectedClient))
+        .runOn(loops)
+        .disableRetry(true)
+        .followRedirect(false)
+        .compress(false)
+        .headers(headers -> headers.remove("user-agent").remove("accept"))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) options.connectTimeout().toMillis());
   }
 
   @Override
@@ -94,10 +99,9 @@
       Duration timeout,
       Exchange exchange,
       SendAttempt attempt) {
-    return client
+    return clientFor(address, head)
         .remoteAddress(() -> new InetSocketAddress(address.ip(), address.port()))
         .headers(fields -> fields.set(head.headers()))
-        .doOnConnected(connection -> openConnections.add(address, connection))
         .doOnRequest(
             (request, connection) -> startExchange(exchange, attempt, head, connection.channel()))
         .request(HttpMethod.valueOf(head.method()))
@@ -113,12 +117,21 @@
         .onErrorMap(error -> attempt.toException(error, address));
   }
 
+  /**
+   * Returns the client for a request. A HEAD request has a connection of its own: a copy of its
+   * response looks like a response with a body, or a copy of another like one without.
+   */
+  private HttpClient clientFor(Endpoint address, RequestHead head) {
+    return head.method().equals(HttpMethod.HEAD.name())
+        ? headClient
+        : client.doOnConnected(connection -> openConnections.add(address, connection));
+  }
+
   private void startExchange(
       Exchange exchange, SendAttempt attempt, RequestHead head, Channel channel) {
     exchange.start(channel);
-    HttpMethod method = HttpMethod.valueOf(head.method());
     Optional<String> id = correlationField.map(head.headers()::get);
-    if (!ConnectionHistory.of(channel).tryAdd(method, id)) {
+    if (!ConnectionHistory.of(channel).tryAdd(id)) {
       attempt.rejectConnection(channel);
     }
   }
--- a/src/test/java/org/radishpost/http/LateResponseTest.java
+++ b/src/test/java/org/radishpost/http/LateResponseTest.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.radishpost.errors.RadishpostException;
+import org.radishpost.lib.Endpoint;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -120,6 +122,21 @@
     }
   }
 
+  /** A HEAD request must not cost the idle connections, whose loss makes a target look lost. */
+  @Test
+  public void headRequestLeavesOtherConnectionsOpen() throws Exception {
+    try (RepeatingTarget target = new RepeatingTarget(RepeatingTarget.Ids.ALL)) {
+      List<Endpoint> closed = new CopyOnWriteArrayList<>();
+      fixture.sender().closedAddresses().subscribe(closed::add);
+      call(target, "GET", "a");
+      call(target, "HEAD", "b");
+      call(target, "GET", "c");
+      call(target, "HEAD", "d");
+      assertEquals(target.connectionCount(), 3);
+      assertEquals(closed, List.of());
+    }
+  }
+
   private String call(RepeatingTarget target, String method, String id) {
     return send(target, method, id).block(TIMEOUT);
   }
--- a/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
+++ b/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
@@ -117,8 +117,8 @@
   @Test
   public void refusalWithoutIdOnReusedConnectionFailsRequest() {
     ConnectionHistory history = ConnectionHistory.of(channel);
-    history.tryAdd(HttpMethod.GET, Optional.of("a"));
-    history.tryAdd(HttpMethod.GET, Optional.of("b"));
+    history.tryAdd(Optional.of("a"));
+    history.tryAdd(Optional.of("b"));
     sendRequest("b");
     expectThrows(
         ProtocolException.class,
