Fail a request that is answered with a switch of protocols

Cause: interim responses need no id, and the client takes 101 for a final one. Change: it fails the request and closes the connection. ResponseCorrelationHandlerTest.unrequestedUpgradeFailsRequest is new; it was not run on the code before.

--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -74,7 +75,7 @@
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      if (lacksRequiredId(context, response)) {
+      if (isUpgrade(response) || lacksRequiredId(context, response)) {
         failRequest(context, message);
         return;
       }
@@ -100,7 +101,8 @@
     ReferenceCountUtil.release(message);
     awaitingResponse = false;
     context.fireExceptionCaught(
-        new ProtocolException("the response does not name its request: check the target"));
+        new ProtocolException(
+            "the response names no request, or switches protocols: check the target"));
     context.close();
   }
 
@@ -126,6 +128,11 @@
     }
   }
 
+  /** No request asks for another protocol. */
+  private static boolean isUpgrade(HttpResponse response) {
+    return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+  }
+
   /** Malformed responses are passed on: the client fails the request. */
   private boolean lacksRequiredId(ChannelHandlerContext context, HttpResponse response) {
     return !interim
--- a/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
+++ b/src/test/java/org/radishpost/http/ResponseCorrelationHandlerTest.java
@@ -127,6 +127,17 @@
     assertFalse(channel.isOpen());
   }
 
+  /** The client would take it for the final response, and the real one for the next request's. */
+  @Test
+  public void unrequestedUpgradeFailsRequest() {
+    sendRequest("a");
+    expectThrows(
+        ProtocolException.class,
+        () -> receive("HTTP/1.1 101 Switching Protocols\r\n\r\n" + response("a")));
+    assertEquals(receivedIds(), List.of());
+    assertFalse(channel.isOpen());
+  }
+
   /** Bytes that are no response must not leave the request waiting until its timeout. */
   @Test
   public void malformedResponseIsPassedOn() {
