--- a/src/main/java/org/radishpost/direct/AttemptSender.java
+++ b/src/main/java/org/radishpost/direct/AttemptSender.java
@@ -71,6 +71,7 @@
    */
   Mono<Response> send(CallAttempts attempts, SentCall sent) {
     TrackedTarget target = sent.target();
+    attempts.recordExchange(sent.exchange());
     return sender
         .send(
             target.target().address(),
--- a/src/main/java/org/radishpost/direct/CallAttempts.java
+++ b/src/main/java/org/radishpost/direct/CallAttempts.java
@@ -113,7 +113,7 @@
     return lastTarget;
   }
 
-  /** Returns what was observed of the attempt that ended last; empty if none has ended. */
+  /** Returns what was observed of the attempt that was started or ended last, or empty. */
   Optional<Exchange> lastExchange() {
     return lastExchange;
   }
--- a/src/main/java/org/radishpost/http/ResponseEnd.java
+++ b/src/main/java/org/radishpost/http/ResponseEnd.java
@@ -8,7 +8,7 @@
   FRAMING,
   /** Its sender closed the connection. */
   PEER_CLOSED,
-  /** Its sender closed the connection before it had received the whole request. */
+  /** Its sender closed the connection before the whole request had been written. */
   PEER_CLOSED_EARLY,
   /** This process closed the connection. */
   CLOSED_HERE,
--- a/src/main/java/org/radishpost/http/ResponseEndHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseEndHandler.java
@@ -15,7 +15,7 @@
  * Records how each response is framed and what ended it, and turns the end of a body without a
  * length into an error unless the peer ended it: the codec completes such a body whenever the
  * connection ends, also by an error, a failed write or a close of this process. A peer that closes
- * before it has received the request resets the connection, even if its end arrives before that.
+ * before the request has been written resets the connection, even if its end arrives before that.
  *
  * <p>There is one instance per connection, placed after the handlers that drop responses.
  */
@@ -23,7 +23,7 @@
   private final ResponseCounters counters;
   private HttpMethod method = HttpMethod.GET;
   private ResponseFraming framing = ResponseFraming.NONE;
-  private boolean requestSent;
+  private boolean requestWritten;
 
   /**
    * Creates a handler for one connection.
@@ -39,11 +39,11 @@
     if (message instanceof HttpRequest request) {
       method = request.method();
       framing = ResponseFraming.NONE;
-      requestSent = false;
+      requestWritten = false;
     }
     if (message instanceof LastHttpContent) {
       ChannelPromise observed = promise.unvoid();
-      observed.addListener(result -> requestSent = result.isSuccess());
+      observed.addListener(result -> requestWritten = result.isSuccess());
       context.write(message, observed);
       return;
     }
@@ -89,7 +89,7 @@
       return ResponseEnd.FRAMING;
     }
     ResponseEnd end = ConnectionEndHandler.endOf(context.channel());
-    return end == ResponseEnd.PEER_CLOSED && !requestSent ? ResponseEnd.PEER_CLOSED_EARLY : end;
+    return end == ResponseEnd.PEER_CLOSED && !requestWritten ? ResponseEnd.PEER_CLOSED_EARLY : end;
   }
 
   @Override
--- a/src/test/java/org/radishpost/http/CutResponseTest.java
+++ b/src/test/java/org/radishpost/http/CutResponseTest.java
@@ -71,15 +71,46 @@
       throws Exception {
     try (ResettingTarget target = new ResettingTarget(how, delay)) {
       List<String> results =
-          Flux.range(0, TRIES).concatMap(attempt -> upload(target)).collectList().block(TIMEOUT);
+          Flux.range(0, TRIES)
+              .concatMap(attempt -> upload(target, UPLOAD_BYTES))
+              .collectList()
+              .block(TIMEOUT);
       assertEquals(results, Collections.nCopies(TRIES, "ConnectionLostException"));
     }
   }
 
-  private Mono<String> upload(ResettingTarget target) {
+  /** Returns sizes of uploads that fit into the buffers between a sender and its target. */
+  @DataProvider
+  public Object[][] smallUploads() {
+    return new Object[][] {{1_000}, {200_000}};
+  }
+
+  @Test(dataProvider = "smallUploads")
+  public void responseOfSmallUploadThatWasResetIsLost(int bytes) throws Exception {
+    assertSmallUploadIsLost(ResettingTarget.Break.RESET, bytes);
+  }
+
+  /** A close by Java sends the end of the stream, and the reset after it. */
+  @Test(dataProvider = "smallUploads")
+  public void responseOfSmallUploadThatWasClosedUnreadIsLost(int bytes) throws Exception {
+    assertSmallUploadIsLost(ResettingTarget.Break.CLOSE_WITH_UNREAD_BYTES, bytes);
+  }
+
+  private void assertSmallUploadIsLost(ResettingTarget.Break how, int bytes) throws Exception {
+    try (ResettingTarget target = new ResettingTarget(how, Duration.ofMillis(50))) {
+      List<String> results =
+          Flux.range(0, TRIES)
+              .concatMap(attempt -> upload(target, bytes))
+              .collectList()
+              .block(TIMEOUT);
+      assertEquals(results, Collections.nCopies(TRIES, "ConnectionLostException"));
+    }
+  }
+
+  private Mono<String> upload(ResettingTarget target, int bytes) {
     RequestHead get = RequestHead.get("/a").withField("x-request-id", "1");
-    get.headers().set("content-length", UPLOAD_BYTES);
-    return CallBody.read(Flux.just(Unpooled.wrappedBuffer(new byte[UPLOAD_BYTES])), UPLOAD_BYTES)
+    get.headers().set("content-length", bytes);
+    return CallBody.read(Flux.just(Unpooled.wrappedBuffer(new byte[bytes])), UPLOAD_BYTES)
         .flatMap(
             body ->
                 fixture
