--- a/src/main/java/org/radishpost/http/HttpSender.java
+++ b/src/main/java/org/radishpost/http/HttpSender.java
@@ -161,7 +161,7 @@
     return counters;
   }
 
-  /** Closes all connections. */
+  /** Closes all pooled connections. */
   public Mono<Void> close() {
     return connectionPool.disposeLater();
   }
