--- a/src/main/java/org/radishpost/http/ConnectionHistory.java
+++ b/src/main/java/org/radishpost/http/ConnectionHistory.java
@@ -44,7 +44,7 @@
    * @return whether the connection may carry the request
    */
   boolean tryAdd(Optional<String> id) {
-    if (id.isPresent() && (idCount >= MAX_IDS || contains(id.get()))) {
+    if (id.isPresent() && (idCount >= MAX_IDS || hasCarried(id.get()))) {
       return false;
     }
     id.ifPresent(this::add);
@@ -52,7 +52,8 @@
     return true;
   }
 
-  private boolean contains(String id) {
+  /** Returns whether the connection has carried a request with an ID. */
+  boolean hasCarried(String id) {
     int hash = id.hashCode();
     for (int i = 0; i < idCount; i++) {
       if (idHashes[i] == hash) {
--- a/src/main/java/org/radishpost/http/Exchange.java
+++ b/src/main/java/org/radishpost/http/Exchange.java
@@ -53,7 +53,8 @@
     return !skippedIds.isEmpty()
         || end == ResponseEnd.PEER_CLOSED_EARLY
         || end == ResponseEnd.CLOSED_HERE
-        || end == ResponseEnd.CONNECTION_FAILED;
+        || end == ResponseEnd.CONNECTION_FAILED
+        || end == ResponseEnd.SECOND_RESPONSE;
   }
 
   /** Makes this the exchange to which the events of the connection belong from now on. */
@@ -71,8 +72,11 @@
     framing = newFraming;
   }
 
+  /** Records what ended the response; a second response in its body hides what comes later. */
   void recordEnd(ResponseEnd newEnd) {
-    end = newEnd;
+    if (end != ResponseEnd.SECOND_RESPONSE) {
+      end = newEnd;
+    }
   }
 
   void recordSkipped(Optional<String> id) {
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -66,8 +66,10 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (!awaitingResponse) {
-      if (message instanceof HttpResponse) {
-        counters.countSkipped();
+      if (message instanceof HttpResponse response) {
+        boolean named = correlationValue(response).isPresent();
+        counters.countSurplus(
+            named ? SurplusResponse.IDLE_WITH_ID : SurplusResponse.IDLE_WITHOUT_ID);
       }
       ReferenceCountUtil.release(message);
       context.close();
@@ -75,7 +77,11 @@
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      if (isUpgrade(response) || lacksRequiredId(context, response)) {
+      boolean unidentified = lacksRequiredId(context, response);
+      if (unidentified) {
+        counters.countSurplus(SurplusResponse.WAITING_WITHOUT_ID);
+      }
+      if (unidentified || isUpgrade(response)) {
         failRequest(context, message);
         return;
       }
@@ -107,7 +113,7 @@
   }
 
   private void recordSkipped(ChannelHandlerContext context, HttpResponse response) {
-    counters.countSkipped();
+    counters.countSurplus(SurplusResponse.WAITING_WITH_OTHER_ID);
     Exchange.of(context.channel())
         .ifPresent(exchange -> exchange.recordSkipped(correlationValue(response)));
   }
--- a/src/main/java/org/radishpost/http/ResponseCounters.java
+++ b/src/main/java/org/radishpost/http/ResponseCounters.java
@@ -1,15 +1,31 @@
 package org.radishpost.http;
 
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 
 /** Counts responses that were not what a request waited for; thread-safe. */
 public final class ResponseCounters {
-  private final LongAdder skipped = new LongAdder();
+  private final Map<SurplusResponse, LongAdder> surplus = new EnumMap<>(SurplusResponse.class);
   private final LongAdder cut = new LongAdder();
 
+  /** Creates counters at 0. */
+  public ResponseCounters() {
+    for (SurplusResponse moment : SurplusResponse.values()) {
+      surplus.put(moment, new LongAdder());
+    }
+  }
+
+  /** Returns the number of responses that no request waited for, at one kind of moment. */
+  public long surplus(SurplusResponse moment) {
+    return surplus.get(moment).sum();
+  }
+
   /** Returns the number of responses that were dropped: no request waited for them. */
   public long skipped() {
-    return skipped.sum();
+    return surplus(SurplusResponse.IDLE_WITH_ID)
+        + surplus(SurplusResponse.IDLE_WITHOUT_ID)
+        + surplus(SurplusResponse.WAITING_WITH_OTHER_ID);
   }
 
   /**
@@ -20,8 +36,8 @@
     return cut.sum();
   }
 
-  void countSkipped() {
-    skipped.increment();
+  void countSurplus(SurplusResponse moment) {
+    surplus.get(moment).increment();
   }
 
   void countCut() {
--- a/src/main/java/org/radishpost/http/ResponseEnd.java
+++ b/src/main/java/org/radishpost/http/ResponseEnd.java
@@ -13,5 +13,7 @@
   /** This process closed the connection. */
   CLOSED_HERE,
   /** The connection failed. */
-  CONNECTION_FAILED
+  CONNECTION_FAILED,
+  /** The head of another response, among the bytes of its body. */
+  SECOND_RESPONSE
 }
--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -54,5 +54,11 @@
             new ResponseCorrelationHandler(correlationField, counters))
         .addAfter(
             NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit());
+    correlationField.ifPresent(
+        field ->
+            pipeline.addBefore(
+                ResponseEndHandler.class.getName(),
+                SecondResponseHandler.class.getName(),
+                new SecondResponseHandler(field, counters)));
   }
 }
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -16,6 +16,7 @@
 import org.radishpost.http.CallResult;
 import org.radishpost.http.Response;
 import org.radishpost.http.ResponseCounters;
+import org.radishpost.http.SurplusResponse;
 import org.radishpost.lib.Verdict;
 import org.radishpost.link.PeerTraffic;
 import org.radishpost.link.TcpLinks;
@@ -100,6 +101,11 @@
     registerGauge("responses.bytes", budget::heldBytes);
     registry.register("responses.skipped", new SuppliedCounter(counters::skipped));
     registry.register("responses.cut", new SuppliedCounter(counters::cut));
+    for (SurplusResponse moment : SurplusResponse.values()) {
+      registry.register(
+          "responses.surplus;moment=" + moment,
+          new SuppliedCounter(() -> counters.surplus(moment)));
+    }
   }
 
   void recordCall(Response response, long durationNanos) {
