--- a/src/test/java/org/radishpost/http/ScriptedTarget.java
+++ b/src/test/java/org/radishpost/http/ScriptedTarget.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -24,9 +25,14 @@
   /** Suffix of a response after which the target sends nothing more. */
   static final String SEND_NOTHING_MORE = "<silent>";
 
+  /** Within a response: the target sends the rest in a segment of its own, some time later. */
+  static final String PAUSE = "<pause>";
+
   /** Used instead of a response: the target stops reading after the head of the request. */
   static final String STOP_READING = "<stall>";
 
+  private static final Duration PAUSE_TIME = Duration.ofMillis(60);
+
   private final ServerSocket server;
   private final Deque<String> responses;
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -85,7 +91,7 @@
           return;
         }
         String text = response.replace(THEN_CLOSE, "").replace(SEND_NOTHING_MORE, "");
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        send(socket, text);
         if (response.endsWith(THEN_CLOSE)) {
           socket.close();
           return;
@@ -97,8 +103,18 @@
         head = HeadReader.read(socket.getInputStream());
       }
       closedConnections.add("end");
-    } catch (IOException e) {
+    } catch (IOException | InterruptedException e) {
       closedConnections.add("reset");
     }
   }
+
+  private static void send(Socket socket, String text) throws IOException, InterruptedException {
+    String[] segments = text.split(PAUSE);
+    for (int i = 0; i < segments.length; i++) {
+      if (i > 0) {
+        Thread.sleep(PAUSE_TIME);
+      }
+      socket.getOutputStream().write(segments[i].getBytes(StandardCharsets.ISO_8859_1));
+    }
+  }
 }
