Fail a response that has another one in its body

Cause: the end of a body is taken from its framing alone. A body without a length takes in all bytes up to the end of its connection, a body that falls short of its length the first bytes of what comes next. Those bytes belong to no request.

Change: SecondResponseHandler reads the bytes of each body of a target. Without a length, any response head in it fails the response, also one that is cut. With a declared length only a head that this connection can have brought: it names a request that the connection has carried, or names none and has all fields that only this sender adds; a body that quotes another response stays whole (bodyThatQuotesResponseIsWhole). The request fails as lost (an idempotent one is sent again), and the connection is closed. Ruled out: cutting the body before the second head, as the body before it may be half; a second request for each body without a length, which doubles the load of the target's service.

What remains: bytes behind a body without a length that are no response, and a declared length that ends amid the second head, cannot be told.

--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -8,11 +8,13 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.ProtocolException;
 import java.util.Locale;
 import java.util.Set;
 
 /**
- * Detects a body that has another response in it: a body without a length takes in all that its
+ * Fails a response that has another one in its body: a body without a length takes in all that its
  * sender sends behind it, a body that falls short of its length the beginning of the next response.
  *
  * <p>A body without a length has another response in it if it contains a response head. A body
@@ -37,7 +39,8 @@
   private final ResponseCounters counters;
   private ResponseFraming framing = ResponseFraming.NONE;
   private HttpHeaders ownFields = EmptyHttpHeaders.INSTANCE;
-  private ResponseHeadFinder finder;
+  private ResponseHeadFinder finder = new ResponseHeadFinder(fields -> false);
+  private boolean failed;
 
   /**
    * Creates a handler for one connection.
@@ -57,13 +60,24 @@
       ownFields = response.headers();
       finder = new ResponseHeadFinder(fields -> isSecond(context, fields));
     }
-    if (message instanceof HttpContent content && finder != null && hasSecond(content)) {
-      finder = null;
-      counters.countSurplus(SurplusResponse.WITHIN_BODY);
-      Exchange.of(context.channel())
-          .ifPresent(exchange -> exchange.recordEnd(ResponseEnd.SECOND_RESPONSE));
+    if (failed) {
+      ReferenceCountUtil.release(message);
+    } else if (message instanceof HttpContent content && hasSecond(content)) {
+      content.release();
+      failResponse(context);
+    } else {
+      context.fireChannelRead(message);
     }
-    context.fireChannelRead(message);
+  }
+
+  private void failResponse(ChannelHandlerContext context) {
+    failed = true;
+    counters.countSurplus(SurplusResponse.WITHIN_BODY);
+    Exchange.of(context.channel())
+        .ifPresent(exchange -> exchange.recordEnd(ResponseEnd.SECOND_RESPONSE));
+    context.fireExceptionCaught(
+        new ProtocolException("another response stands in the body: check the target"));
+    context.close();
   }
 
   private boolean hasSecond(HttpContent content) {
