Fail a request whose response was read from two heads

Cause: a late copy that is cut in its head has no end. The codec reads on, through the head of the next response: a status line within a reason phrase or a field value is valid HTTP. The status is that of the copy; id, fields and body are those of the response behind it. With both ids in one head the first one counted, and the request waited on.

Change: a status line in a reason phrase or a field value, or two values of the id, fail the request and close the connection; counted as WITHIN_HEAD.

--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -77,11 +77,9 @@
     }
     if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      boolean unidentified = lacksRequiredId(context, response);
-      if (unidentified) {
-        counters.countSurplus(SurplusResponse.WAITING_WITHOUT_ID);
-      }
-      if (unidentified || isUpgrade(response)) {
+      Optional<SurplusResponse> surplus = surplusFailingRequest(context, response);
+      surplus.ifPresent(counters::countSurplus);
+      if (surplus.isPresent() || isUpgrade(response)) {
         failRequest(context, message);
         return;
       }
@@ -134,6 +132,17 @@
     }
   }
 
+  /** Returns what a response is that does not belong to the waiting request, but fails it. */
+  private Optional<SurplusResponse> surplusFailingRequest(
+      ChannelHandlerContext context, HttpResponse response) {
+    if (response.decoderResult().isSuccess() && MergedHead.isMerged(response, correlationField)) {
+      return Optional.of(SurplusResponse.WITHIN_HEAD);
+    }
+    return lacksRequiredId(context, response)
+        ? Optional.of(SurplusResponse.WAITING_WITHOUT_ID)
+        : Optional.empty();
+  }
+
   /** No request asks for another protocol. */
   private static boolean isUpgrade(HttpResponse response) {
     return response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
--- a/src/main/java/org/radishpost/http/SurplusResponse.java
+++ b/src/main/java/org/radishpost/http/SurplusResponse.java
@@ -10,6 +10,8 @@
   WAITING_WITH_OTHER_ID,
   /** It names no request while one waited: a late copy, or the response of a faulty target. */
   WAITING_WITHOUT_ID,
+  /** Its head was read as one with another, which was cut. */
+  WITHIN_HEAD,
   /** Its head stood among the bytes of a body. */
   WITHIN_BODY
 }
