Fail a request at once if a dropped response hides its own

Cause: a response to another request is dropped up to its end. If it has no length, its chunks are malformed or its body falls short, that end does not come, or lies behind the response to the waiting request.

Change: while a response is dropped, the request fails and the connection is closed as soon as it cannot get its own response: no length, a malformed part, more bytes than the limit, or its own head among the dropped bytes.

--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -4,7 +4,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -20,11 +23,12 @@
  * Prevents a response from being taken for the response to another request.
  *
  * <p>A response whose correlation field names another request is dropped, and the handler waits for
- * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. A response without the
- * field fails the request and closes the connection: it may be a late copy, or the target faulty.
- * Only a refusal may lack the field, and only on a connection that has carried no other request;
- * the connection is not reused after it. Bytes that arrive while no request awaits a response close
- * the connection. There is one instance per connection to a target, placed after the codec.
+ * the next one, up to {@value #MAX_SKIPPED_BYTES} bytes of dropped bodies. The request fails and
+ * the connection is closed if the dropped response does not end, or if a response lacks the field:
+ * it may be a late copy, or the target faulty. Only a refusal may lack the field, and only on a
+ * connection that has carried no other request; the connection is not reused after it. Bytes that
+ * arrive while no request awaits a response close the connection. There is one instance per
+ * connection to a target, placed after the codec.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
   /** Statuses of responses that may state that the target did not run the request. */
@@ -36,6 +40,8 @@
   private final Optional<String> correlationField;
   private final ResponseCounters counters;
   private Optional<String> expectedValue = Optional.empty();
+  private HttpMethod method = HttpMethod.GET;
+  private ResponseHeadFinder ownHeadFinder = new ResponseHeadFinder(fields -> false);
   private boolean awaitingResponse;
   private boolean skipping;
   private boolean interim;
@@ -57,6 +63,7 @@
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
     if (message instanceof HttpRequest request) {
       expectedValue = correlationValue(request);
+      method = request.method();
       awaitingResponse = true;
       skippedBytes = 0;
     }
@@ -75,7 +82,7 @@
       context.close();
       return;
     }
-    if (message instanceof HttpResponse response && skippedBytes <= MAX_SKIPPED_BYTES) {
+    if (message instanceof HttpResponse response) {
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       Optional<SurplusResponse> surplus = surplusFailingRequest(context, response);
       surplus.ifPresent(counters::countSurplus);
@@ -86,6 +93,7 @@
       skipping = belongsToOtherRequest(response);
       if (skipping) {
         recordSkipped(context, response);
+        ownHeadFinder = new ResponseHeadFinder(this::isOwnHead);
       }
     }
     if (skipping) {
@@ -101,12 +109,17 @@
     context.fireChannelRead(message);
   }
 
+  /** Returns whether a request has been written and its response has not been read to its end. */
+  boolean awaitsResponse() {
+    return awaitingResponse;
+  }
+
   private void failRequest(ChannelHandlerContext context, Object message) {
     ReferenceCountUtil.release(message);
     awaitingResponse = false;
     context.fireExceptionCaught(
         new ProtocolException(
-            "the response names no request, or switches protocols: check the target"));
+            "the response cannot be told from another, or switches protocols: check the target"));
     context.close();
   }
 
@@ -117,19 +130,37 @@
   }
 
   private void skip(ChannelHandlerContext context, Object message) {
-    if (message instanceof LastHttpContent) {
-      skipping = false;
-    }
     if (message instanceof HttpContent content) {
       skippedBytes += PartCost.of(content.content());
     }
+    if (skippedBytes > MAX_SKIPPED_BYTES || hidesOwnResponse(message)) {
+      failRequest(context, message);
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      skipping = false;
+    }
     ReferenceCountUtil.release(message);
-    if (skippedBytes > MAX_SKIPPED_BYTES) {
-      skipping = true;
-      context.close();
-    } else {
-      context.read();
+    context.read();
+  }
+
+  /**
+   * Returns whether the response to the waiting request will not be seen behind a part of a dropped
+   * one, because that one does not end or takes its bytes.
+   */
+  private boolean hidesOwnResponse(Object message) {
+    if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+      return true;
     }
+    return switch (message) {
+      case HttpResponse response -> ResponseFraming.of(method, response) == ResponseFraming.CLOSE;
+      case HttpContent content -> ownHeadFinder.read(content.content());
+      default -> false;
+    };
+  }
+
+  private boolean isOwnHead(HttpHeaders fields) {
+    return correlationField.map(fields::get).equals(expectedValue);
   }
 
   /** Returns what a response is that does not belong to the waiting request, but fails it. */
