Close an idle connection on any bytes, not on a message

Cause: bytes that arrive while no request waits close the connection only when the codec has made a message of them. Half of a head stays in the codec, the connection in the pool, and the next request's response is read behind it.

Change: IdleConnectionHandler, before the codec, closes the connection with the first byte; what the codec makes of it is still counted.

--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -35,7 +35,13 @@
    */
   static void addTo(
       ChannelPipeline pipeline, Optional<String> correlationField, ResponseCounters counters) {
+    ResponseCorrelationHandler correlation =
+        new ResponseCorrelationHandler(correlationField, counters);
     pipeline
+        .addBefore(
+            NettyPipeline.HttpCodec,
+            IdleConnectionHandler.class.getName(),
+            new IdleConnectionHandler(correlation::awaitsResponse))
         .addBefore(
             NettyPipeline.HttpCodec,
             ConnectionEndHandler.class.getName(),
@@ -48,10 +54,7 @@
             NettyPipeline.HttpCodec,
             InterimResponseFilter.class.getName(),
             new InterimResponseFilter())
-        .addAfter(
-            NettyPipeline.HttpCodec,
-            ResponseCorrelationHandler.class.getName(),
-            new ResponseCorrelationHandler(correlationField, counters))
+        .addAfter(NettyPipeline.HttpCodec, ResponseCorrelationHandler.class.getName(), correlation)
         .addAfter(
             NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit());
     correlationField.ifPresent(
