Report targets that respond more than once

The choice of targets does not change: a stuttering target's own responses are sound, and calls that wait on the same connection now fail at once or are not touched.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -101,6 +101,8 @@
   TARGET_PAUSED(5011, Level.INFO),
   /** A target has crashed, and calls that were in flight to it were lost. */
   TARGET_CRASHED(5012, Level.WARN),
+  /** A target has sent responses that no request waited for. */
+  TARGET_SURPLUS(5013, Level.WARN),
 
   /** This VM has read a claim stream to its end and can decide claims for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -76,6 +76,7 @@
       if (message instanceof HttpResponse response) {
         boolean named = correlationValue(response).isPresent();
         counters.countSurplus(
+            context.channel(),
             named ? SurplusResponse.IDLE_WITH_ID : SurplusResponse.IDLE_WITHOUT_ID);
       }
       ReferenceCountUtil.release(message);
@@ -85,7 +86,7 @@
     if (message instanceof HttpResponse response) {
       interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       Optional<SurplusResponse> surplus = surplusFailingRequest(context, response);
-      surplus.ifPresent(counters::countSurplus);
+      surplus.ifPresent(moment -> counters.countSurplus(context.channel(), moment));
       if (surplus.isPresent() || isUpgrade(response)) {
         failRequest(context, message);
         return;
@@ -124,7 +125,7 @@
   }
 
   private void recordSkipped(ChannelHandlerContext context, HttpResponse response) {
-    counters.countSurplus(SurplusResponse.WAITING_WITH_OTHER_ID);
+    counters.countSurplus(context.channel(), SurplusResponse.WAITING_WITH_OTHER_ID);
     Exchange.of(context.channel())
         .ifPresent(exchange -> exchange.recordSkipped(correlationValue(response)));
   }
--- a/src/main/java/org/radishpost/http/ResponseCounters.java
+++ b/src/main/java/org/radishpost/http/ResponseCounters.java
@@ -1,13 +1,19 @@
 package org.radishpost.http;
 
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
+import org.radishpost.lib.Endpoint;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
 
 /** Counts responses that were not what a request waited for; thread-safe. */
 public final class ResponseCounters {
   private final Map<SurplusResponse, LongAdder> surplus = new EnumMap<>(SurplusResponse.class);
   private final LongAdder cut = new LongAdder();
+  private final Sinks.Many<ReceivedSurplus> received = Sinks.many().multicast().directBestEffort();
 
   /** Creates counters at 0. */
   public ResponseCounters() {
@@ -36,8 +42,22 @@
     return cut.sum();
   }
 
-  void countSurplus(SurplusResponse moment) {
+  /**
+   * Returns the responses that no request waited for, as they are read; one that arrives while the
+   * subscriber is busy is only counted.
+   */
+  public Flux<ReceivedSurplus> received() {
+    return received.asFlux();
+  }
+
+  void countSurplus(Channel channel, SurplusResponse moment) {
     surplus.get(moment).increment();
+    if (channel.remoteAddress() instanceof InetSocketAddress sender) {
+      Endpoint address = new Endpoint(sender.getAddress().getHostAddress(), sender.getPort());
+      synchronized (received) {
+        received.tryEmitNext(new ReceivedSurplus(address, moment));
+      }
+    }
   }
 
   void countCut() {
--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -72,7 +72,7 @@
 
   private void failResponse(ChannelHandlerContext context) {
     failed = true;
-    counters.countSurplus(SurplusResponse.WITHIN_BODY);
+    counters.countSurplus(context.channel(), SurplusResponse.WITHIN_BODY);
     Exchange.of(context.channel())
         .ifPresent(exchange -> exchange.recordEnd(ResponseEnd.SECOND_RESPONSE));
     context.fireExceptionCaught(
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -91,6 +91,7 @@
   private final TargetDirectory directory;
   private final EntryReadiness readiness;
   private final LoadSummary loadSummary;
+  private final SurplusSummary surplusSummary;
   private final CrashHistory crashes;
   private final ByteBudget responseBudget =
       new ByteBudget(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
@@ -130,6 +131,7 @@
         new EventLog(settings.vm(), hybridClock, new Timeline(MAX_TIMELINE_EVENTS), metrics);
     this.directory = new TargetDirectory(events);
     this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
+    this.surplusSummary = new SurplusSummary(this::targetName, events);
     this.crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     metrics.registerCrashes(crashes);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
@@ -145,6 +147,7 @@
             clock,
             loops);
     metrics.registerResponses(responseBudget, sender.counters());
+    sender.counters().received().subscribe(surplusSummary::record);
     this.relay = new Relay(settings.place(), createSlotBroker(), crashes);
     TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
     this.slotClient =
@@ -181,6 +184,13 @@
             loops);
   }
 
+  private String targetName(Endpoint address) {
+    return directory
+        .findAt(address)
+        .map(tracked -> tracked.target().id().value())
+        .orElseGet(address::toString);
+  }
+
   private RandomGenerator createRandom() {
     return new SplittableRandom(settings.vm().hashCode() ^ clock.now(TimeUnit.NANOSECONDS));
   }
@@ -266,6 +276,7 @@
 
   private void tick() {
     loadSummary.tick(clock.now(TimeUnit.NANOSECONDS));
+    surplusSummary.tick();
     directory.removeExpired(clock.now(TimeUnit.NANOSECONDS));
     relay.tick(!stopping && !follower.isFollowing() && platformFeed.isStoreReachable());
     follower.tick();
--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -10,6 +10,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
+import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.ServiceName;
 
 /**
@@ -133,6 +134,13 @@
     return Optional.ofNullable(targets.get(id));
   }
 
+  /** Returns the target at an address, or empty if the directory contains none. */
+  public Optional<TrackedTarget> findAt(Endpoint address) {
+    return targets.values().stream()
+        .filter(tracked -> tracked.target().address().equals(address))
+        .findFirst();
+  }
+
   /** Returns the number of targets in the directory. */
   public int size() {
     return targets.size();
