Tell the response to a hop from the late one of another

What callers saw: nothing that a record shows; with an owner that responds twice, the next call over the connection got the response to the call before.

Cause: responses between VMs name no request, so the first one that is read while a call waits counts as its response.

Change: each hop request carries radishpost-hop-id, its session and sequence number. HopIdHandler copies it to every response of the owner, whoever writes it: results, refusals, the response in place of a lost one, and those of the HTTP library. The sender of hops uses it as its correlation field, so that the handlers that protect calls to targets apply. It is removed before the response goes on. The sequence number alone was ruled out: a connection outlives a session, whose successor counts from 1 again. Setting the field where responses are created was ruled out, as the library writes some of them. A VM of an older release copies no ID, and calls to it end as lost.

--- a/src/main/java/org/radishpost/http/HeaderNames.java
+++ b/src/main/java/org/radishpost/http/HeaderNames.java
@@ -42,6 +42,12 @@
   /** The sequence number of a call within its session. */
   public static final String HOP_SEQUENCE = HOP_PREFIX + "sequence";
 
+  /**
+   * The ID of a call among all calls that the sender has sent over a connection. The receiver
+   * copies it to the response.
+   */
+  public static final String HOP_ID = HOP_PREFIX + "id";
+
   /** The message authentication code (MAC) of the call, computed with the key of the session. */
   public static final String HOP_MAC = HOP_PREFIX + "proof";
 
--- a/src/main/java/org/radishpost/http/HopClient.java
+++ b/src/main/java/org/radishpost/http/HopClient.java
@@ -38,7 +38,7 @@
    * Creates a client.
    *
    * @param self the ID of this VM
-   * @param sender sends the calls to other VMs
+   * @param sender sends the calls to other VMs, with the options {@link SenderOptions#forHops}
    * @param links the links to other VMs, whose sessions authenticate the calls
    * @param clock the clock for deadlines
    * @param hybridClock the clock for event timestamps of this VM
@@ -109,6 +109,7 @@
     headers.set(HeaderNames.HOP_VM, HopRequestFields.encode(self.value()));
     headers.set(HeaderNames.HOP_SESSION, session.id());
     headers.set(HeaderNames.HOP_SEQUENCE, sequence);
+    headers.set(HeaderNames.HOP_ID, session.id() + "-" + sequence);
     headers.set(HeaderNames.HOP_MAC, session.mac(sequence, fields.authenticatedText()).hex());
     return new RequestHead(call.head().method(), call.head().target(), headers);
   }
@@ -118,7 +119,11 @@
     String resultText = response.headers().get(HeaderNames.HOP_RESULT);
     Optional<PoolView> view =
         PoolViewHeader.parse(pool, response.headers().get(HeaderNames.HOP_VIEW));
-    response.headers().remove(HeaderNames.HOP_RESULT).remove(HeaderNames.HOP_VIEW);
+    response
+        .headers()
+        .remove(HeaderNames.HOP_RESULT)
+        .remove(HeaderNames.HOP_VIEW)
+        .remove(HeaderNames.HOP_ID);
     HopResult hopResult = HopResult.parse(resultText);
     if (hopResult instanceof HopResult.Responded) {
       return new CallResult.Responded(response, view);
--- a/src/main/java/org/radishpost/http/HopServer.java
+++ b/src/main/java/org/radishpost/http/HopServer.java
@@ -109,7 +109,11 @@
                         .addAfter(
                             NettyPipeline.HttpCodec,
                             ErrorResponseRewriter.class.getName(),
-                            new ErrorResponseRewriter()))
+                            new ErrorResponseRewriter())
+                        .addAfter(
+                            NettyPipeline.HttpCodec,
+                            HopIdHandler.class.getName(),
+                            new HopIdHandler()))
             .httpRequestDecoder(spec -> spec.maxHeaderSize(2 * limits.headerBytes()))
             .handle(
                 (request, serverResponse) ->
--- a/src/main/java/org/radishpost/http/SenderOptions.java
+++ b/src/main/java/org/radishpost/http/SenderOptions.java
@@ -28,4 +28,11 @@
     return new SenderOptions(
         name, maxConnections, maxIdleTime, connectTimeout, Optional.empty(), false);
   }
+
+  /** Returns options for calls to other VMs, which copy the ID of each call to the response. */
+  public static SenderOptions forHops(
+      String name, int maxConnections, Duration maxIdleTime, Duration connectTimeout) {
+    return new SenderOptions(
+        name, maxConnections, maxIdleTime, connectTimeout, Optional.of(HeaderNames.HOP_ID), false);
+  }
 }
--- a/src/main/java/org/radishpost/node/Node.java
+++ b/src/main/java/org/radishpost/node/Node.java
@@ -98,7 +98,7 @@
             loops);
     this.hopSender =
         new HttpSender(
-            SenderOptions.forNative("hop", MAX_CONNECTIONS_PER_VM, IDLE_TIMEOUT, CONNECT_TIMEOUT),
+            SenderOptions.forHops("hop", MAX_CONNECTIONS_PER_VM, IDLE_TIMEOUT, CONNECT_TIMEOUT),
             clock,
             loops);
     ConnectionProvider platform = ConnectionProvider.create("platform", MAX_PLATFORM_CONNECTIONS);
--- a/src/test/java/org/radishpost/http/HopTest.java
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.radishpost.events.HybridClock;
 import org.radishpost.lib.CallId;
 import org.radishpost.lib.CallInfo;
@@ -42,6 +44,9 @@
   private static final Place PLACE = Place.of("közép", "közép-a");
   private static final Duration DEADLINE = Duration.ofSeconds(9);
   private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
+  private static final int MAX_CONNECTIONS = 8;
+  private static final Duration IDLE_TIME = Duration.ofSeconds(5);
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final int CHUNK_BYTES = 65_536;
   private static final int MAX_CHUNKS = 400;
 
@@ -50,8 +55,10 @@
   private FakeLinks links;
   private HopServer server;
   private Endpoint address;
+  private HttpSender sender;
   private HopClient client;
   private volatile CallResult result;
+  private volatile Optional<RuntimeException> failure;
   private volatile Sinks.Empty<Void> cancelled;
 
   /** Starts an owner and an entry. */
@@ -61,6 +68,7 @@
     links = new FakeLinks(ENTRY, OWNER);
     receivedCalls.clear();
     cancelled = Sinks.empty();
+    failure = Optional.empty();
     result = new CallResult.Responded(Responses.text(200, "hello"), Optional.empty());
     server =
         new HopServer(
@@ -74,13 +82,19 @@
             new AtomicLong(),
             new HybridClock(() -> 0));
     address = server.start();
-    client = new HopClient(ENTRY, edge.sender, links.entry(), edge.clock, new HybridClock(() -> 0));
+    sender =
+        new HttpSender(
+            SenderOptions.forHops("hop-test", MAX_CONNECTIONS, IDLE_TIME, CONNECT_TIMEOUT),
+            edge.clock,
+            edge.loops);
+    client = new HopClient(ENTRY, sender, links.entry(), edge.clock, new HybridClock(() -> 0));
   }
 
   /** Stops the owner and the entry. */
   @AfterMethod(alwaysRun = true)
   public void stop() {
     server.stop().block();
+    sender.close().block();
     edge.close();
   }
 
@@ -150,6 +164,109 @@
     assertEquals(receivedCalls, List.of());
   }
 
+  /** Fields by which the late copy of a response names its call, and the results of three calls. */
+  @DataProvider
+  public Object[][] lateCopies() {
+    return new Object[][] {
+      {true, List.of("1", "2", "3")}, {false, List.of("1", "Lost", "3")},
+    };
+  }
+
+  @Test(dataProvider = "lateCopies")
+  public void lateResponseOfOwnerIsNotResponseToNextCall(boolean named, List<String> expected)
+      throws IOException {
+    AtomicLong requests = new AtomicLong();
+    try (LateServer owner =
+        new LateServer(head -> respondTwice(head, named, requests.incrementAndGet()))) {
+      List<String> results =
+          IntStream.rangeClosed(1, 3)
+              .mapToObj(number -> send(call(CallBody.buffered(new byte[0]), "k"), owner.address()))
+              .map(HopTest::summary)
+              .toList();
+      assertEquals(results, expected);
+    }
+  }
+
+  private static LateServer.Answer respondTwice(String head, boolean copyIsNamed, long number) {
+    String response = "HTTP/1.1 200 OK\r\nradishpost-hop-result: answered\r\nContent-Length: 1\r\n";
+    String text = "\r\n" + number;
+    String named = response + hopIdLine(head) + text;
+    return new LateServer.Answer(named, copyIsNamed ? named : response + text);
+  }
+
+  /** Returns the line of the field that names the call, or nothing if there is none. */
+  private static String hopIdLine(String head) {
+    return head.lines()
+        .filter(line -> line.startsWith("radishpost-hop-id:"))
+        .map(line -> line + "\r\n")
+        .collect(Collectors.joining());
+  }
+
+  private static String summary(CallResult result) {
+    return result instanceof CallResult.Responded responded
+        ? text(responded.response())
+        : result.getClass().getSimpleName();
+  }
+
+  @Test
+  public void responseNamesItsCall() throws IOException {
+    String request = captureRequest();
+    assertFalse(hopIdLine(request).isEmpty(), request);
+    assertEquals(hopIdLine(exchange(request)), hopIdLine(request));
+  }
+
+  @Test
+  public void refusalNamesItsCall() throws IOException {
+    String request = captureRequest();
+    String tampered = request.replaceFirst("POST /a", "POST /b");
+    String received = exchange(tampered);
+    assertTrue(received.startsWith("HTTP/1.1 403 "), received);
+    assertFalse(hopIdLine(request).isEmpty(), request);
+    assertEquals(hopIdLine(received), hopIdLine(request));
+  }
+
+  @Test
+  public void refusalOfMalformedFieldsNamesItsCall() throws IOException {
+    String request = captureRequest();
+    String received = exchange(request.replaceFirst("radishpost-hop-pool: .*", "x: y"));
+    assertTrue(received.startsWith("HTTP/1.1 403 "), received);
+    assertFalse(hopIdLine(request).isEmpty(), request);
+    assertEquals(hopIdLine(received), hopIdLine(request));
+  }
+
+  /** The owner responds with a refusal in place of the response that it cannot read. */
+  @Test
+  public void responseInPlaceOfLostOneNamesItsCall() throws IOException {
+    result =
+        new CallResult.Responded(
+            Responses.text(200, "").withBody(Flux.error(new IOException("lost"))),
+            Optional.empty());
+    String request = captureRequest();
+    String received = exchange(request);
+    assertTrue(received.startsWith("HTTP/1.1 502 "), received);
+    assertFalse(hopIdLine(request).isEmpty(), request);
+    assertEquals(hopIdLine(received), hopIdLine(request));
+  }
+
+  /** The HTTP library responds to a request whose handler fails. */
+  @Test
+  public void responseOfLibraryNamesItsCall() throws IOException {
+    failure = Optional.of(new IllegalStateException("failed"));
+    String request = captureRequest();
+    String received = exchange(request);
+    assertTrue(received.startsWith("HTTP/1.1 500 "), received);
+    assertFalse(hopIdLine(request).isEmpty(), request);
+    assertEquals(hopIdLine(received), hopIdLine(request));
+  }
+
+  @Test
+  public void nameOfCallIsRemovedFromResponse() {
+    CallResult.Responded responded =
+        (CallResult.Responded) send(call(CallBody.buffered(new byte[0]), "k"));
+    assertFalse(
+        responded.response().headers().names().stream().anyMatch(HeaderNames::isBetweenVms));
+  }
+
   /** Responses of a VM that failed or runs a different release. */
   @DataProvider
   public Object[][] unclearResults() {
@@ -201,6 +318,9 @@
 
   private Mono<CallResult> run(Call call) {
     receivedCalls.add(call);
+    if (failure.isPresent()) {
+      return Mono.error(failure.get());
+    }
     if (result == null) {
       return Mono.<CallResult>never().doOnCancel(() -> cancelled.tryEmitEmpty());
     }
