Reuse the connection for certain in the test of late hop responses

Seen: lateResponseOfOwnerIsNotResponseToNextCall may send a call before the connection of the one before is back in its pool. It then takes another connection, on which no late response comes.

Change: the sender has one thread, and the test waits for it between calls, as LateStoreResponseTest does. The assertions are the same.

--- a/src/test/java/org/radishpost/http/HopTest.java
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -18,7 +19,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.radishpost.events.HybridClock;
 import org.radishpost.lib.CallId;
 import org.radishpost.lib.CallInfo;
@@ -36,6 +36,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.netty.resources.LoopResources;
 
 /** Tests calls between two VMs, and the refusal of requests that are not authenticated. */
 public class HopTest {
@@ -47,6 +48,7 @@
   private static final int MAX_CONNECTIONS = 8;
   private static final Duration IDLE_TIME = Duration.ofSeconds(5);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration DISPOSE_TIMEOUT = Duration.ofSeconds(1);
   private static final int CHUNK_BYTES = 65_536;
   private static final int MAX_CHUNKS = 400;
 
@@ -55,6 +57,7 @@
   private FakeLinks links;
   private HopServer server;
   private Endpoint address;
+  private LoopResources senderLoops;
   private HttpSender sender;
   private HopClient client;
   private volatile CallResult result;
@@ -82,11 +85,12 @@
             new AtomicLong(),
             new HybridClock(() -> 0));
     address = server.start();
+    senderLoops = LoopResources.create("hop-test", 1, true);
     sender =
         new HttpSender(
             SenderOptions.forHops("hop-test", MAX_CONNECTIONS, IDLE_TIME, CONNECT_TIMEOUT),
             edge.clock,
-            edge.loops);
+            senderLoops);
     client = new HopClient(ENTRY, sender, links.entry(), edge.clock, new HybridClock(() -> 0));
   }
 
@@ -95,6 +99,7 @@
   public void stop() {
     server.stop().block();
     sender.close().block();
+    senderLoops.disposeLater(Duration.ZERO, DISPOSE_TIMEOUT).block();
     edge.close();
   }
 
@@ -174,17 +179,22 @@
 
   @Test(dataProvider = "lateCopies")
   public void lateResponseOfOwnerIsNotResponseToNextCall(boolean named, List<String> expected)
-      throws IOException {
+      throws Exception {
     AtomicLong requests = new AtomicLong();
+    List<String> results = new ArrayList<>();
     try (LateServer owner =
         new LateServer(head -> respondTwice(head, named, requests.incrementAndGet()))) {
-      List<String> results =
-          IntStream.rangeClosed(1, 3)
-              .mapToObj(number -> send(call(CallBody.buffered(new byte[0]), "k"), owner.address()))
-              .map(HopTest::summary)
-              .toList();
-      assertEquals(results, expected);
+      for (int number = 1; number <= expected.size(); number++) {
+        awaitIdleConnections();
+        results.add(summary(send(call(CallBody.buffered(new byte[0]), "k"), owner.address())));
+      }
     }
+    assertEquals(results, expected);
+  }
+
+  /** Waits until the only thread has returned the connections of earlier calls to their pool. */
+  private void awaitIdleConnections() throws Exception {
+    senderLoops.onClient(true).next().submit(() -> {}).get();
   }
 
   private static LateServer.Answer respondTwice(String head, boolean copyIsNamed, long number) {
