Reject a body without a length that another response follows, anywhere

Clients of the store, the native log, the list of VMs and the administration API took what stood before a second response for the whole document, or let the second response fill up a record that was cut; a change was reported as accepted by a response that cannot be told from another.

Cause: only senders with a correlation field examine bodies for another response.

Change: SecondResponseHandler is on all connections that ResponseHandlers.protect makes. Without a correlation field it examines only bodies that end with their connection. Bodies whose length is declared may quote HTTP and are left alone, as content of the store may. Rejecting all bodies without a length was ruled out: the client of the native log asks for the connection to be closed, and HTTP lets a server end its response so.

--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -56,12 +56,10 @@
             new InterimResponseFilter())
         .addAfter(NettyPipeline.HttpCodec, ResponseCorrelationHandler.class.getName(), correlation)
         .addAfter(
-            NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit());
-    correlationField.ifPresent(
-        field ->
-            pipeline.addBefore(
-                ResponseEndHandler.class.getName(),
-                SecondResponseHandler.class.getName(),
-                new SecondResponseHandler(field, counters)));
+            NettyPipeline.HttpCodec, ResponseCountLimit.class.getName(), new ResponseCountLimit())
+        .addBefore(
+            ResponseEndHandler.class.getName(),
+            SecondResponseHandler.class.getName(),
+            new SecondResponseHandler(correlationField, counters));
   }
 }
--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -11,6 +11,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.ProtocolException;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -19,9 +20,9 @@
  *
  * <p>A body without a length has another response in it if it contains a response head. A body
  * whose length is declared may quote one, so it must contain one that names a request of this
- * connection, or names none and has all fields that are particular to the sender. There is one
- * instance per connection to a target, placed after the handler that drops responses to other
- * requests.
+ * connection, or names none and has all fields that are particular to the sender; it is not
+ * examined if responses do not name their requests. There is one instance per connection, placed
+ * after the handler that drops responses to other requests.
  */
 final class SecondResponseHandler extends ChannelInboundHandlerAdapter {
   /** Fields that responses of any sender have. */
@@ -35,7 +36,7 @@
           "server",
           "transfer-encoding");
 
-  private final String correlationField;
+  private final Optional<String> correlationField;
   private final ResponseCounters counters;
   private ResponseFraming framing = ResponseFraming.NONE;
   private HttpHeaders ownFields = EmptyHttpHeaders.INSTANCE;
@@ -45,10 +46,11 @@
   /**
    * Creates a handler for one connection.
    *
-   * @param correlationField the field that targets copy from the request to the response
+   * @param correlationField the field that targets copy from the request to the response; empty if
+   *     they copy none
    * @param counters counts the bodies that have another response in them
    */
-  SecondResponseHandler(String correlationField, ResponseCounters counters) {
+  SecondResponseHandler(Optional<String> correlationField, ResponseCounters counters) {
     this.correlationField = correlationField;
     this.counters = counters;
   }
@@ -81,20 +83,21 @@
   }
 
   private boolean hasSecond(HttpContent content) {
+    if (framing != ResponseFraming.CLOSE) {
+      return correlationField.isPresent() && finder.read(content.content());
+    }
     return finder.read(content.content())
-        || content instanceof LastHttpContent
-            && framing == ResponseFraming.CLOSE
-            && finder.endsWithinHead();
+        || content instanceof LastHttpContent && finder.endsWithinHead();
   }
 
   private boolean isSecond(ChannelHandlerContext context, HttpHeaders fields) {
     if (framing == ResponseFraming.CLOSE) {
       return true;
     }
-    String id = fields.get(correlationField);
-    return id == null
-        ? hasOwnFields(fields)
-        : ConnectionHistory.of(context.channel()).hasCarried(id);
+    return correlationField
+        .map(fields::get)
+        .map(ConnectionHistory.of(context.channel())::hasCarried)
+        .orElseGet(() -> hasOwnFields(fields));
   }
 
   /** Returns whether a head has all fields of the response that only its sender adds. */
@@ -105,7 +108,7 @@
   }
 
   private boolean isParticular(String name) {
-    return !name.equalsIgnoreCase(correlationField)
+    return correlationField.filter(name::equalsIgnoreCase).isEmpty()
         && !COMMON_FIELDS.contains(name.toLowerCase(Locale.ROOT));
   }
 }
--- a/src/test/java/org/radishpost/http/LateServer.java
+++ b/src/test/java/org/radishpost/http/LateServer.java
@@ -28,8 +28,19 @@
    *
    * @param now the bytes that are sent at once
    * @param late the bytes that are sent before the next answer on the same connection
+   * @param closes whether the server closes the connection after this answer
    */
-  public record Answer(String now, String late) {
+  public record Answer(String now, String late, boolean closes) {
+    /** Creates an answer after which the connection stays open. */
+    public Answer(String now, String late) {
+      this(now, late, false);
+    }
+
+    /** Returns an answer after which the server closes the connection. */
+    public static Answer last(String bytes) {
+      return new Answer(bytes, "", true);
+    }
+
     /** Returns an answer that is sent once more, late. */
     public static Answer repeated(String response) {
       return new Answer(response, response);
@@ -52,6 +63,11 @@
     return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
+  /** Returns the text of a response without a length. */
+  public static String responseWithoutLength(String status, String body) {
+    return "HTTP/1.1 " + status + "\r\nServer: s\r\n\r\n" + body;
+  }
+
   /** Returns the address. */
   public Endpoint address() {
     return new Endpoint("127.0.0.1", server.getLocalPort());
@@ -90,6 +106,9 @@
         Answer answer = responder.apply(head);
         socket.getOutputStream().write((late + answer.now()).getBytes(StandardCharsets.ISO_8859_1));
         late = answer.late();
+        if (answer.closes()) {
+          return;
+        }
       }
     } catch (IOException e) {
       // The client closed the connection.
--- a/src/test/java/org/radishpost/pgm/AdminClientTest.java
+++ b/src/test/java/org/radishpost/pgm/AdminClientTest.java
@@ -35,4 +35,27 @@
   public void cutResponseIsNoResponse(String body) throws Exception {
     assertEquals(acceptedVersion(body), Optional.empty());
   }
+
+  /** Returns what follows the response to a change, and the version that is reported. */
+  @DataProvider
+  public Object[][] bytesBehind() {
+    return new Object[][] {
+      {"", Optional.of(7L)},
+      {LateServer.response("200 OK", "{\"version\":8}"), Optional.empty()},
+      {LateServer.response("503 Busy", ""), Optional.empty()},
+    };
+  }
+
+  @Test(dataProvider = "bytesBehind")
+  public void responseBeforeSecondResponseIsNoResponse(String behind, Optional<Long> version)
+      throws Exception {
+    String whole = LateServer.responseWithoutLength("200 OK", "{\"version\":7}");
+    try (LateServer vm = new LateServer(head -> LateServer.Answer.last(whole + behind))) {
+      assertEquals(
+          new AdminClient(vm.address(), "token")
+              .sendChange(HttpMethod.PUT, "/v1/change", new byte[0])
+              .map(response -> response.json().path("version").asLong()),
+          version);
+    }
+  }
 }
--- a/src/test/java/org/radishpost/store/http/LateLogResponseTest.java
+++ b/src/test/java/org/radishpost/store/http/LateLogResponseTest.java
@@ -1,14 +1,21 @@
 package org.radishpost.store.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.radishpost.errors.AppendUnknownException;
+import org.radishpost.errors.LogUnavailableException;
+import org.radishpost.errors.VmListUnavailableException;
 import org.radishpost.http.LateServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Mono;
 import reactor.netty.resources.ConnectionProvider;
 
 /** Tests that a late response of the platform is never taken for the response to a later call. */
@@ -66,4 +73,50 @@
       assertEquals(log.read("b", 1, 10, Duration.ZERO).block().nextOffset(), 2);
     }
   }
+
+  /** Returns documents, their reads, and the errors of reads that get another response behind. */
+  @DataProvider
+  public Object[][] documentsWithoutLength() {
+    return new Object[][] {
+      {
+        "{\"offset\":1,\"timeMillis\":1}",
+        (Read) server -> log(server).append("a", BYTES),
+        AppendUnknownException.class
+      },
+      {
+        "{\"records\":[],\"nextOffset\":1}",
+        (Read) server -> log(server).read("a", 1, 10, Duration.ZERO),
+        LogUnavailableException.class
+      },
+      {
+        "{\"vms\":[]}",
+        (Read) server -> new HttpVmList(connections, server.address(), LIMIT).read(),
+        VmListUnavailableException.class
+      },
+    };
+  }
+
+  private HttpPlatformLog log(LateServer server) {
+    return new HttpPlatformLog(connections, server.address(), LIMIT);
+  }
+
+  @Test(dataProvider = "documentsWithoutLength")
+  public void documentBeforeSecondResponseIsError(
+      String document, Read read, Class<? extends Exception> error) throws Exception {
+    String whole = LateServer.responseWithoutLength("200 OK", document);
+    String bytes = whole + LateServer.response("503 Busy", "");
+    try (LateServer server = new LateServer(head -> LateServer.Answer.last(bytes))) {
+      RuntimeException thrown =
+          expectThrows(RuntimeException.class, () -> read.from(server).block());
+      assertEquals(Exceptions.unwrap(thrown).getClass(), error);
+    }
+    try (LateServer server = new LateServer(head -> LateServer.Answer.last(whole))) {
+      read.from(server).block();
+    }
+  }
+
+  /** Reads something from a server. */
+  private interface Read {
+    Mono<?> from(LateServer server);
+  }
 }
