Offer one slot to a request that a broker receives twice

What callers saw: nothing that a record shows; with a repeated frame, a slot of a target stayed occupied for good, and calls waited for it.

Cause: leases are kept by the connection and the ID of their request. A second lease under the same key replaces the first, which then neither ends nor expires.

Change: a request whose key waits or has a lease is ignored. Refusing it was ruled out, as the refusal would be read as the reply to the first.

Result: repeatedRequestIsOfferedOnce and repeatedRequestWaitsOnce failed before. Two tests of SlotClient (replies in another order, repeated replies) passed before: replies are matched by an ID that a VM never uses again, also after a reconnect.

--- a/src/main/java/org/radishpost/slots/SlotBroker.java
+++ b/src/main/java/org/radishpost/slots/SlotBroker.java
@@ -120,6 +120,9 @@
       return;
     }
     WaitingCall call = WaitingCall.of(link, request, now);
+    if (isKnown(service, call.key())) {
+      return;
+    }
     if (request.maxWait().isZero() && !service.waiting().isEmpty()) {
       refuse(call);
       return;
@@ -131,6 +134,12 @@
     }
   }
 
+  /** Returns whether a request waits or has a lease; another lease under its key would hide it. */
+  private boolean isKnown(ServiceSlots service, RequestKey key) {
+    return leases.containsKey(key)
+        || service.waiting().stream().anyMatch(call -> call.key().equals(key));
+  }
+
   private void waitOrRefuse(ServiceSlots service, WaitingCall call, long now) {
     boolean longWait =
         call.request().hasAlternative()
--- a/src/test/java/org/radishpost/direct/SlotClientTest.java
+++ b/src/test/java/org/radishpost/direct/SlotClientTest.java
@@ -161,6 +161,41 @@
     assertEquals(replies.getLast(), new SlotReply.Full());
   }
 
+  private static SlotMessage.Offer offer(long id, String target) {
+    return new SlotMessage.Offer(
+        id, List.of(new SlotMessage.OfferedTarget(new TargetId(target), Optional.empty())));
+  }
+
+  private static List<String> offeredTargets(SlotReply reply) {
+    return ((SlotReply.Offered) reply)
+        .slots().targets().stream().map(target -> target.target().value()).toList();
+  }
+
+  @Test
+  public void repliesInOtherOrderReachTheirRequests() {
+    request();
+    request();
+    FakeRelay relay = relays.get(LOCAL);
+    relay.reply(offer(2, "b"));
+    relay.reply(new SlotMessage.Queued(2));
+    relay.reply(offer(1, "a"));
+    assertEquals(offeredTargets(replies.get(0)), List.of("b"));
+    assertEquals(offeredTargets(replies.get(1)), List.of("a"));
+  }
+
+  @Test
+  public void repeatedReplyIsNotReplyToNextRequest() {
+    request();
+    FakeRelay relay = relays.get(LOCAL);
+    relay.reply(offer(1, "a"));
+    request();
+    relay.reply(offer(1, "a"));
+    relay.reply(new SlotMessage.Refusal(1, SlotRefusalReason.FULL));
+    assertEquals(replies.size(), 1);
+    relay.reply(offer(2, "b"));
+    assertEquals(offeredTargets(replies.get(1)), List.of("b"));
+  }
+
   @Test
   public void connectionWithoutFirstMessageIsClosed() {
     FakeRelay first = relays.get(LOCAL);
--- a/src/test/java/org/radishpost/slots/SlotBrokerTest.java
+++ b/src/test/java/org/radishpost/slots/SlotBrokerTest.java
@@ -290,6 +290,31 @@
     assertEquals(vm.received, List.of(new SlotMessage.Queued(1)));
   }
 
+  /** The lease of the second offer would replace that of the first, which would never end. */
+  @Test
+  public void repeatedRequestIsOfferedOnce() {
+    register(TestTargets.ready("a"));
+    request(vm, 1);
+    request(vm, 1);
+    assertEquals(vm.received.size(), 1);
+    broker.received(vm, new SlotMessage.Cancel(1));
+    request(vm, 2);
+    request(vm, 3);
+    assertEquals(vm.offerCount(), 3);
+  }
+
+  @Test
+  public void repeatedRequestWaitsOnce() {
+    register(TestTargets.ready("a"));
+    request(otherVm, 1);
+    request(otherVm, 2);
+    request(vm, 1);
+    request(vm, 1);
+    broker.received(otherVm, new SlotMessage.Cancel(1));
+    broker.received(otherVm, new SlotMessage.Cancel(2));
+    assertEquals(vm.offerCount(), 1);
+  }
+
   /** A slot that is returned twice must not be offered twice. */
   @Test
   public void repeatedReturnHasNoEffect() {
@@ -360,6 +385,10 @@
       received.add(message);
     }
 
+    private long offerCount() {
+      return received.stream().filter(SlotMessage.Offer.class::isInstance).count();
+    }
+
     private List<String> offeredTargets() {
       return received.stream()
           .filter(SlotMessage.Offer.class::isInstance)
