--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -19,15 +19,15 @@
  * <p>A body without a length has another response in it if it contains a response head. A body
  * whose length is declared may quote one. It has another response in it if it contains a head that
  * names a request of this connection; or if it contains any other head, or may end amid one, and
- * more bytes arrive behind it at once: those that the other response has displaced. There is one
- * instance per connection to a target, placed after the handler that drops responses to other
- * requests.
+ * more bytes arrive behind it at once: those that the other response has displaced. It is not
+ * examined if responses do not name their requests. There is one instance per connection, placed
+ * after the handler that drops responses to other requests.
  */
 final class SecondResponseHandler extends ChannelInboundHandlerAdapter {
   /** How long the end of a body that may quote a response waits for more bytes. */
   private static final long MAX_HOLD_MILLIS = 20;
 
-  private final String correlationField;
+  private final Optional<String> correlationField;
   private final ResponseCounters counters;
   private ResponseFraming framing = ResponseFraming.NONE;
   private ResponseHeadFinder finder = new ResponseHeadFinder(fields -> false);
@@ -38,10 +38,11 @@
   /**
    * Creates a handler for one connection.
    *
-   * @param correlationField the field that targets copy from the request to the response
+   * @param correlationField the field that targets copy from the request to the response; empty if
+   *     they copy none
    * @param counters counts the bodies that have another response in them
    */
-  SecondResponseHandler(String correlationField, ResponseCounters counters) {
+  SecondResponseHandler(Optional<String> correlationField, ResponseCounters counters) {
     this.correlationField = correlationField;
     this.counters = counters;
   }
@@ -108,10 +109,11 @@
   }
 
   private boolean hasSecond(HttpContent content) {
+    if (framing != ResponseFraming.CLOSE) {
+      return correlationField.isPresent() && finder.read(content.content());
+    }
     return finder.read(content.content())
-        || content instanceof LastHttpContent
-            && framing == ResponseFraming.CLOSE
-            && finder.endsWithinHead();
+        || content instanceof LastHttpContent && finder.endsWithinHead();
   }
 
   private boolean isSecond(ChannelHandlerContext context, HttpHeaders fields) {
@@ -119,7 +121,9 @@
       return true;
     }
     quotesHead = true;
-    String id = fields.get(correlationField);
-    return id != null && ConnectionHistory.of(context.channel()).hasCarried(id);
+    return correlationField
+        .map(fields::get)
+        .filter(ConnectionHistory.of(context.channel())::hasCarried)
+        .isPresent();
   }
 }
