--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -37,7 +37,12 @@
       ChannelPipeline pipeline, Optional<String> correlationField, ResponseCounters counters) {
     ResponseCorrelationHandler correlation =
         new ResponseCorrelationHandler(correlationField, counters);
+    ResponseEndHandler responseEnd = new ResponseEndHandler(counters);
     pipeline
+        .addBefore(
+            NettyPipeline.HttpCodec,
+            ResetAfterEndHandler.class.getName(),
+            new ResetAfterEndHandler(responseEnd::endsUploadByConnection))
         .addBefore(
             NettyPipeline.HttpCodec,
             ConnectionEndHandler.class.getName(),
@@ -46,10 +51,7 @@
             NettyPipeline.HttpCodec,
             IdleConnectionHandler.class.getName(),
             new IdleConnectionHandler(correlation::awaitsResponse))
-        .addAfter(
-            NettyPipeline.HttpCodec,
-            ResponseEndHandler.class.getName(),
-            new ResponseEndHandler(counters))
+        .addAfter(NettyPipeline.HttpCodec, ResponseEndHandler.class.getName(), responseEnd)
         .addAfter(
             NettyPipeline.HttpCodec,
             InterimResponseFilter.class.getName(),
