Read a connection on after pipelined responses that were ready

Callers saw: on a kept connection, the request after two pipelined GETs got neither an answer nor a close if the second body was larger than about 45 kB, or if the second request was a HEAD (any size).

Cause: the library queues a pipelined request as head and end. When its turn comes, HttpTrafficHandler.run() hands on the head, which dispatches the request and turns auto-read off, and only then the end, which turns auto-read on. If the response is there already, it is written while the head is handed on. A HEAD's is flushed at once; so is a body whose last block is larger than what is left below the high watermark (a block of more than 32 kB alone). The operation then ends before the end of its request has left the queue: resumeRead() finds the queue not empty and does not read, run() drops the end ("No ChannelOperation attached") without a read, and auto-read stays off. No timeout for idle connections is set either.

Evidence: with logging in a scratch copy, the last lines of such a connection are the end of the second operation with auto-read off, one queued message, "No ChannelOperation attached", and no read() after it.

Hypotheses: (1) auto-read stays off because a request ends before its end is drained: confirmed. (2) PipeliningHandler's early calls lose the order of requests: ruled out, the third request never arrived there. (3) Writability holds reads back: ruled out, both responses had been sent in full; size matters only because it decides when they are flushed.

Change: PipeliningHandler says whether the server had queued a request; the response to such a request is written in a later task of its event loop, when its end has left the queue. Calls start as early as before. An extra read() after the last response was ruled out: the timeout for idle connections would still be missing.

--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.radishpost.errors.RequestBodyException;
 import org.radishpost.errors.StartException;
@@ -21,10 +23,10 @@
 import org.radishpost.routing.RouteMatch;
 import org.radishpost.routing.RouteTable;
 import org.radishpost.settings.NodeSettings.LimitSettings;
-import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
@@ -142,30 +144,49 @@
             new PipeliningHandler(this::startEarly));
   }
 
-  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse serverResponse) {
+  private Mono<Void> handle(HttpServerRequest request, HttpServerResponse serverResponse) {
     PipeliningHandler.DispatchInfo dispatch = PipeliningHandler.dispatch(request);
+    Mono<Response> response = respond(request, serverResponse, dispatch);
+    return (dispatch.queued() ? afterRequestEnd(response, request) : response)
+        .flatMap(
+            ready ->
+                Mono.from(ResponseWriter.write(ready, request.method().name(), serverResponse)));
+  }
+
+  /**
+   * Delays the response to a queued request until the library has taken from its queue what it has
+   * of the request. If a response is complete before, the library does not read the connection any
+   * more.
+   */
+  private static Mono<Response> afterRequestEnd(
+      Mono<Response> response, HttpServerRequest request) {
+    AtomicReference<Executor> eventLoop = new AtomicReference<>();
+    request.withConnection(connection -> eventLoop.set(connection.channel().eventLoop()));
+    return response
+        .publishOn(Schedulers.fromExecutor(eventLoop.get()))
+        .doOnDiscard(Response.class, Response::dropUnread);
+  }
+
+  private Mono<Response> respond(
+      HttpServerRequest request,
+      HttpServerResponse serverResponse,
+      PipeliningHandler.DispatchInfo dispatch) {
     if (dispatch.closeAfter()) {
       serverResponse.header("connection", "close");
     }
     if (request.uri().equals(Readiness.PATH)) {
-      return ResponseWriter.write(readiness.response(), request.method().name(), serverResponse);
+      return Mono.just(readiness.response());
     }
     if (!readiness.allowsKeepAlive() && !dispatch.laterCallRunning()) {
       serverResponse.header("connection", "close");
     }
     if (dispatch.earlyResponse().isPresent()) {
-      return dispatch
-          .earlyResponse()
-          .get()
-          .flatMap(
-              response ->
-                  Mono.from(
-                      ResponseWriter.write(response, request.method().name(), serverResponse)));
+      return dispatch.earlyResponse().get();
     }
     IncomingRequestHead head = IncomingRequestHead.of(request);
     return switch (admission.decide(head)) {
       case EdgeAdmission.Decision.Refused refused ->
-          ResponseWriter.refuseAndClose(refused.response(), serverResponse);
+          refuseAndClose(refused.response(), serverResponse);
       case EdgeAdmission.Decision.Accepted accepted ->
           serveCall(request, serverResponse, head, accepted.match());
     };
@@ -192,7 +213,7 @@
     return clock.now(TimeUnit.NANOSECONDS) + admission.timeout(head, match).toNanos();
   }
 
-  private Mono<Void> serveCall(
+  private Mono<Response> serveCall(
       HttpServerRequest request,
       HttpServerResponse serverResponse,
       IncomingRequestHead head,
@@ -218,9 +239,7 @@
                 refuseAndClose(EdgeAdmission.bodyTooLarge(match, Verdict.NOT_RUN), serverResponse))
         .onErrorResume(
             BodyTimeoutException.class,
-            error -> refuseAndClose(Problems.handedBack(HandBackReason.TOO_LATE), serverResponse))
-        .flatMap(
-            response -> Mono.from(ResponseWriter.write(response, head.method(), serverResponse)));
+            error -> refuseAndClose(Problems.handedBack(HandBackReason.TOO_LATE), serverResponse));
   }
 
   /**
@@ -272,8 +291,13 @@
   }
 
   private static Mono<Response> refuseAndClose(Problem problem, HttpServerResponse serverResponse) {
+    return refuseAndClose(Response.of(problem), serverResponse);
+  }
+
+  private static Mono<Response> refuseAndClose(
+      Response refusal, HttpServerResponse serverResponse) {
     serverResponse.header("connection", "close");
-    return Mono.just(Response.of(problem));
+    return Mono.just(refusal);
   }
 
   private static boolean hasUnknownOutcome(Response response) {
--- a/src/main/java/org/radishpost/http/PipeliningHandler.java
+++ b/src/main/java/org/radishpost/http/PipeliningHandler.java
@@ -1,6 +1,5 @@
 package org.radishpost.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -41,6 +40,7 @@
   private final Function<IncomingRequestHead, Optional<Mono<Response>>> startEarly;
   private final Deque<PendingRequest> pending = new ArrayDeque<>();
   private final Deque<Boolean> outstandingBodiless = new ArrayDeque<>();
+  private boolean forwarding;
 
   /**
    * Creates a handler for one connection.
@@ -75,7 +75,7 @@
     }
     boolean laterCallRunning = pending.stream().anyMatch(entry -> entry.earlyCall.isPresent());
     return new DispatchInfo(
-        next.earlyCall.map(EarlyCall::response), next.closeAfter, laterCallRunning);
+        next.earlyCall.map(EarlyCall::response), next.closeAfter, laterCallRunning, !forwarding);
   }
 
   @Override
@@ -90,7 +90,12 @@
       pending.add(toPendingRequest(head, removeConnectionClose(request)));
       outstandingBodiless.add(RequestValidator.hasBodilessMethod(head));
     }
-    context.fireChannelRead(message);
+    forwarding = true;
+    try {
+      context.fireChannelRead(message);
+    } finally {
+      forwarding = false;
+    }
   }
 
   /**
@@ -167,10 +172,15 @@
    * @param closeAfter whether the caller requested to close the connection after this request
    * @param laterCallRunning whether a later request is already running, which means that the
    *     connection must stay open
+   * @param queued whether the server had queued the request behind others. Its end may still be in
+   *     that queue
    */
   record DispatchInfo(
-      Optional<Mono<Response>> earlyResponse, boolean closeAfter, boolean laterCallRunning) {
-    private static final DispatchInfo NONE = new DispatchInfo(Optional.empty(), false, false);
+      Optional<Mono<Response>> earlyResponse,
+      boolean closeAfter,
+      boolean laterCallRunning,
+      boolean queued) {
+    private static final DispatchInfo NONE = new DispatchInfo(Optional.empty(), false, false, true);
   }
 
   /** A call that was started before its request was dispatched. */
@@ -190,11 +200,7 @@
     /** Cancels the call, and releases its response if there already is one. */
     private void cancel() {
       subscription.dispose();
-      response.asMono().subscribe(unread -> discard(unread), error -> {}).dispose();
-    }
-
-    private static void discard(Response unread) {
-      unread.body().subscribe(ByteBuf::release, error -> {}).dispose();
+      response.asMono().subscribe(Response::dropUnread, error -> {}).dispose();
     }
   }
 }
--- a/src/main/java/org/radishpost/http/Response.java
+++ b/src/main/java/org/radishpost/http/Response.java
@@ -76,6 +76,11 @@
         .then(Mono.just(this));
   }
 
+  /** Drops the body of a response that nobody has begun to read. */
+  void dropUnread() {
+    body.subscribe(ByteBuf::release, error -> {}).dispose();
+  }
+
   private static long release(ByteBuf part) {
     long cost = PartCost.of(part);
     part.release();
--- a/src/main/java/org/radishpost/http/ResponseWriter.java
+++ b/src/main/java/org/radishpost/http/ResponseWriter.java
@@ -60,17 +60,6 @@
         .doOnDiscard(ByteBuf.class, ByteBuf::release);
   }
 
-  /** Writes a refusal and closes the connection after it. */
-  static Publisher<Void> refuseAndClose(Problem problem, HttpServerResponse serverResponse) {
-    return refuseAndClose(Response.of(problem), serverResponse);
-  }
-
-  /** Writes a refusal and closes the connection after it. */
-  static Publisher<Void> refuseAndClose(Response refusal, HttpServerResponse serverResponse) {
-    serverResponse.header("connection", "close");
-    return write(refusal, "GET", serverResponse);
-  }
-
   private static Response responseLost() {
     return Response.of(Problems.responseLost(HttpResponseStatus.BAD_GATEWAY.code(), LOST_DETAIL));
   }
