Write the response to HEAD on the connection's event loop

Cause, read from the library's bytecode and not from a trace of it: a HEAD's response was written by the thread that ended its body, which is another one if the target's connection has another event loop. If the write is done when that thread subscribes to it, the operation ends on that thread, and the event that announces this reaches the event loop later. A request read in between is dispatched at once, one behind it is queued, and then the late event dispatches that one too, while the first still runs.

Change: the head is written on the event loop. Responses with a body are ended there by the library itself.

--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -5,11 +5,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.radishpost.errors.RequestBodyException;
 import org.radishpost.errors.StartException;
@@ -26,7 +24,6 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.core.scheduler.Schedulers;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.HttpProtocol;
 import reactor.netty.http.server.HttpServer;
@@ -147,7 +144,7 @@
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse serverResponse) {
     PipeliningHandler.DispatchInfo dispatch = PipeliningHandler.dispatch(request);
     Mono<Response> response = respond(request, serverResponse, dispatch);
-    return (dispatch.queued() ? afterRequestEnd(response, request) : response)
+    return (dispatch.queued() ? afterRequestEnd(response, serverResponse) : response)
         .flatMap(
             ready ->
                 Mono.from(ResponseWriter.write(ready, request.method().name(), serverResponse)));
@@ -159,11 +156,9 @@
    * more.
    */
   private static Mono<Response> afterRequestEnd(
-      Mono<Response> response, HttpServerRequest request) {
-    AtomicReference<Executor> eventLoop = new AtomicReference<>();
-    request.withConnection(connection -> eventLoop.set(connection.channel().eventLoop()));
+      Mono<Response> response, HttpServerResponse serverResponse) {
     return response
-        .publishOn(Schedulers.fromExecutor(eventLoop.get()))
+        .publishOn(ResponseWriter.eventLoop(serverResponse))
         .doOnDiscard(Response.class, Response::dropUnread);
   }
 
--- a/src/main/java/org/radishpost/http/ResponseWriter.java
+++ b/src/main/java/org/radishpost/http/ResponseWriter.java
@@ -5,10 +5,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServerResponse;
 
 /** Writes responses to callers and to other VMs. */
@@ -41,6 +44,7 @@
           .doOnNext(ByteBuf::release)
           .then()
           .materialize()
+          .publishOn(eventLoop(serverResponse))
           .flatMap(
               end ->
                   sendHeadOnly(
@@ -60,6 +64,17 @@
         .doOnDiscard(ByteBuf.class, ByteBuf::release);
   }
 
+  /**
+   * Returns the event loop thread of the connection. A head without a body that another thread
+   * sends may end the response on that thread, where the library can dispatch two later requests at
+   * once.
+   */
+  static Scheduler eventLoop(HttpServerResponse serverResponse) {
+    AtomicReference<Executor> eventLoop = new AtomicReference<>();
+    serverResponse.withConnection(connection -> eventLoop.set(connection.channel().eventLoop()));
+    return Schedulers.fromExecutor(eventLoop.get());
+  }
+
   private static Response responseLost() {
     return Response.of(Problems.responseLost(HttpResponseStatus.BAD_GATEWAY.code(), LOST_DETAIL));
   }
--- a/src/test/java/org/radishpost/http/EdgeFixture.java
+++ b/src/test/java/org/radishpost/http/EdgeFixture.java
@@ -39,6 +39,7 @@
 /** An edge server in virtual time that sends every call directly to one target. */
 final class EdgeFixture implements AutoCloseable {
   private static final int READ_TIMEOUT_MILLIS = 20_000;
+  static final String LOOP_NAME = "edge-test";
   static final int MAX_BODY_BYTES = 1_000;
   static final int MAX_PREFIX_BYTES = 16;
   static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
@@ -47,7 +48,7 @@
   private static final String GATEWAY = "piac-kőzép";
 
   final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
-  final LoopResources loops = LoopResources.create("edge-test", 2, true);
+  final LoopResources loops = LoopResources.create(LOOP_NAME, 2, true);
   final HttpSender sender =
       new HttpSender(
           SenderOptions.forNative("test", 8, Duration.ofSeconds(5), Duration.ofSeconds(1)),
--- a/src/test/java/org/radishpost/http/KeptConnectionTest.java
+++ b/src/test/java/org/radishpost/http/KeptConnectionTest.java
@@ -8,7 +8,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
@@ -16,6 +20,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Schedulers;
 
 /** Tests that a connection is still read after its pipelined requests have been answered. */
 public class KeptConnectionTest {
@@ -86,6 +91,18 @@
     }
   }
 
+  /** The library may then dispatch the next two requests at once, which mixes their responses. */
+  @Test
+  public void headIsWrittenByThreadThatEndedBody() throws Exception {
+    RecordingHeaders headers = new RecordingHeaders();
+    Flux<ByteBuf> body = Flux.<ByteBuf>empty().publishOn(Schedulers.parallel());
+    Response response = new Response(200, headers, body, Mono.empty(), Optional.empty());
+    try (EdgeFixture edge = new EdgeFixture(call -> Mono.just(response))) {
+      edge.call("HEAD");
+    }
+    assertEquals(headers.threads, Set.of(true));
+  }
+
   /** Returns the number of requests that start before the first one is answered. */
   private static int earlyCount(String[] sequence) {
     int count = 1;
@@ -115,6 +132,17 @@
     return Unpooled.wrappedBuffer(new byte[bytes]);
   }
 
+  /** Header fields that record whether they are written by a thread of the server's event loop. */
+  private static final class RecordingHeaders extends DefaultHttpHeaders {
+    private final Set<Boolean> threads = new CopyOnWriteArraySet<>();
+
+    @Override
+    public Iterator<Map.Entry<String, String>> iterator() {
+      threads.add(Thread.currentThread().getName().startsWith(EdgeFixture.LOOP_NAME));
+      return super.iterator();
+    }
+  }
+
   /** A caller that pipelines requests and reads their responses. */
   private record PipelinedCaller(Socket socket) {
     private void send(int firstIndex, String... methods) throws Exception {
