--- a/src/main/java/org/radishpost/http/EdgeServer.java
+++ b/src/main/java/org/radishpost/http/EdgeServer.java
@@ -21,7 +21,6 @@
 import org.radishpost.routing.RouteMatch;
 import org.radishpost.routing.RouteTable;
 import org.radishpost.settings.NodeSettings.LimitSettings;
-import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -142,30 +141,47 @@
             new PipeliningHandler(this::startEarly));
   }
 
-  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse serverResponse) {
+  private Mono<Void> handle(HttpServerRequest request, HttpServerResponse serverResponse) {
     PipeliningHandler.DispatchInfo dispatch = PipeliningHandler.dispatch(request);
+    Mono<Response> response = respond(request, serverResponse, dispatch);
+    return (dispatch.queued() ? afterRequestEnd(response, serverResponse) : response)
+        .flatMap(
+            ready ->
+                Mono.from(ResponseWriter.write(ready, request.method().name(), serverResponse)));
+  }
+
+  /**
+   * Delays the response to a queued request until the library has taken from its queue what it has
+   * of the request. If a response is complete before, the library does not read the connection any
+   * more.
+   */
+  private static Mono<Response> afterRequestEnd(
+      Mono<Response> response, HttpServerResponse serverResponse) {
+    return response
+        .publishOn(ResponseWriter.eventLoop(serverResponse))
+        .doOnDiscard(Response.class, Response::dropUnread);
+  }
+
+  private Mono<Response> respond(
+      HttpServerRequest request,
+      HttpServerResponse serverResponse,
+      PipeliningHandler.DispatchInfo dispatch) {
     if (dispatch.closeAfter()) {
       serverResponse.header("connection", "close");
     }
     if (request.uri().equals(Readiness.PATH)) {
-      return ResponseWriter.write(readiness.response(), request.method().name(), serverResponse);
+      return Mono.just(readiness.response());
     }
     if (!readiness.allowsKeepAlive() && !dispatch.laterCallRunning()) {
       serverResponse.header("connection", "close");
     }
     if (dispatch.earlyResponse().isPresent()) {
-      return dispatch
-          .earlyResponse()
-          .get()
-          .flatMap(
-              response ->
-                  Mono.from(
-                      ResponseWriter.write(response, request.method().name(), serverResponse)));
+      return dispatch.earlyResponse().get();
     }
     IncomingRequestHead head = IncomingRequestHead.of(request);
     return switch (admission.decide(head)) {
       case EdgeAdmission.Decision.Refused refused ->
-          ResponseWriter.refuseAndClose(refused.response(), serverResponse);
+          refuseAndClose(refused.response(), serverResponse);
       case EdgeAdmission.Decision.Accepted accepted ->
           serveCall(request, serverResponse, head, accepted.match());
     };
@@ -192,7 +208,7 @@
     return clock.now(TimeUnit.NANOSECONDS) + admission.timeout(head, match).toNanos();
   }
 
-  private Mono<Void> serveCall(
+  private Mono<Response> serveCall(
       HttpServerRequest request,
       HttpServerResponse serverResponse,
       IncomingRequestHead head,
@@ -218,9 +234,7 @@
                 refuseAndClose(EdgeAdmission.bodyTooLarge(match, Verdict.NOT_RUN), serverResponse))
         .onErrorResume(
             BodyTimeoutException.class,
-            error -> refuseAndClose(Problems.handedBack(HandBackReason.TOO_LATE), serverResponse))
-        .flatMap(
-            response -> Mono.from(ResponseWriter.write(response, head.method(), serverResponse)));
+            error -> refuseAndClose(Problems.handedBack(HandBackReason.TOO_LATE), serverResponse));
   }
 
   /**
@@ -272,8 +286,13 @@
   }
 
   private static Mono<Response> refuseAndClose(Problem problem, HttpServerResponse serverResponse) {
+    return refuseAndClose(Response.of(problem), serverResponse);
+  }
+
+  private static Mono<Response> refuseAndClose(
+      Response refusal, HttpServerResponse serverResponse) {
     serverResponse.header("connection", "close");
-    return Mono.just(Response.of(problem));
+    return Mono.just(refusal);
   }
 
   private static boolean hasUnknownOutcome(Response response) {
