Let the soak's targets stutter, and print what entries dropped

The soak sent only whole copies with the id, and its summary did not show at which moment they arrived.

STUTTER draws for each response what the second one says (the same, another status, no id, a refusal with or without the id) and how it is sent (whole, cut, in two parts, behind a body without a length, amid the first). The summary ends with the entries' counters of surplus and cut responses. MIXED quotes the first characters that differ.

--- a/src/test/java/org/radishpost/soak/EntryProcess.java
+++ b/src/test/java/org/radishpost/soak/EntryProcess.java
@@ -68,6 +68,10 @@
     return new Endpoint(frontAddress.ip(), frontAddress.port() + 2);
   }
 
+  Endpoint metricsAddress() {
+    return new Endpoint(frontAddress.ip(), frontAddress.port() + 3);
+  }
+
   Path settingsFile() {
     return directory.resolve(name + ".json");
   }
@@ -83,7 +87,7 @@
     command.add(ProcessHandle.current().info().command().orElseThrow());
     command.addAll(FLAGS);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
-    command.addAll(List.of("entry", "--metrics-port", String.valueOf(frontAddress.port() + 3)));
+    command.addAll(List.of("entry", "--metrics-port", String.valueOf(metricsAddress().port())));
     ProcessBuilder builder = new ProcessBuilder(command);
     File log = logFile().toFile();
     builder.redirectErrorStream(true).redirectOutput(log);
--- a/src/test/java/org/radishpost/soak/FaultInjector.java
+++ b/src/test/java/org/radishpost/soak/FaultInjector.java
@@ -23,14 +23,19 @@
   private static final List<FaultyLink.Fault> LINK_FAULTS = List.of(FaultyLink.Fault.values());
   private static final List<SoakTarget.Fault> TARGET_FAULTS = List.of(SoakTarget.Fault.values());
 
-  /** The faults that can mix or cut responses; one of them starts with each step. */
+  /**
+   * The faults that can mix or cut responses; one of them starts with each step. The one with the
+   * most kinds is drawn most often.
+   */
   private static final List<SoakTarget.Fault> RESPONSE_FAULTS =
       List.of(
           SoakTarget.Fault.EXTRA_RESPONSE,
           SoakTarget.Fault.LATE_COPY,
           SoakTarget.Fault.NO_LENGTH,
           SoakTarget.Fault.CUT_NO_LENGTH,
-          SoakTarget.Fault.CUT_CHUNKED);
+          SoakTarget.Fault.CUT_CHUNKED,
+          SoakTarget.Fault.STUTTER,
+          SoakTarget.Fault.STUTTER);
 
   private static final List<StoreFault> STORE_FAULTS =
       List.of(
--- a/src/test/java/org/radishpost/soak/RequestTracker.java
+++ b/src/test/java/org/radishpost/soak/RequestTracker.java
@@ -1,6 +1,7 @@
 package org.radishpost.soak;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
   /** The status of an attempt that its caller ended before there was a complete response. */
   static final int ABANDONED = -1;
 
+  private static final int MAX_QUOTED_CHARACTERS = 60;
   private static final Set<Integer> DENIAL_STATUSES = Set.of(400, 401, 403, 404, 405, 413, 431);
 
   // The keys of the maps are attempts.
@@ -169,7 +171,7 @@
         || !response.bodyText().equals(expectedBody)) {
       recordViolation(
           "MIXED",
-          "%s %s of %s got %s, signature %s of %s, body %d of %d characters; its runs: %s"
+          "%s %s of %s got %s, signature %s of %s, body %d of %d characters%s; its runs: %s"
               .formatted(
                   request.method(),
                   request.attempt(),
@@ -179,10 +181,22 @@
                   attemptsWith(signature),
                   response.bodyText().length(),
                   expectedBody.length(),
+                  firstDifference(response.bodyText(), expectedBody),
                   describe(runs(request.attempt()))));
     }
   }
 
+  /** Describes what a body has in place of the rest of the expected one. */
+  private static String firstDifference(String body, String expectedBody) {
+    int index = Arrays.mismatch(body.toCharArray(), expectedBody.toCharArray());
+    if (index < 0) {
+      return "";
+    }
+    int end = Math.min(body.length(), index + MAX_QUOTED_CHARACTERS);
+    String quoted = body.substring(index, end).replace("\r", "\\r").replace("\n", "\\n");
+    return ", from character " + index + " on '" + quoted + "'";
+  }
+
   private List<String> attemptsWith(String signature) {
     return runs.entrySet().stream()
         .filter(
--- a/src/test/java/org/radishpost/soak/SoakRun.java
+++ b/src/test/java/org/radishpost/soak/SoakRun.java
@@ -27,6 +27,7 @@
   private static final int CALLER_COUNT = 8;
   private static final int STEP_MILLIS = 400;
   private static final int POLL_INTERVAL_MILLIS = 50;
+  private static final int SAMPLE_INTERVAL_MILLIS = 250;
   private static final int WAIT_TIMEOUT_MILLIS = 120_000;
   private static final int SETTLE_MILLIS = 4_000;
   private static final int MIN_SUCCESSES_PER_ENTRY = 20;
@@ -35,6 +36,7 @@
   private final int steps;
   private final Path directory;
   private final RequestTracker tracker = new RequestTracker();
+  private final MetricsSampler metrics = new MetricsSampler();
   private final AtomicBoolean callersRunning = new AtomicBoolean(true);
   private final List<Violation> violations = new ArrayList<>();
 
@@ -53,6 +55,7 @@
       FaultInjector faultInjector = new FaultInjector(system, random);
       awaitEntries(system, "START", SoakSystem::isReady);
       final List<Thread> callers = startCallers(system.entryAddresses());
+      callers.addAll(startSamplers(system));
       for (int i = 0; i < steps; i++) {
         faultInjector.step();
         Thread.sleep(STEP_MILLIS);
@@ -69,6 +72,7 @@
       for (Thread caller : callers) {
         caller.join();
       }
+      system.entries().forEach(metrics::sample);
       writeSummary(faultInjector.events());
     }
     violations.addAll(tracker.violations(SoakSystem.MAX_ATTEMPTS));
@@ -87,6 +91,23 @@
     return callers;
   }
 
+  private List<Thread> startSamplers(SoakSystem system) {
+    return system.entries().stream()
+        .map(entry -> Thread.ofVirtual().start(() -> sampleWhileCallersRun(entry)))
+        .toList();
+  }
+
+  private void sampleWhileCallersRun(EntryProcess entry) {
+    try {
+      while (callersRunning.get()) {
+        metrics.sample(entry);
+        Thread.sleep(SAMPLE_INTERVAL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void awaitEntries(SoakSystem system, String promise, Predicate<EntryProcess> condition)
       throws InterruptedException {
     for (EntryProcess entry : system.entries()) {
@@ -180,6 +201,7 @@
   private void writeSummary(List<String> injectedFaults) throws IOException {
     List<String> lines = new ArrayList<>(injectedFaults);
     lines.add("requests " + tracker.requestCount() + ", by status " + tracker.countsByStatus());
+    metrics.totals().forEach((name, count) -> lines.add(name + " " + count));
     Files.write(directory.resolve("summary.txt"), lines);
   }
 }
--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.EnumSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -53,7 +52,9 @@
     /** Sends half of a body without a length and resets; may leave the request body unread. */
     CUT_NO_LENGTH,
     /** Sends half of a body in chunks and closes. */
-    CUT_CHUNKED
+    CUT_CHUNKED,
+    /** Sends each response twice, in one of the ways of {@link Stutter}. */
+    STUTTER
   }
 
   /** The faults after which a connection carries further requests. */
@@ -79,7 +80,9 @@
   private final RequestTracker tracker;
   private final Random random;
   private final ServerSocket server;
-  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final ResponseEncoder encoder;
+  private final Stutter stutter;
+  private final Set<TargetConnection> connections = ConcurrentHashMap.newKeySet();
   private final Semaphore slots = new Semaphore(SLOTS);
   private final AtomicInteger pendingRequests = new AtomicInteger();
   private volatile Fault fault = Fault.NONE;
@@ -89,6 +92,8 @@
     this.service = service;
     this.tracker = tracker;
     this.random = new Random(seed);
+    this.encoder = new ResponseEncoder(id, this::loadReport);
+    this.stutter = new Stutter(encoder, random);
     this.server = new ServerSocket();
     server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES); // So an upload waits for its reader.
     server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
@@ -125,77 +130,74 @@
   @Override
   public void close() throws IOException {
     server.close();
-    sockets.forEach(SoakTarget::reset);
-  }
-
-  private static void reset(Socket socket) {
-    try (socket) {
-      socket.setSoLinger(true, 0);
-    } catch (IOException e) {
-      // The peer has closed the connection before.
-    }
+    connections.forEach(TargetConnection::reset);
   }
 
   private void accept() {
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
-        sockets.add(socket);
-        Thread.ofVirtual().start(() -> serve(socket));
+        TargetConnection connection = new TargetConnection(socket);
+        connections.add(connection);
+        Thread.ofVirtual().start(() -> serve(connection));
       } catch (IOException e) {
         return; // The target was closed.
       }
     }
   }
 
-  private void serve(Socket socket) {
-    try (socket) {
-      socket.setTcpNoDelay(true);
-      InputStream in = socket.getInputStream();
+  private void serve(TargetConnection connection) {
+    try (connection) {
+      InputStream in = connection.inputStream();
       Optional<HttpCodec.Message> head = HttpCodec.readHead(in);
-      while (head.isPresent() && respond(head.get(), socket)) {
+      while (head.isPresent() && respond(head.get(), connection)) {
         head = HttpCodec.readHead(in);
       }
     } catch (IOException | InterruptedException e) {
       // The entry closed the connection, or this target was closed. Executions are already
       // recorded.
     } finally {
-      sockets.remove(socket);
+      connections.remove(connection);
     }
   }
 
   /** Responds to a request; returns whether the connection remains open. */
-  private boolean respond(HttpCodec.Message head, Socket socket)
+  private boolean respond(HttpCodec.Message head, TargetConnection connection)
       throws IOException, InterruptedException {
     if (head.startLineWord(1).equals(HEALTH_PATH)) {
-      return sendResponse(socket, 200, Map.of(), "ok");
+      connection.send(encoder.encode(200, Map.of(), "ok"));
+      return true;
     }
     String expectedTargetId = head.header(WireNames.EXPECTED_TARGET);
     boolean expected = expectedTargetId.isEmpty() || expectedTargetId.equals(id);
     Fault activeFault = random.nextDouble() < FAULT_PROBABILITY ? fault : Fault.NONE;
     if (expected && activeFault == Fault.CUT_NO_LENGTH) {
-      return cutWithoutLength(head, socket);
+      return cutWithoutLength(head, connection);
     }
-    HttpCodec.Message request = HttpCodec.readBody(socket.getInputStream(), head);
+    HttpCodec.Message request = HttpCodec.readBody(connection.inputStream(), head);
     if (!expected) {
-      return sendResponse(socket, 421, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+      connection.send(encoder.encode(421, Map.of(WireNames.NOT_EXECUTED, "1"), ""));
+      return true;
     }
-    return respondInSlot(request, activeFault, socket);
+    return respondInSlot(request, activeFault, connection);
   }
 
-  private boolean respondInSlot(HttpCodec.Message request, Fault activeFault, Socket socket)
+  private boolean respondInSlot(
+      HttpCodec.Message request, Fault activeFault, TargetConnection connection)
       throws IOException, InterruptedException {
     try {
       if (pendingRequests.incrementAndGet() > SLOTS + MAX_QUEUED || activeFault == Fault.NOT_RUN) {
-        return sendResponse(socket, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+        connection.send(encoder.encodeRefusal(Map.of()));
+        return true;
       }
       if (!slots.tryAcquire(1, TimeUnit.SECONDS)) {
-        return sendResponse(socket, 503, Map.of(WireNames.NOT_EXECUTED, "1"), "");
+        connection.send(encoder.encodeRefusal(Map.of()));
+        return true;
       }
       try {
         RequestTracker.Run run = startRun(request, Optional.of(request.bodyText()), activeFault);
         Thread.sleep(serviceTime(activeFault));
-        return finishRun(run, activeFault, socket);
+        return finishRun(run, activeFault, connection);
       } finally {
         slots.release();
       }
@@ -233,42 +235,47 @@
   }
 
   /** Sends the response of a run; returns whether the connection remains open. */
-  private boolean finishRun(RequestTracker.Run run, Fault activeFault, Socket socket)
+  private boolean finishRun(RequestTracker.Run run, Fault activeFault, TargetConnection connection)
       throws IOException, InterruptedException {
-    byte[] response = encode(run);
+    byte[] response = encoder.encode(run);
     switch (activeFault) {
       case EXTRA_RESPONSE -> {
-        send(socket, response);
-        send(socket, response);
+        connection.send(response);
+        connection.send(response);
       }
       case LATE_COPY -> {
-        send(socket, response);
-        sendLater(socket, response);
+        connection.send(response);
+        connection.sendLater(copyDelay(), response);
       }
       case HANG -> Thread.sleep(HANG_TIME);
-      case TRUNCATE -> sendLast(socket, Arrays.copyOf(response, response.length - 2));
-      case MALFORMED_RESPONSE -> sendLast(socket, "no answer at all\n\n\n".getBytes());
-      case NO_LENGTH -> sendLast(socket, encodeUnframed(run, Map.of(), responseBody(run)));
-      case CUT_CHUNKED -> sendLast(socket, encodeUnframed(run, CHUNKED, firstChunk(run)));
+      case TRUNCATE -> connection.sendLast(Arrays.copyOf(response, response.length - 2));
+      case MALFORMED_RESPONSE -> connection.sendLast("no answer at all\n\n\n".getBytes());
+      case NO_LENGTH ->
+          connection.sendLast(encoder.encodeUnframed(run, Map.of(), responseBody(run)));
+      case CUT_CHUNKED ->
+          connection.sendLast(encoder.encodeUnframed(run, CHUNKED, firstChunk(run)));
       case CLOSE_WITHOUT_RESPONSE -> {
         // The connection is closed without a response.
       }
-      default -> send(socket, response);
+      case STUTTER -> {
+        return stutter.send(run, connection);
+      }
+      default -> connection.send(response);
     }
     return OPEN_AFTER.contains(activeFault);
   }
 
-  private boolean cutWithoutLength(HttpCodec.Message head, Socket socket)
+  private boolean cutWithoutLength(HttpCodec.Message head, TargetConnection connection)
       throws IOException, InterruptedException {
     Optional<String> requestBody =
         random.nextInt(4) == 0
-            ? Optional.of(HttpCodec.readBody(socket.getInputStream(), head).bodyText())
+            ? Optional.of(HttpCodec.readBody(connection.inputStream(), head).bodyText())
             : Optional.empty();
     RequestTracker.Run run = startRun(head, requestBody, Fault.CUT_NO_LENGTH);
     String body = responseBody(run);
-    send(socket, encodeUnframed(run, Map.of(), body.substring(0, body.length() / 2)));
+    connection.send(encoder.encodeUnframed(run, Map.of(), body.substring(0, body.length() / 2)));
     Thread.sleep(random.nextInt(MAX_RESET_DELAY_MILLIS));
-    reset(socket);
+    connection.reset();
     return false;
   }
 
@@ -278,71 +285,14 @@
     return Integer.toHexString(half.length()) + "\r\n" + half + "\r\n";
   }
 
-  private void sendLater(Socket socket, byte[] bytes) {
+  private Duration copyDelay() {
     int range = MAX_COPY_DELAY_MILLIS - MIN_COPY_DELAY_MILLIS;
-    int delayMillis = MIN_COPY_DELAY_MILLIS + random.nextInt(range);
-    Thread.ofVirtual()
-        .start(
-            () -> {
-              try {
-                Thread.sleep(delayMillis);
-                send(socket, bytes);
-              } catch (IOException | InterruptedException e) {
-                // The connection ended before the copy was due.
-              }
-            });
-  }
-
-  /** Sends bytes, never within other bytes of this connection nor after its last ones. */
-  private static void send(Socket socket, byte[] bytes) throws IOException {
-    synchronized (socket) {
-      socket.getOutputStream().write(bytes);
-    }
-  }
-
-  private static void sendLast(Socket socket, byte[] bytes) throws IOException {
-    synchronized (socket) {
-      socket.getOutputStream().write(bytes);
-      socket.shutdownOutput();
-    }
-  }
-
-  private boolean sendResponse(Socket socket, int status, Map<String, String> headers, String body)
-      throws IOException {
-    send(socket, HttpCodec.encode(statusLine(status), allHeaders(headers), body.getBytes()));
-    return true;
-  }
-
-  private byte[] encode(RequestTracker.Run run) {
-    byte[] body = responseBody(run).getBytes();
-    byte[] whole = HttpCodec.encode(statusLine(run.status()), signedHeaders(run), body);
-    return run.method().equals("HEAD") ? Arrays.copyOf(whole, whole.length - body.length) : whole;
-  }
-
-  /** Encodes a response without a length, with the body bytes as given. */
-  private byte[] encodeUnframed(
-      RequestTracker.Run run, Map<String, String> framing, String bodyBytes) {
-    Map<String, String> headers = signedHeaders(run);
-    headers.putAll(framing);
-    String head = new String(HttpCodec.encodeHead(statusLine(run.status()), headers));
-    return (run.method().equals("HEAD") ? head : head + bodyBytes).getBytes();
-  }
-
-  private Map<String, String> signedHeaders(RequestTracker.Run run) {
-    return allHeaders(
-        Map.of(WireNames.REQUEST_ID, run.id(), WireNames.UPSTREAM_SIGNATURE, signature(run)));
-  }
-
-  private static String statusLine(int status) {
-    return "HTTP/1.1 " + status + " Said";
+    return Duration.ofMillis(MIN_COPY_DELAY_MILLIS + random.nextInt(range));
   }
 
-  private Map<String, String> allHeaders(Map<String, String> extraHeaders) {
-    Map<String, String> headers = new LinkedHashMap<>(extraHeaders);
-    headers.put(WireNames.RESPONDING_TARGET, id);
+  private String loadReport() {
     int running = SLOTS - slots.availablePermits();
     int waiting = Math.max(0, pendingRequests.get() - running);
-    headers.put(WireNames.LOAD_REPORT, running + "," + waiting + "," + SLOTS + ",100");
-    return headers;
+    return running + "," + waiting + "," + SLOTS + ",100";
   }
 }
