Record who ended a lost request, and callers that wait in vain

The soak counted a response that was lost (status 0) without saying by whom, so a loss that the soak itself caused looked like one that an entry caused. A caller that got neither a response nor the end of its connection was found only by its own limit of 5 s, and not reported.

LossCause tells the proxy before the entry, a stopped process, the entry itself and the caller's limit apart; the summary has the counts. UNANSWERED is a request that waited 3 s, its deadline and one second, though nothing that the soak did explains it. A response amid another one may now be one to an earlier request of the connection.

--- a/src/test/java/org/radishpost/soak/Caller.java
+++ b/src/test/java/org/radishpost/soak/Caller.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.platform.WireNames;
@@ -23,6 +24,7 @@
  */
 final class Caller implements Runnable {
   private static final int DEADLINE_MILLIS = 2_000;
+  private static final int MAX_WAIT_MILLIS = DEADLINE_MILLIS + 1_000;
   private static final int READ_TIMEOUT_MILLIS = 5_000;
   private static final int MAX_BODY_LINES = 3_000;
   private static final int MAX_PAUSE_MILLIS = 40;
@@ -45,7 +47,7 @@
   private final String name;
   private final Random random;
   private final RequestTracker tracker;
-  private final Map<String, Endpoint> entryAddresses;
+  private final SoakSystem system;
   private final BooleanSupplier keepRunning;
   private int requestCount;
   private Optional<RequestTracker.Request> repeat = Optional.empty();
@@ -54,18 +56,18 @@
       String name,
       long seed,
       RequestTracker tracker,
-      Map<String, Endpoint> entryAddresses,
+      SoakSystem system,
       BooleanSupplier keepRunning) {
     this.name = name;
     this.random = new Random(seed);
     this.tracker = tracker;
-    this.entryAddresses = entryAddresses;
+    this.system = system;
     this.keepRunning = keepRunning;
   }
 
   @Override
   public void run() {
-    List<String> entries = List.copyOf(entryAddresses.keySet());
+    List<String> entries = List.copyOf(system.entryAddresses().keySet());
     while (keepRunning.getAsBoolean()) {
       String entry =
           repeat
@@ -100,7 +102,7 @@
   }
 
   private Socket connect(String entry) throws IOException {
-    Endpoint address = entryAddresses.get(entry);
+    Endpoint address = system.entryAddresses().get(entry);
     Socket socket = new Socket(address.ip(), address.port());
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -149,21 +151,26 @@
     socket.setSoTimeout(
         impatient ? 1 + random.nextInt(MAX_IMPATIENCE_MILLIS) : READ_TIMEOUT_MILLIS);
     Optional<Thread> upload = Optional.empty();
+    long sentNanos = System.nanoTime();
     for (int index = 0; index < batch.size(); index++) {
       RequestTracker.Request request = batch.get(index);
       try {
         if (index == 0) {
           upload = send(batch, socket);
         }
-        if (!receive(request, socket)) {
+        if (!receive(request, socket, sentNanos)) {
           return false;
         }
       } catch (SocketTimeoutException e) {
-        tracker.recordOutcome(request, impatient ? RequestTracker.ABANDONED : RequestTracker.LOST);
+        if (impatient) {
+          tracker.recordOutcome(request, RequestTracker.ABANDONED);
+        } else {
+          tracker.recordLoss(request, cause(request, socket, sentNanos, true));
+        }
         repeat = Optional.of(again(request));
         return false;
       } catch (IOException e) {
-        tracker.recordOutcome(request, RequestTracker.LOST);
+        tracker.recordLoss(request, cause(request, socket, sentNanos, false));
         repeat = random.nextBoolean() ? Optional.of(again(request)) : Optional.empty();
         throw e;
       }
@@ -175,14 +182,29 @@
     tracker.recordRequest(request);
     return () -> {
       try (Socket socket = connect(request.entry())) {
-        send(List.of(request), socket);
-        receive(request, socket);
+        exchangeOnce(request, socket);
       } catch (IOException e) {
-        tracker.recordOutcome(request, RequestTracker.LOST);
+        tracker.recordLoss(request, LossCause.LINK); // The proxy ended before the entry was asked.
       }
     };
   }
 
+  private void exchangeOnce(RequestTracker.Request request, Socket socket) {
+    long sentNanos = System.nanoTime();
+    try {
+      send(List.of(request), socket);
+      receive(request, socket, sentNanos);
+    } catch (IOException e) {
+      boolean timedOut = e instanceof SocketTimeoutException;
+      tracker.recordLoss(request, cause(request, socket, sentNanos, timedOut));
+    }
+  }
+
+  private LossCause cause(
+      RequestTracker.Request request, Socket socket, long sentNanos, boolean timedOut) {
+    return system.lossCause(request.entry(), socket.getLocalPort(), sentNanos, timedOut);
+  }
+
   private boolean draws(double probability) {
     return random.nextDouble() < probability;
   }
@@ -266,15 +288,26 @@
     }
   }
 
-  private boolean receive(RequestTracker.Request request, Socket socket) throws IOException {
-    InputStream in = socket.getInputStream();
-    Optional<HttpCodec.Message> response =
-        request.method().equals("HEAD") ? HttpCodec.readHead(in) : HttpCodec.read(in);
-    if (response.isEmpty()) {
-      tracker.recordOutcome(request, RequestTracker.LOST);
-      return false;
+  private boolean receive(RequestTracker.Request request, Socket socket, long sentNanos)
+      throws IOException {
+    long startNanos = System.nanoTime();
+    try {
+      Optional<HttpCodec.Message> response = readResponse(request, socket.getInputStream());
+      if (response.isEmpty()) {
+        tracker.recordLoss(request, cause(request, socket, sentNanos, false));
+        return false;
+      }
+      tracker.recordResponse(request, response.get());
+      return !response.get().header("Connection").equalsIgnoreCase("close");
+    } finally {
+      long waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      LossCause cause = cause(request, socket, sentNanos, false);
+      tracker.checkWait(request, waitedMillis, MAX_WAIT_MILLIS, cause);
     }
-    tracker.recordResponse(request, response.get());
-    return !response.get().header("Connection").equalsIgnoreCase("close");
+  }
+
+  private static Optional<HttpCodec.Message> readResponse(
+      RequestTracker.Request request, InputStream in) throws IOException {
+    return request.method().equals("HEAD") ? HttpCodec.readHead(in) : HttpCodec.read(in);
   }
 }
--- a/src/test/java/org/radishpost/soak/EntryProcess.java
+++ b/src/test/java/org/radishpost/soak/EntryProcess.java
@@ -36,6 +36,9 @@
   private final Endpoint frontAddress;
   private Process process;
   private int startCount;
+  private boolean paused;
+  private boolean stopping;
+  private long lastSignalNanos = System.nanoTime();
 
   EntryProcess(String name, Path directory, Endpoint frontAddress) {
     this.name = name;
@@ -93,6 +96,13 @@
     builder.redirectErrorStream(true).redirectOutput(log);
     builder.environment().put(WireNames.SETTINGS_VARIABLE, settingsFile().toString());
     process = builder.start();
+    stopping = false;
+    lastSignalNanos = System.nanoTime();
+  }
+
+  /** Returns whether the soak paused, stopped or started the process at or after a time. */
+  synchronized boolean wasSignalledSince(long nanos) {
+    return paused || stopping || lastSignalNanos - nanos >= 0;
   }
 
   synchronized boolean isAlive() {
@@ -102,10 +112,20 @@
   /** Sends a signal if the process is running. */
   synchronized void signal(Signal signal) throws IOException, InterruptedException {
     if (isAlive()) {
+      recordSignal(signal);
       new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
     }
   }
 
+  private void recordSignal(Signal signal) {
+    if (signal == Signal.HUP) {
+      return; // A process that reloads its settings goes on.
+    }
+    paused = signal == Signal.STOP || paused && signal == Signal.TERM;
+    stopping |= signal == Signal.TERM || signal == Signal.KILL;
+    lastSignalNanos = System.nanoTime();
+  }
+
   /**
    * Waits for the process to exit. Returns its exit code, or an empty {@code OptionalInt} on
    * timeout.
@@ -120,6 +140,7 @@
   /** Kills the process and waits for its exit. */
   synchronized void kill() throws InterruptedException {
     if (isAlive()) {
+      recordSignal(Signal.KILL);
       process.destroyForcibly().waitFor();
     }
   }
--- a/src/test/java/org/radishpost/soak/FaultyLink.java
+++ b/src/test/java/org/radishpost/soak/FaultyLink.java
@@ -61,6 +61,7 @@
   private final ServerSocket server;
   private final Endpoint target;
   private final Set<ProxiedConnection> connections = ConcurrentHashMap.newKeySet();
+  private final Set<Integer> disturbedPorts = ConcurrentHashMap.newKeySet();
   private final AtomicInteger connectionCount = new AtomicInteger();
   private volatile Fault fault = Fault.NONE;
   private volatile boolean affectsAll = true;
@@ -86,7 +87,7 @@
     affectsAll = allConnections;
     fault = newFault;
     switch (newFault) {
-      case RESET_OPEN -> applyOnce(ProxiedConnection::reset);
+      case RESET_OPEN -> applyOnce(ProxiedConnection::resetByFault);
       case DROP_OPEN -> applyOnce(ProxiedConnection::dropAll);
       default -> {
         // The forwarding threads and new connections check the current fault.
@@ -94,6 +95,14 @@
     }
   }
 
+  /**
+   * Returns whether this proxy has delayed, dropped or reset data of the connection that comes from
+   * a port, or has not reached its target. Of several connections from a port the last one counts.
+   */
+  public boolean hasDisturbed(int callerPort) {
+    return disturbedPorts.contains(callerPort);
+  }
+
   private void applyOnce(Consumer<ProxiedConnection> change) {
     connections.stream().filter(connection -> connection.isAffectedBy(fault)).forEach(change);
     fault = Fault.NONE;
@@ -120,8 +129,9 @@
     Socket targetSocket = new Socket();
     ProxiedConnection connection =
         new ProxiedConnection(callerSocket, targetSocket, connectionCount.getAndIncrement());
+    disturbedPorts.remove(callerSocket.getPort());
     if (connection.isAffectedBy(Fault.RESET_NEW)) {
-      connection.reset();
+      connection.resetByFault();
       return;
     }
     try {
@@ -130,7 +140,7 @@
       targetSocket.setSendBufferSize(SEND_BUFFER_BYTES); // So a sender waits for a slow target.
       targetSocket.connect(new InetSocketAddress(target.ip(), target.port()));
     } catch (IOException e) {
-      connection.reset(); // The target does not listen; a reset reports this to the caller.
+      connection.resetByFault(); // The target does not listen; a reset tells the caller.
       return;
     }
     connections.add(connection);
@@ -144,6 +154,7 @@
   private final class ProxiedConnection {
     private final Socket callerSocket;
     private final Socket targetSocket;
+    private final int callerPort;
     private final int number;
     private final AtomicInteger writes = new AtomicInteger();
     private volatile boolean failed;
@@ -153,6 +164,7 @@
     ProxiedConnection(Socket callerSocket, Socket targetSocket, int number) {
       this.callerSocket = callerSocket;
       this.targetSocket = targetSocket;
+      this.callerPort = callerSocket.getPort();
       this.number = number;
     }
 
@@ -167,6 +179,7 @@
         OutputStream out = to.getOutputStream();
         for (int size = in.read(buffer); size >= 0; size = in.read(buffer)) {
           if (isAffectedBy(Fault.DELAY)) {
+            recordDisturbance();
             Thread.sleep(DELAY);
           }
           if (!isDropping(directionFault)) {
@@ -217,11 +230,22 @@
       if (isAffectedBy(Fault.DROP_BOTH_WAYS) || isAffectedBy(directionFault)) {
         dropsToTarget |= toTarget;
         dropsFromTarget |= !toTarget;
+        recordDisturbance();
       }
       return toTarget ? dropsToTarget : dropsFromTarget;
     }
 
+    private void recordDisturbance() {
+      disturbedPorts.add(callerPort);
+    }
+
+    void resetByFault() {
+      recordDisturbance();
+      reset();
+    }
+
     void dropAll() {
+      recordDisturbance();
       dropsToTarget = true;
       dropsFromTarget = true;
     }
--- a/src/test/java/org/radishpost/soak/RequestTracker.java
+++ b/src/test/java/org/radishpost/soak/RequestTracker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
@@ -35,6 +36,7 @@
   private final Map<String, Request> requests = new ConcurrentHashMap<>();
   private final Map<String, Queue<Run>> runs = new ConcurrentHashMap<>();
   private final Map<String, Outcome> outcomes = new ConcurrentHashMap<>();
+  private final Map<LossCause, Integer> losses = new ConcurrentHashMap<>();
   private final Queue<Violation> recordedViolations = new ConcurrentLinkedQueue<>();
 
   /**
@@ -139,6 +141,34 @@
     outcomes.put(request.attempt(), new Outcome(status, System.nanoTime()));
   }
 
+  /** Records that an attempt got no complete response. */
+  void recordLoss(Request request, LossCause cause) {
+    recordOutcome(request, LOST);
+    losses.merge(cause, 1, Integer::sum);
+  }
+
+  /**
+   * Checks that the caller of an attempt did not wait in vain.
+   *
+   * @param waitedMillis how long there was neither a complete response nor the end of the
+   *     connection
+   * @param limitMillis the longest wait that is allowed
+   * @param cause who disturbed the attempt
+   */
+  void checkWait(Request request, long waitedMillis, long limitMillis, LossCause cause) {
+    if (waitedMillis > limitMillis && (cause == LossCause.ENTRY || cause == LossCause.LIMIT)) {
+      recordViolation(
+          "UNANSWERED",
+          "%s %s of %s waited %d ms; its runs: %s"
+              .formatted(
+                  request.method(),
+                  request.attempt(),
+                  request.entry(),
+                  waitedMillis,
+                  describe(runs(request.attempt()))));
+    }
+  }
+
   void recordViolation(String promise, String description) {
     recordedViolations.add(new Violation(promise, description));
   }
@@ -230,6 +260,11 @@
         .collect(Collectors.groupingBy(Outcome::status, Collectors.counting()));
   }
 
+  /** Returns the number of attempts without a complete response by who ended them. */
+  Map<LossCause, Integer> countsByLossCause() {
+    return new TreeMap<>(losses);
+  }
+
   Optional<Outcome> outcome(String attempt) {
     return Optional.ofNullable(outcomes.get(attempt));
   }
--- a/src/test/java/org/radishpost/soak/RequestTrackerTest.java
+++ b/src/test/java/org/radishpost/soak/RequestTrackerTest.java
@@ -225,4 +225,23 @@
     tracker.recordResponse(READ, response(404, "", "no such route"));
     assertEquals(violatedPromises(), List.of("DENIED"));
   }
+
+  @Test
+  public void callerThatWaitedTooLongIsReportedUnlessTheSoakDisturbedIt() {
+    tracker.checkWait(READ, 11, 10, LossCause.LINK);
+    tracker.checkWait(READ, 11, 10, LossCause.PROCESS);
+    tracker.checkWait(READ, 10, 10, LossCause.LIMIT);
+    assertEquals(violatedPromises(), List.of());
+    tracker.checkWait(READ, 11, 10, LossCause.ENTRY);
+    tracker.checkWait(WRITE, 11, 10, LossCause.LIMIT);
+    assertEquals(violatedPromises(), List.of("UNANSWERED", "UNANSWERED"));
+  }
+
+  @Test
+  public void lossesAreCountedByCause() {
+    tracker.recordLoss(READ, LossCause.ENTRY);
+    tracker.recordLoss(WRITE, LossCause.LINK);
+    assertEquals(tracker.countsByLossCause(), Map.of(LossCause.ENTRY, 1, LossCause.LINK, 1));
+    assertEquals(tracker.countsByStatus(), Map.of(RequestTracker.LOST, 2L));
+  }
 }
--- a/src/test/java/org/radishpost/soak/ResponseEncoder.java
+++ b/src/test/java/org/radishpost/soak/ResponseEncoder.java
@@ -21,19 +21,19 @@
 
   /** Encodes the whole response of a run. */
   byte[] encode(RequestTracker.Run run) {
-    return encode(run, run.status(), signedHeaders(run));
+    return encodeRun(run, run.status(), signedHeaders(run));
   }
 
   /** Encodes the response of a run with a status that it does not have. */
   byte[] encodeWithStatus(RequestTracker.Run run, int status) {
-    return encode(run, status, signedHeaders(run));
+    return encodeRun(run, status, signedHeaders(run));
   }
 
   /** Encodes the response of a run without the id of its request. */
   byte[] encodeWithoutId(RequestTracker.Run run) {
     Map<String, String> headers = signedHeaders(run);
     headers.remove(WireNames.REQUEST_ID);
-    return encode(run, run.status(), headers);
+    return encodeRun(run, run.status(), headers);
   }
 
   /** Encodes a response without a length, with the body bytes as given. */
@@ -45,7 +45,7 @@
   }
 
   /** Encodes a response of no run. */
-  byte[] encode(int status, Map<String, String> headers, String body) {
+  byte[] encodeUnsigned(int status, Map<String, String> headers, String body) {
     return HttpCodec.encode(statusLine(status), allHeaders(headers), body.getBytes());
   }
 
@@ -53,10 +53,10 @@
   byte[] encodeRefusal(Map<String, String> headers) {
     Map<String, String> refusal = new LinkedHashMap<>(headers);
     refusal.put(WireNames.NOT_EXECUTED, NOT_RUN_REASON);
-    return encode(UNAVAILABLE, refusal, "");
+    return encodeUnsigned(UNAVAILABLE, refusal, "");
   }
 
-  private static byte[] encode(RequestTracker.Run run, int status, Map<String, String> headers) {
+  private static byte[] encodeRun(RequestTracker.Run run, int status, Map<String, String> headers) {
     byte[] body = SoakTarget.responseBody(run).getBytes();
     byte[] whole = HttpCodec.encode(statusLine(status), headers, body);
     return run.method().equals("HEAD") ? Arrays.copyOf(whole, whole.length - body.length) : whole;
--- a/src/test/java/org/radishpost/soak/SoakRun.java
+++ b/src/test/java/org/radishpost/soak/SoakRun.java
@@ -5,14 +5,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.radishpost.errors.StartException;
-import org.radishpost.lib.Endpoint;
 import org.radishpost.soak.EntryProcess.Signal;
 
 /**
@@ -54,7 +52,7 @@
       system.start(TARGETS_PER_SERVICE);
       FaultInjector faultInjector = new FaultInjector(system, random);
       awaitEntries(system, "START", SoakSystem::isReady);
-      final List<Thread> callers = startCallers(system.entryAddresses());
+      final List<Thread> callers = startCallers(system);
       callers.addAll(startSamplers(system));
       for (int i = 0; i < steps; i++) {
         faultInjector.step();
@@ -81,11 +79,11 @@
     return violations;
   }
 
-  private List<Thread> startCallers(Map<String, Endpoint> entryAddresses) {
+  private List<Thread> startCallers(SoakSystem system) {
     List<Thread> callers = new ArrayList<>();
     for (int i = 0; i < CALLER_COUNT; i++) {
       Caller caller =
-          new Caller("s" + seed + "-c" + i, seed + i, tracker, entryAddresses, callersRunning::get);
+          new Caller("s" + seed + "-c" + i, seed + i, tracker, system, callersRunning::get);
       callers.add(Thread.ofVirtual().start(caller));
     }
     return callers;
@@ -126,9 +124,7 @@
   }
 
   private void awaitLatestConfiguration(SoakSystem system) throws InterruptedException {
-    Caller caller =
-        new Caller(
-            "s" + seed + "-newest", seed, tracker, system.entryAddresses(), callersRunning::get);
+    Caller caller = new Caller("s" + seed + "-newest", seed, tracker, system, callersRunning::get);
     String pathPrefix = system.latestRoutePrefix();
     for (EntryProcess entry : system.entries()) {
       if (!awaitCondition(() -> caller.sendRead(entry.name(), pathPrefix))) {
@@ -201,6 +197,7 @@
   private void writeSummary(List<String> injectedFaults) throws IOException {
     List<String> lines = new ArrayList<>(injectedFaults);
     lines.add("requests " + tracker.requestCount() + ", by status " + tracker.countsByStatus());
+    lines.add("lost " + tracker.countsByLossCause());
     metrics.totals().forEach((name, count) -> lines.add(name + " " + count));
     Files.write(directory.resolve("summary.txt"), lines);
   }
--- a/src/test/java/org/radishpost/soak/SoakSystem.java
+++ b/src/test/java/org/radishpost/soak/SoakSystem.java
@@ -225,6 +225,28 @@
     return addresses;
   }
 
+  /**
+   * Returns who ended an attempt.
+   *
+   * @param entryName the entry to which it was sent
+   * @param callerPort the port of the caller's connection
+   * @param startNanos when it was sent
+   * @param timedOut whether its caller stopped waiting
+   */
+  LossCause lossCause(String entryName, int callerPort, long startNanos, boolean timedOut) {
+    if (callerLinks.get(entryName).hasDisturbed(callerPort)) {
+      return LossCause.LINK;
+    }
+    boolean signalled =
+        entries.stream()
+            .filter(entry -> entry.name().equals(entryName))
+            .anyMatch(entry -> entry.wasSignalledSince(startNanos));
+    if (signalled) {
+      return LossCause.PROCESS;
+    }
+    return timedOut ? LossCause.LIMIT : LossCause.ENTRY;
+  }
+
   /** Returns all links of an entry except the links to targets. */
   List<FaultyLink> linksOf(EntryProcess entry) {
     List<FaultyLink> links = new ArrayList<>(relayLinks.get(entry.name()));
--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -165,7 +165,7 @@
   private boolean respond(HttpCodec.Message head, TargetConnection connection)
       throws IOException, InterruptedException {
     if (head.startLineWord(1).equals(HEALTH_PATH)) {
-      connection.send(encoder.encode(200, Map.of(), "ok"));
+      connection.send(encoder.encodeUnsigned(200, Map.of(), "ok"));
       return true;
     }
     String expectedTargetId = head.header(WireNames.EXPECTED_TARGET);
@@ -176,7 +176,7 @@
     }
     HttpCodec.Message request = HttpCodec.readBody(connection.inputStream(), head);
     if (!expected) {
-      connection.send(encoder.encode(421, Map.of(WireNames.NOT_EXECUTED, "1"), ""));
+      connection.send(encoder.encodeUnsigned(421, Map.of(WireNames.NOT_EXECUTED, "1"), ""));
       return true;
     }
     return respondInSlot(request, activeFault, connection);
--- a/src/test/java/org/radishpost/soak/Stutter.java
+++ b/src/test/java/org/radishpost/soak/Stutter.java
@@ -37,7 +37,7 @@
     IN_PARTS,
     /** Behind a body that the end of the connection ends. */
     BEHIND_UNFRAMED,
-    /** Amid the first response, which goes on after it. */
+    /** Amid the first response, which goes on after it, if possible one to an earlier request. */
     WITHIN_FIRST
   }
 
@@ -62,8 +62,9 @@
         Thread.sleep(delay);
         connection.sendLast(second);
       }
-      case WITHIN_FIRST -> sendWithin(connection, first, delay, second);
+      default -> sendWithin(connection, first, delay, connection.lastSecond().orElse(second));
     }
+    connection.setLastSecond(second);
     return delivery != Delivery.BEHIND_UNFRAMED;
   }
 
--- a/src/test/java/org/radishpost/soak/TargetConnection.java
+++ b/src/test/java/org/radishpost/soak/TargetConnection.java
@@ -4,10 +4,12 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Optional;
 
 /** A connection on which a target sends bytes, also later and between those of a response. */
 final class TargetConnection implements AutoCloseable {
   private final Socket socket;
+  private Optional<byte[]> lastSecond = Optional.empty();
 
   TargetConnection(Socket socket) throws IOException {
     this.socket = socket;
@@ -18,6 +20,15 @@
     return socket.getInputStream();
   }
 
+  /** Returns the second response to the last request that had one. */
+  synchronized Optional<byte[]> lastSecond() {
+    return lastSecond;
+  }
+
+  synchronized void setLastSecond(byte[] second) {
+    lastSecond = Optional.of(second);
+  }
+
   /** Sends bytes, never within those of another call nor after the last ones. */
   synchronized void send(byte[] bytes) throws IOException {
     socket.getOutputStream().write(bytes);
