Fail a body that has a refusal of its own sender in it

Cause: a head without an id counted as a second response only if it had all fields that are particular to the sender. A refusal has no signature, so it never did.

It now also counts if it has one of these fields with the value that the response itself has, such as the name of the target. A quoted refusal of another sender stays part of the body.

--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -19,7 +19,8 @@
  *
  * <p>A body without a length has another response in it if it contains a response head. A body
  * whose length is declared may quote one, so it must contain one that names a request of this
- * connection, or names none and has all fields that are particular to the sender. There is one
+ * connection, or names none and has all fields that are particular to the sender, or one of them
+ * with the same value: a refusal lacks the fields of a result, but names its sender. There is one
  * instance per connection to a target, placed after the handler that drops responses to other
  * requests.
  */
@@ -93,7 +94,7 @@
     }
     String id = fields.get(correlationField);
     return id == null
-        ? hasOwnFields(fields)
+        ? hasOwnFields(fields) || hasOwnValue(fields)
         : ConnectionHistory.of(context.channel()).hasCarried(id);
   }
 
@@ -104,6 +105,15 @@
         && ownFields.names().stream().filter(this::isParticular).allMatch(fields::contains);
   }
 
+  /**
+   * Returns whether a head has a field that only its sender adds, with the value of that sender.
+   */
+  private boolean hasOwnValue(HttpHeaders fields) {
+    return ownFields.names().stream()
+        .filter(this::isParticular)
+        .anyMatch(name -> ownFields.get(name).equals(fields.get(name)));
+  }
+
   private boolean isParticular(String name) {
     return !name.equalsIgnoreCase(correlationField)
         && !COMMON_FIELDS.contains(name.toLowerCase(Locale.ROOT));
--- a/src/test/java/org/radishpost/http/SecondResponseTest.java
+++ b/src/test/java/org/radishpost/http/SecondResponseTest.java
@@ -19,6 +19,9 @@
   private static final String WITHOUT_LENGTH = OWN_HEAD + "\r\n" + BODY;
   private static final String LONG = OWN_HEAD + "Content-Length: 4000\r\n\r\n";
   private static final String CHUNKED = OWN_HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+  private static final String FROM_SENDER_A =
+      OWN_HEAD + "X-Sender: a\r\nContent-Length: 4000\r\n\r\n";
+  private static final String REFUSAL = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Sender: a\r\n\r\n";
   private static final String QUOTED =
       pad("x".repeat(1_000) + "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n");
 
@@ -86,6 +89,7 @@
       {new Row("its own copy", LONG + "x".repeat(2_000) + copy("1") + BODY)},
       {new Row("its own copy, late", LONG + "x".repeat(2_000) + "<pause>" + copy("1") + BODY)},
       {new Row("a copy without an ID", LONG + "x".repeat(2_000) + copyWithoutId() + BODY)},
+      {new Row("a refusal without an ID", FROM_SENDER_A + "x".repeat(2_000) + REFUSAL + BODY)},
       {new Row("a copy amid a chunk", CHUNKED + chunk("xx" + copy("1") + BODY) + "0\r\n\r\n")},
     };
   }
@@ -102,6 +106,11 @@
     return new Object[][] {
       {new Row("of a length", LONG + QUOTED)},
       {new Row("in a chunk", CHUNKED + chunk(QUOTED) + "0\r\n\r\n")},
+      {
+        new Row(
+            "of a length, the refusal of another sender",
+            FROM_SENDER_A + pad(REFUSAL.replace("Sender: a", "Sender: b")))
+      },
       {new Row("of a length, with another ID", LONG + pad(copy("other")))},
       {
         new Row(
