--- a/src/test/java/org/radishpost/soak/SoakTarget.java
+++ b/src/test/java/org/radishpost/soak/SoakTarget.java
@@ -229,7 +229,7 @@
   private Duration serviceTime(Fault activeFault) {
     return switch (activeFault) {
       case SLOW -> SLOW_SERVICE_TIME;
-      case LATE_COPY -> Duration.ofMillis(random.nextInt(MAX_COPY_DELAY_MILLIS));
+      case LATE_COPY, STUTTER -> Duration.ofMillis(random.nextInt(MAX_COPY_DELAY_MILLIS));
       default -> SERVICE_TIME;
     };
   }
