--- a/src/test/java/org/radishpost/http/SecondResponseTest.java
+++ b/src/test/java/org/radishpost/http/SecondResponseTest.java
@@ -22,6 +22,10 @@
   private static final String QUOTED =
       pad("x".repeat(1_000) + "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n");
 
+  private static final String FROM_SENDER_A =
+      OWN_HEAD + "X-Sender: a\r\nContent-Length: 4000\r\n\r\n";
+  private static final String REFUSAL_OF_A =
+      "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Sender: a\r\n\r\n";
   private static final String REFUSAL =
       "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -90,6 +94,7 @@
       {new Row("its own copy, late", LONG + "x".repeat(2_000) + "<pause>" + copy("1") + BODY)},
       {new Row("a copy without an ID", LONG + "x".repeat(2_000) + copyWithoutId() + BODY)},
       {new Row("a refusal", LONG + "x".repeat(2_000) + REFUSAL + "x".repeat(2_000))},
+      {new Row("its own refusal", FROM_SENDER_A + "x".repeat(2_000) + REFUSAL_OF_A + BODY)},
       {new Row("the start of a head", LONG + "x".repeat(3_993) + copy("1") + "x".repeat(7))},
       {new Row("half of a head", LONG + "x".repeat(3_950) + copy("other") + "x".repeat(50))},
       {new Row("a copy amid a chunk", CHUNKED + chunk("xx" + copy("1") + BODY) + "0\r\n\r\n")},
@@ -109,6 +114,7 @@
       {new Row("of a length", LONG + QUOTED)},
       {new Row("in a chunk", CHUNKED + chunk(QUOTED) + "0\r\n\r\n")},
       {new Row("of a length, with another ID", LONG + pad(copy("other")))},
+      {new Row("of a length, its own refusal", FROM_SENDER_A + pad(REFUSAL_OF_A))},
       {
         new Row(
             "of a length, to their end", LONG + "x".repeat(3_977) + "HTTP/1.1 200 OK\r\nA: b\r\n")
--- a/src/test/java/org/radishpost/soak/RequestTracker.java
+++ b/src/test/java/org/radishpost/soak/RequestTracker.java
@@ -1,12 +1,14 @@
 package org.radishpost.soak;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
@@ -27,12 +29,14 @@
   /** The status of an attempt that its caller ended before there was a complete response. */
   static final int ABANDONED = -1;
 
+  private static final int MAX_QUOTED_CHARACTERS = 60;
   private static final Set<Integer> DENIAL_STATUSES = Set.of(400, 401, 403, 404, 405, 413, 431);
 
   // The keys of the maps are attempts.
   private final Map<String, Request> requests = new ConcurrentHashMap<>();
   private final Map<String, Queue<Run>> runs = new ConcurrentHashMap<>();
   private final Map<String, Outcome> outcomes = new ConcurrentHashMap<>();
+  private final Map<LossCause, Integer> losses = new ConcurrentHashMap<>();
   private final Queue<Violation> recordedViolations = new ConcurrentLinkedQueue<>();
 
   /**
@@ -137,6 +141,34 @@
     outcomes.put(request.attempt(), new Outcome(status, System.nanoTime()));
   }
 
+  /** Records that an attempt got no complete response. */
+  void recordLoss(Request request, LossCause cause) {
+    recordOutcome(request, LOST);
+    losses.merge(cause, 1, Integer::sum);
+  }
+
+  /**
+   * Checks that the caller of an attempt did not wait in vain.
+   *
+   * @param waitedMillis how long there was neither a complete response nor the end of the
+   *     connection
+   * @param limitMillis the longest wait that is allowed
+   * @param cause who disturbed the attempt
+   */
+  void checkWait(Request request, long waitedMillis, long limitMillis, LossCause cause) {
+    if (waitedMillis > limitMillis && (cause == LossCause.ENTRY || cause == LossCause.LIMIT)) {
+      recordViolation(
+          "UNANSWERED",
+          "%s %s of %s waited %d ms; its runs: %s"
+              .formatted(
+                  request.method(),
+                  request.attempt(),
+                  request.entry(),
+                  waitedMillis,
+                  describe(runs(request.attempt()))));
+    }
+  }
+
   void recordViolation(String promise, String description) {
     recordedViolations.add(new Violation(promise, description));
   }
@@ -169,7 +201,7 @@
         || !response.bodyText().equals(expectedBody)) {
       recordViolation(
           "MIXED",
-          "%s %s of %s got %s, signature %s of %s, body %d of %d characters; its runs: %s"
+          "%s %s of %s got %s, signature %s of %s, body %d of %d characters%s; its runs: %s"
               .formatted(
                   request.method(),
                   request.attempt(),
@@ -179,10 +211,22 @@
                   attemptsWith(signature),
                   response.bodyText().length(),
                   expectedBody.length(),
+                  firstDifference(response.bodyText(), expectedBody),
                   describe(runs(request.attempt()))));
     }
   }
 
+  /** Describes what a body has in place of the rest of the expected one. */
+  private static String firstDifference(String body, String expectedBody) {
+    int index = Arrays.mismatch(body.toCharArray(), expectedBody.toCharArray());
+    if (index < 0) {
+      return "";
+    }
+    int end = Math.min(body.length(), index + MAX_QUOTED_CHARACTERS);
+    String quoted = body.substring(index, end).replace("\r", "\\r").replace("\n", "\\n");
+    return ", from character " + index + " on '" + quoted + "'";
+  }
+
   private List<String> attemptsWith(String signature) {
     return runs.entrySet().stream()
         .filter(
@@ -216,6 +260,11 @@
         .collect(Collectors.groupingBy(Outcome::status, Collectors.counting()));
   }
 
+  /** Returns the number of attempts without a complete response by who ended them. */
+  Map<LossCause, Integer> countsByLossCause() {
+    return new TreeMap<>(losses);
+  }
+
   Optional<Outcome> outcome(String attempt) {
     return Optional.ofNullable(outcomes.get(attempt));
   }
--- a/src/test/java/org/radishpost/soak/SoakRun.java
+++ b/src/test/java/org/radishpost/soak/SoakRun.java
@@ -5,14 +5,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.radishpost.errors.StartException;
-import org.radishpost.lib.Endpoint;
 import org.radishpost.soak.EntryProcess.Signal;
 
 /**
@@ -27,6 +25,7 @@
   private static final int CALLER_COUNT = 8;
   private static final int STEP_MILLIS = 400;
   private static final int POLL_INTERVAL_MILLIS = 50;
+  private static final int SAMPLE_INTERVAL_MILLIS = 250;
   private static final int WAIT_TIMEOUT_MILLIS = 120_000;
   private static final int SETTLE_MILLIS = 4_000;
   private static final int MIN_SUCCESSES_PER_ENTRY = 20;
@@ -35,6 +34,7 @@
   private final int steps;
   private final Path directory;
   private final RequestTracker tracker = new RequestTracker();
+  private final MetricsSampler metrics = new MetricsSampler();
   private final AtomicBoolean callersRunning = new AtomicBoolean(true);
   private final List<Violation> violations = new ArrayList<>();
 
@@ -52,7 +52,8 @@
       system.start(TARGETS_PER_SERVICE);
       FaultInjector faultInjector = new FaultInjector(system, random);
       awaitEntries(system, "START", SoakSystem::isReady);
-      final List<Thread> callers = startCallers(system.entryAddresses());
+      final List<Thread> callers = startCallers(system);
+      callers.addAll(startSamplers(system));
       for (int i = 0; i < steps; i++) {
         faultInjector.step();
         Thread.sleep(STEP_MILLIS);
@@ -69,6 +70,7 @@
       for (Thread caller : callers) {
         caller.join();
       }
+      system.entries().forEach(metrics::sample);
       writeSummary(faultInjector.events());
     }
     violations.addAll(tracker.violations(SoakSystem.MAX_ATTEMPTS));
@@ -77,16 +79,33 @@
     return violations;
   }
 
-  private List<Thread> startCallers(Map<String, Endpoint> entryAddresses) {
+  private List<Thread> startCallers(SoakSystem system) {
     List<Thread> callers = new ArrayList<>();
     for (int i = 0; i < CALLER_COUNT; i++) {
       Caller caller =
-          new Caller("s" + seed + "-c" + i, seed + i, tracker, entryAddresses, callersRunning::get);
+          new Caller("s" + seed + "-c" + i, seed + i, tracker, system, callersRunning::get);
       callers.add(Thread.ofVirtual().start(caller));
     }
     return callers;
   }
 
+  private List<Thread> startSamplers(SoakSystem system) {
+    return system.entries().stream()
+        .map(entry -> Thread.ofVirtual().start(() -> sampleWhileCallersRun(entry)))
+        .toList();
+  }
+
+  private void sampleWhileCallersRun(EntryProcess entry) {
+    try {
+      while (callersRunning.get()) {
+        metrics.sample(entry);
+        Thread.sleep(SAMPLE_INTERVAL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void awaitEntries(SoakSystem system, String promise, Predicate<EntryProcess> condition)
       throws InterruptedException {
     for (EntryProcess entry : system.entries()) {
@@ -105,9 +124,7 @@
   }
 
   private void awaitLatestConfiguration(SoakSystem system) throws InterruptedException {
-    Caller caller =
-        new Caller(
-            "s" + seed + "-newest", seed, tracker, system.entryAddresses(), callersRunning::get);
+    Caller caller = new Caller("s" + seed + "-newest", seed, tracker, system, callersRunning::get);
     String pathPrefix = system.latestRoutePrefix();
     for (EntryProcess entry : system.entries()) {
       if (!awaitCondition(() -> caller.sendRead(entry.name(), pathPrefix))) {
@@ -180,6 +197,8 @@
   private void writeSummary(List<String> injectedFaults) throws IOException {
     List<String> lines = new ArrayList<>(injectedFaults);
     lines.add("requests " + tracker.requestCount() + ", by status " + tracker.countsByStatus());
+    lines.add("lost " + tracker.countsByLossCause());
+    metrics.totals().forEach((name, count) -> lines.add(name + " " + count));
     Files.write(directory.resolve("summary.txt"), lines);
   }
 }
