Let a body end with a status line that it quotes

As before, only a status line with its line end counts. A second response that is cut in its status line, behind a body without a length, cannot be told from such a quotation.

--- a/src/main/java/org/radishpost/http/ResponseHeadFinder.java
+++ b/src/main/java/org/radishpost/http/ResponseHeadFinder.java
@@ -53,9 +53,9 @@
     return found;
   }
 
-  /** Returns whether the bytes end amid a head, of which they have the version and the status. */
+  /** Returns whether the bytes end amid a head, of which they have the whole status line. */
   boolean endsWithinHead() {
-    return lineStart > 0 || STATUS_LINE.matcher(candidate).matches();
+    return lineStart > 0;
   }
 
   /** Returns whether the bytes end with what may be the beginning of a head. */
