Find second responses by the first field of their head

A proxy that adds a second id failed each of its responses.

Cause: the finder asked only for whole heads, by a narrower grammar than the codec's; two values of the id counted as two heads.

Change: a head is judged after its status line and each field, not at its end, by the codec's lenient grammar; trailer fields are checked for a status line as the head is; two ids are no sign any more, as the status line of the second head shows in each place of a cut (62 rows of SurplusResponseTest).

--- a/src/main/java/org/radishpost/http/MergedHead.java
+++ b/src/main/java/org/radishpost/http/MergedHead.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
-import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -12,26 +11,17 @@
  */
 final class MergedHead {
   private static final String VERSION = "HTTP/1.";
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d( |$)");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-9]\\d\\d( |$)");
 
   private MergedHead() {}
 
-  /**
-   * Returns whether a head has been read from two.
-   *
-   * @param correlationField a field that a response has once; empty if there is none
-   */
-  static boolean isMerged(HttpResponse response, Optional<String> correlationField) {
-    return hasStatusLine(response.status().reasonPhrase())
-        || correlationField.filter(field -> hasTwoValues(response.headers(), field)).isPresent()
-        || hasStatusLine(response.headers());
+  /** Returns whether a head has been read from two. */
+  static boolean isMerged(HttpResponse response) {
+    return hasStatusLine(response.status().reasonPhrase()) || hasStatusLine(response.headers());
   }
 
-  private static boolean hasTwoValues(HttpHeaders headers, String field) {
-    return headers.getAll(field).stream().distinct().count() > 1;
-  }
-
-  private static boolean hasStatusLine(HttpHeaders headers) {
+  /** Returns whether a field has the status line of another response in it. */
+  static boolean hasStatusLine(HttpHeaders headers) {
     for (Map.Entry<String, String> field : headers) {
       if (hasStatusLine(field.getValue())) {
         return true;
--- a/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseCorrelationHandler.java
@@ -167,7 +167,7 @@
   /** Returns what a response is that does not belong to the waiting request, but fails it. */
   private Optional<SurplusResponse> surplusFailingRequest(
       ChannelHandlerContext context, HttpResponse response) {
-    if (response.decoderResult().isSuccess() && MergedHead.isMerged(response, correlationField)) {
+    if (response.decoderResult().isSuccess() && MergedHead.isMerged(response)) {
       return Optional.of(SurplusResponse.WITHIN_HEAD);
     }
     return lacksRequiredId(context, response)
--- a/src/main/java/org/radishpost/http/ResponseHeadFinder.java
+++ b/src/main/java/org/radishpost/http/ResponseHeadFinder.java
@@ -13,7 +13,7 @@
  */
 final class ResponseHeadFinder {
   private static final String START = "HTTP/1.";
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d( .*)?");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-9]\\d\\d( .*)?");
   private static final Pattern FIELD_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
   private static final int MIN_START_BYTES = 2;
   private static final int MAX_STATUS_LINE_BYTES = 256;
@@ -31,7 +31,8 @@
   /**
    * Creates a finder that has read no bytes.
    *
-   * @param isWanted decides by the fields of a head whether it is one to be found
+   * @param isWanted decides by the fields of a head that have been read so far whether it is one to
+   *     be found; called after each of them and at the end of the head
    */
   ResponseHeadFinder(Predicate<HttpHeaders> isWanted) {
     this.isWanted = isWanted;
@@ -75,30 +76,44 @@
     } else if (lineStart == 0 && length > MAX_STATUS_LINE_BYTES) {
       readAgain(candidate.substring(1));
     } else if (length > MAX_HEAD_BYTES) {
+      found = isWanted.test(fields);
       clear();
     }
   }
 
   private void readLine() {
     String line = candidate.substring(lineStart).stripTrailing();
-    int colon = line.indexOf(':');
-    if (lineStart == 0) {
-      if (!STATUS_LINE.matcher(line).matches()) {
-        readAgain(candidate.substring(1));
-        return;
-      }
+    if (lineStart == 0 && STATUS_LINE.matcher(line).matches()) {
+      lineStart = candidate.length();
       fields = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    } else if (lineStart == 0) {
+      readAgain(candidate.substring(1));
     } else if (line.isEmpty()) {
-      found = !fields.isEmpty() && isWanted.test(fields);
+      found = isWanted.test(fields);
       clear();
-      return;
-    } else if (colon > 0 && FIELD_NAME.matcher(line.substring(0, colon)).matches()) {
-      fields.add(line.substring(0, colon), line.substring(colon + 1).strip());
+    } else if (readField(line)) {
+      lineStart = candidate.length();
+      found = isWanted.test(fields);
+      if (found) {
+        clear();
+      }
     } else {
       readAgain(candidate.substring(lineStart));
-      return;
     }
-    lineStart = candidate.length();
+  }
+
+  /** Adds a field, unless the line continues the one before; returns whether it is one of both. */
+  private boolean readField(String line) {
+    if (Character.isWhitespace(line.charAt(0))) {
+      return true;
+    }
+    int colon = Math.max(0, line.indexOf(':'));
+    String name = line.substring(0, colon).stripTrailing();
+    if (!FIELD_NAME.matcher(name).matches()) {
+      return false;
+    }
+    fields.add(name, line.substring(colon + 1).strip());
+    return true;
   }
 
   /** Reads text again that is not the beginning of a head, but may have one in it. */
--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -109,6 +109,9 @@
   }
 
   private boolean hasSecond(HttpContent content) {
+    if (content instanceof LastHttpContent end && MergedHead.hasStatusLine(end.trailingHeaders())) {
+      return true;
+    }
     if (framing != ResponseFraming.CLOSE) {
       return correlationField.isPresent() && finder.read(content.content());
     }
