--- a/src/test/java/org/radishpost/soak/SoakTest.java
+++ b/src/test/java/org/radishpost/soak/SoakTest.java
@@ -21,7 +21,11 @@
           1L,
           2L,
           // Half of the body of an upload's response looked complete; late copies (issue 30).
-          7L);
+          7L,
+          // A refusal without an id, or the beginning of a second response, in a body (issue 34).
+          2005L,
+          // The same; also 2002, 2004, 2008, 2026, 2027, 2028, 2031 and 2035.
+          2011L);
 
   private static final String FIRST_SEED_PROPERTY = "soak.first";
   private static final int STEPS = Integer.getInteger("soak.steps", 12);
