Fail a body whose last byte begins another response

Cause: the end of a body was held only if two bytes may begin a head.

Change: a body that ends with one such byte is held until all bytes of the read have been handed on, without a wait; if more than the body was among them, it fails. A wait would delay each body that ends with an H.

--- a/src/main/java/org/radishpost/http/ResponseHeadFinder.java
+++ b/src/main/java/org/radishpost/http/ResponseHeadFinder.java
@@ -15,7 +15,6 @@
   private static final String START = "HTTP/1.";
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-9]\\d\\d( .*)?");
   private static final Pattern FIELD_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
-  private static final int MIN_START_BYTES = 2;
   private static final int MAX_STATUS_LINE_BYTES = 256;
   private static final int MAX_HEAD_BYTES = 8_192;
 
@@ -59,9 +58,9 @@
     return lineStart > 0;
   }
 
-  /** Returns whether the bytes end with what may be the beginning of a head. */
-  boolean mayEndWithinHead() {
-    return candidate.length() >= MIN_START_BYTES;
+  /** Returns how many bytes at the end may be the beginning of a head. */
+  int headBytesAtEnd() {
+    return candidate.length();
   }
 
   private void accept(char next) {
--- a/src/main/java/org/radishpost/http/SecondResponseHandler.java
+++ b/src/main/java/org/radishpost/http/SecondResponseHandler.java
@@ -24,6 +24,9 @@
  * after the handler that drops responses to other requests.
  */
 final class SecondResponseHandler extends ChannelInboundHandlerAdapter {
+  /** A single byte is the beginning of a head too often to wait for bytes that are not read yet. */
+  private static final int MIN_HEAD_BYTES_FOR_WAIT = 2;
+
   /** How long the end of a body that may quote a response waits for more bytes. */
   private static final long MAX_HOLD_MILLIS = 20;
 
@@ -33,6 +36,7 @@
   private ResponseHeadFinder finder = new ResponseHeadFinder(fields -> false);
   private boolean quotesHead;
   private Optional<LastHttpContent> heldEnd = Optional.empty();
+  private boolean waits;
   private boolean failed;
 
   /**
@@ -69,11 +73,12 @@
   private boolean mayHaveSecond(LastHttpContent end) {
     return framing != ResponseFraming.CLOSE
         && end.decoderResult().isSuccess()
-        && (quotesHead || finder.mayEndWithinHead());
+        && (quotesHead || finder.headBytesAtEnd() > 0);
   }
 
   private void hold(ChannelHandlerContext context, LastHttpContent end) {
     heldEnd = Optional.of(end);
+    waits = quotesHead || finder.headBytesAtEnd() >= MIN_HEAD_BYTES_FOR_WAIT;
     context.executor().schedule(() -> releaseHeld(context), MAX_HOLD_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -83,6 +88,14 @@
     end.ifPresent(context::fireChannelRead);
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (!waits && context.channel().isActive()) {
+      releaseHeld(context);
+    }
+    context.fireChannelReadComplete();
+  }
+
   /** Ends the hold: a connection on which bytes arrive behind a response is closed. */
   @Override
   public void channelInactive(ChannelHandlerContext context) {
--- a/src/test/java/org/radishpost/http/SecondResponseTest.java
+++ b/src/test/java/org/radishpost/http/SecondResponseTest.java
@@ -96,6 +96,8 @@
       {new Row("a refusal", LONG + "x".repeat(2_000) + REFUSAL + "x".repeat(2_000))},
       {new Row("its own refusal", FROM_SENDER_A + "x".repeat(2_000) + REFUSAL_OF_A + BODY)},
       {new Row("the start of a head", LONG + "x".repeat(3_993) + copy("1") + "x".repeat(7))},
+      {new Row("the first byte of a head", LONG + "x".repeat(3_999) + copy("1") + "x")},
+      {new Row("the first byte of a refusal", LONG + "x".repeat(3_999) + REFUSAL + "x")},
       {new Row("half of a head", LONG + "x".repeat(3_950) + copy("other") + "x".repeat(50))},
       {new Row("a copy amid a chunk", CHUNKED + chunk("xx" + copy("1") + BODY) + "0\r\n\r\n")},
     };
@@ -136,6 +138,11 @@
     assertEquals(callTo(row.targetBytes()), "200 4000");
   }
 
+  @Test
+  public void bodyThatEndsLikeStartOfHeadIsWhole() throws Exception {
+    assertEquals(callTo(LONG + "x".repeat(3_999) + "H<silent>"), "200 4000");
+  }
+
   private static String pad(String text) {
     return text + "x".repeat(4_000 - text.length());
   }
