Reject responses whose status line is malformed

Cause: the codec reads any number as a status and skips blanks, and no handler reads the head again. Change: MalformedResponseHandler, before the codec on each connection of ResponseHandlers, scans the bytes with the scanner that the requests of callers have. Only the bytes before a fault reach the codec, so nothing behind it can believe a malformed head. The request fails like with other spoilt responses: 502 (it may have run), an idempotent one is sent again, the target is charged, the connection closed. Counted by reason. Status codes from 600 on and below 100: a client treats them like a server error (RFC 9110, section 15); the caller gets a 502 instead. The blank behind the code is required, as by the grammar. Ruled out: the decoder's options; its strict line parsing and validation of fields concern neither the status nor the blanks of a status line. A check behind the codec: it no longer sees what was sent.

--- a/src/main/java/org/radishpost/http/BodyFraming.java
+++ b/src/main/java/org/radishpost/http/BodyFraming.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** The body framing that the header fields of a request define. */
+/** The body framing that the header fields of a message define. */
 final class BodyFraming {
   private static final int ABSENT = -1;
   private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
@@ -12,14 +12,14 @@
   private boolean chunked;
   private boolean hasTransferEncoding;
 
-  /** Processes one header field line. Returns the description of a fault, if any. */
-  Optional<String> addField(String line) {
+  /** Processes one header field line. Returns what is wrong with it, if anything. */
+  Optional<MessageFault> addField(String line) {
     int colon = line.indexOf(':');
     if (line.charAt(0) == ' ' || line.charAt(0) == '\t') {
-      return Optional.of("A header field uses obsolete line folding.");
+      return Optional.of(MessageFault.LINE_FOLDING);
     }
     if (colon < 1 || !isToken(line, colon)) {
-      return Optional.of("A header field name is not a valid token.");
+      return Optional.of(MessageFault.FIELD_NAME);
     }
     String value = line.substring(colon + 1).strip();
     return switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
@@ -30,12 +30,12 @@
   }
 
   /**
-   * Returns the description of a fault that involves several fields, if any. Call this at the end
-   * of the header section.
+   * Returns a fault that involves several fields, if any. Call this at the end of the header
+   * section.
    */
-  Optional<String> fault() {
+  Optional<MessageFault> fault() {
     return hasTransferEncoding && contentLength != ABSENT
-        ? Optional.of("Both Content-Length and Transfer-Encoding are present.")
+        ? Optional.of(MessageFault.CONFLICTING_LENGTHS)
         : Optional.empty();
   }
 
@@ -43,6 +43,10 @@
     return chunked;
   }
 
+  boolean hasLength() {
+    return contentLength != ABSENT;
+  }
+
   long bodyBytes() {
     return Math.max(0, contentLength);
   }
@@ -58,17 +62,17 @@
     return true;
   }
 
-  private Optional<String> addContentLength(String value) {
+  private Optional<MessageFault> addContentLength(String value) {
     if (contentLength != ABSENT || !value.matches("[0-9]{1,18}")) {
-      return Optional.of("Content-Length occurs more than once or is not a number.");
+      return Optional.of(MessageFault.CONTENT_LENGTH);
     }
     contentLength = Long.parseLong(value);
     return Optional.empty();
   }
 
-  private Optional<String> addTransferEncoding(String value) {
+  private Optional<MessageFault> addTransferEncoding(String value) {
     if (hasTransferEncoding || !value.equalsIgnoreCase("chunked")) {
-      return Optional.of("Transfer-Encoding is not exactly one chunked coding.");
+      return Optional.of(MessageFault.TRANSFER_ENCODING);
     }
     hasTransferEncoding = true;
     chunked = true;
--- a/src/main/java/org/radishpost/http/Exchange.java
+++ b/src/main/java/org/radishpost/http/Exchange.java
@@ -55,7 +55,7 @@
         || end == ResponseEnd.PEER_RESET_AFTER_END
         || end == ResponseEnd.CLOSED_HERE
         || end == ResponseEnd.CONNECTION_FAILED
-        || end == ResponseEnd.SECOND_RESPONSE;
+        || isSpoilt();
   }
 
   /** Makes this the exchange to which the events of the connection belong from now on. */
@@ -73,13 +73,17 @@
     framing = newFraming;
   }
 
-  /** Records what ended the response; a second response in its body hides what comes later. */
+  /** Records what ended the response; bytes that spoil it hide what comes later. */
   void recordEnd(ResponseEnd newEnd) {
-    if (end != ResponseEnd.SECOND_RESPONSE) {
+    if (!isSpoilt()) {
       end = newEnd;
     }
   }
 
+  private boolean isSpoilt() {
+    return end == ResponseEnd.SECOND_RESPONSE || end == ResponseEnd.MALFORMED;
+  }
+
   void recordSkipped(Optional<String> id) {
     if (skippedIds.size() < MAX_SKIPPED_IDS) {
       String text = id.orElse("none");
--- a/src/main/java/org/radishpost/http/FramingScanner.java
+++ b/src/main/java/org/radishpost/http/FramingScanner.java
@@ -5,8 +5,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Finds the boundaries of requests in a byte stream: heads, bodies with a content length and
- * chunked bodies.
+ * Finds the boundaries of messages in a byte stream, which are heads, bodies with a content length,
+ * chunked bodies and those that end with the connection, and validates the lines between them.
  *
  * <p>There is one instance per connection, used by the event loop thread of the connection.
  */
@@ -14,10 +14,15 @@
   private static final int MAX_LINE_BYTES = 65_536;
   private static final int MAX_CHUNK_SIZE_LINE_BYTES = 256;
 
+  /** The size of a body that ends with its connection. */
+  private static final long ENDLESS = Long.MAX_VALUE;
+
   private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,15}");
 
+  private final MessageKind kind;
   private final StringBuilder line = new StringBuilder();
   private State state = State.START_LINE;
+  private int status;
   private BodyFraming framing = new BodyFraming();
   private long remainingBytes;
   private boolean afterCarriageReturn;
@@ -32,6 +37,11 @@
     TRAILER_SECTION
   }
 
+  /** Creates a scanner of messages of the given kind, at the beginning of the first one. */
+  FramingScanner(MessageKind kind) {
+    this.kind = kind;
+  }
+
   /**
    * Scans the readable bytes without consuming them.
    *
@@ -44,7 +54,7 @@
         index += skipContent(bytes.writerIndex() - index);
         continue;
       }
-      Optional<String> fault = scanByte(bytes.getByte(index));
+      Optional<MessageFault> fault = scanByte(bytes.getByte(index));
       if (fault.isPresent()) {
         return Optional.of(new Fault(index, inBody(), fault.get()));
       }
@@ -53,13 +63,13 @@
     return Optional.empty();
   }
 
-  /** Returns whether a request head has been received in part. */
+  /** Returns whether a head has been received in part. */
   boolean inHead() {
     return state == State.HEADER_SECTION
         || state == State.START_LINE && (line.length() > 0 || afterCarriageReturn);
   }
 
-  /** Returns whether a request head is complete but its body is not. */
+  /** Returns whether a head is complete but its body is not. */
   boolean inBody() {
     return state != State.START_LINE && state != State.HEADER_SECTION;
   }
@@ -73,32 +83,33 @@
     return skipped;
   }
 
-  private Optional<String> scanByte(byte value) {
+  private Optional<MessageFault> scanByte(byte value) {
     if (afterCarriageReturn) {
       afterCarriageReturn = false;
-      return value == '\n'
-          ? endOfLine()
-          : Optional.of("A carriage return is not followed by a line feed.");
+      return value == '\n' ? endOfLine() : Optional.of(MessageFault.BARE_CARRIAGE_RETURN);
     }
     if (value == '\n') {
-      return Optional.of("A line feed is not preceded by a carriage return.");
+      return Optional.of(MessageFault.BARE_LINE_FEED);
     }
     if (value == '\r') {
       afterCarriageReturn = true;
       return Optional.empty();
     }
     if (value == 0) {
-      return Optional.of("A line contains a NUL byte.");
+      return Optional.of(MessageFault.NUL_BYTE);
+    }
+    if (state == State.CHUNK_END) {
+      return Optional.of(MessageFault.CHUNK_END);
     }
     int limit = state == State.CHUNK_SIZE ? MAX_CHUNK_SIZE_LINE_BYTES : MAX_LINE_BYTES;
-    if (state == State.CHUNK_END || line.length() >= limit) {
-      return Optional.of("A line is too long.");
+    if (line.length() >= limit) {
+      return Optional.of(MessageFault.LONG_LINE);
     }
     line.append((char) (value & 0xff));
     return Optional.empty();
   }
 
-  private Optional<String> endOfLine() {
+  private Optional<MessageFault> endOfLine() {
     String text = line.toString();
     line.setLength(0);
     return switch (state) {
@@ -117,36 +128,79 @@
     };
   }
 
-  private Optional<String> startLine(String text) {
+  private Optional<MessageFault> startLine(String text) {
+    return switch (kind) {
+      case MessageKind.Requests requests -> requestLine(text);
+      case MessageKind.Responses responses -> statusLine(text);
+    };
+  }
+
+  /** Empty lines before a request are ignored (RFC 9112, section 2.2). */
+  private Optional<MessageFault> requestLine(String text) {
     if (!text.isEmpty()) {
-      framing = new BodyFraming();
-      state = State.HEADER_SECTION;
+      startHead();
     }
     return Optional.empty();
   }
 
-  private Optional<String> header(String text) {
-    if (!text.isEmpty()) {
-      return framing.addField(text);
+  private Optional<MessageFault> statusLine(String text) {
+    Optional<MessageFault> fault = StatusLine.fault(text);
+    if (fault.isEmpty()) {
+      status = StatusLine.code(text);
+      startHead();
     }
-    Optional<String> fault = framing.fault();
-    if (fault.isPresent()) {
+    return fault;
+  }
+
+  private void startHead() {
+    framing = new BodyFraming();
+    state = State.HEADER_SECTION;
+  }
+
+  private Optional<MessageFault> header(String text) {
+    Optional<MessageFault> fault = text.isEmpty() ? framing.fault() : framing.addField(text);
+    if (fault.isPresent() && kind instanceof MessageKind.Requests) {
       return fault;
     }
-    if (framing.chunked()) {
-      state = State.CHUNK_SIZE;
-    } else {
-      remainingBytes = framing.bodyBytes();
-      state = remainingBytes == 0 ? State.START_LINE : State.FIXED_BODY;
+    if (text.isEmpty()) {
+      startBody();
     }
     return Optional.empty();
   }
 
-  private Optional<String> chunkSize(String text) {
+  private void startBody() {
+    ResponseFraming bodyFraming = bodyFraming();
+    if (bodyFraming == ResponseFraming.CHUNKED && kind instanceof MessageKind.Requests) {
+      state = State.CHUNK_SIZE;
+      return;
+    }
+    remainingBytes = bodyBytes(bodyFraming);
+    state = remainingBytes == 0 ? State.START_LINE : State.FIXED_BODY;
+  }
+
+  private long bodyBytes(ResponseFraming bodyFraming) {
+    return switch (bodyFraming) {
+      case LENGTH -> framing.bodyBytes();
+      case CHUNKED, CLOSE -> ENDLESS;
+      case NONE, BODILESS -> 0;
+    };
+  }
+
+  private ResponseFraming bodyFraming() {
+    return switch (kind) {
+      case MessageKind.Requests requests ->
+          framing.chunked() ? ResponseFraming.CHUNKED : ResponseFraming.LENGTH;
+      case MessageKind.Responses responses ->
+          ResponseFraming.of(
+              responses.requestMethod().get(), status, framing.chunked(), framing.hasLength());
+    };
+  }
+
+  private Optional<MessageFault> chunkSize(String text) {
     int end = text.indexOf(';');
     String digits = end < 0 ? text : text.substring(0, end);
     if (!CHUNK_SIZE.matcher(digits).matches()) {
-      return Optional.of("A chunk size is not a hexadecimal number.");
+      return Optional.of(MessageFault.CHUNK_SIZE);
     }
     remainingBytes = Long.parseLong(digits, 16);
     state = remainingBytes == 0 ? State.TRAILER_SECTION : State.CHUNK_DATA;
@@ -157,8 +211,8 @@
    * A framing fault.
    *
    * @param offset the buffer index of the byte at which the fault was detected
-   * @param inBody whether the head of the request was complete
-   * @param detail the description of the fault
+   * @param inBody whether the head of the message was complete
+   * @param reason what is wrong
    */
-  record Fault(int offset, boolean inBody, String detail) {}
+  record Fault(int offset, boolean inBody, MessageFault reason) {}
 }
--- /dev/null
+++ b/src/main/java/org/radishpost/http/MessageFault.java
@@ -0,0 +1,42 @@
+package org.radishpost.http;
+
+/** Why bytes are not an HTTP/1.1 message (RFC 9112). */
+public enum MessageFault {
+  /** A line has a carriage return in it. */
+  BARE_CARRIAGE_RETURN("A carriage return is not followed by a line feed."),
+  /** A line ends with a line feed only. */
+  BARE_LINE_FEED("A line feed is not preceded by a carriage return."),
+  /** A line has a NUL byte in it. */
+  NUL_BYTE("A line contains a NUL byte."),
+  /** A line exceeds the limit. */
+  LONG_LINE("A line is too long."),
+  /** The first line of a response is not its version, status and reason phrase. */
+  STATUS_LINE("The status line is not a version, three digits and a reason phrase."),
+  /** The status has no meaning (RFC 9110, section 15). */
+  STATUS_CODE("The status code is not between 100 and 599."),
+  /** A field goes on in another line. */
+  LINE_FOLDING("A header field uses obsolete line folding."),
+  /** The name of a field is not a token, or there is no colon directly behind it. */
+  FIELD_NAME("A header field name is not a valid token."),
+  /** The length of the body is not clear. */
+  CONTENT_LENGTH("Content-Length occurs more than once or is not a number."),
+  /** The body has a transfer coding that the recipient does not know. */
+  TRANSFER_ENCODING("Transfer-Encoding is not exactly one chunked coding."),
+  /** The body has two ways to find its end. */
+  CONFLICTING_LENGTHS("Both Content-Length and Transfer-Encoding are present."),
+  /** The size of a chunk is not clear. */
+  CHUNK_SIZE("A chunk size is not a hexadecimal number."),
+  /** Other bytes than the end of a line follow the data of a chunk. */
+  CHUNK_END("A chunk is longer than its size.");
+
+  private final String detail;
+
+  MessageFault(String detail) {
+    this.detail = detail;
+  }
+
+  /** Returns a sentence that describes the fault. */
+  public String detail() {
+    return detail;
+  }
+}
--- a/src/main/java/org/radishpost/http/RequestFramingHandler.java
+++ b/src/main/java/org/radishpost/http/RequestFramingHandler.java
@@ -34,7 +34,7 @@
   private static final AttributeKey<Boolean> BODY_FAULT =
       AttributeKey.valueOf("radishpost-broken-body");
 
-  private final FramingScanner scanner = new FramingScanner();
+  private final FramingScanner scanner = new FramingScanner(new MessageKind.Requests());
   private final String codecName;
   private final Scheduler clock;
   private final SlowSenderTimeout slowSenderTimeout;
@@ -136,7 +136,7 @@
       context.close();
       return;
     }
-    DecoderResult failure = DecoderResult.failure(new DecoderException(fault.detail()));
+    DecoderResult failure = DecoderResult.failure(new DecoderException(fault.reason().detail()));
     ChannelHandlerContext codec = context.pipeline().context(codecName);
     if (fault.inBody()) {
       DefaultLastHttpContent end = new DefaultLastHttpContent();
--- a/src/main/java/org/radishpost/http/ResponseEnd.java
+++ b/src/main/java/org/radishpost/http/ResponseEnd.java
@@ -17,5 +17,7 @@
   /** The connection failed. */
   CONNECTION_FAILED,
   /** The head of another response, among the bytes of its body. */
-  SECOND_RESPONSE
+  SECOND_RESPONSE,
+  /** Bytes that are not an HTTP/1.1 response. */
+  MALFORMED
 }
--- a/src/main/java/org/radishpost/http/ResponseEndHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseEndHandler.java
@@ -37,6 +37,11 @@
     this.counters = counters;
   }
 
+  /** Returns the method of the request that was written last. */
+  HttpMethod requestMethod() {
+    return method;
+  }
+
   /**
    * Returns whether the response is one without a length to a request that was written and has a
    * body, so that its peer may end the connection without having read the request.
--- a/src/main/java/org/radishpost/http/ResponseFraming.java
+++ b/src/main/java/org/radishpost/http/ResponseFraming.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 
-/** How the end of a response is recognized (RFC 9112, section 6.3). */
+/** How the end of a message is recognized (RFC 9112, section 6.3). */
 public enum ResponseFraming {
   /** No head has been received. */
   NONE,
@@ -23,18 +23,32 @@
 
   /** Returns the framing of a response to a request with the given method. */
   static ResponseFraming of(HttpMethod method, HttpResponse response) {
-    if (method.equals(HttpMethod.HEAD) || hasBodilessStatus(response)) {
+    return of(
+        method,
+        response.status().code(),
+        HttpUtil.isTransferEncodingChunked(response),
+        HttpUtil.isContentLengthSet(response));
+  }
+
+  /**
+   * Returns the framing of a response to a request with the given method.
+   *
+   * @param status the status code of the response
+   * @param chunked whether the response has the transfer coding {@code chunked}
+   * @param hasLength whether the response declares the length of its body
+   */
+  static ResponseFraming of(HttpMethod method, int status, boolean chunked, boolean hasLength) {
+    if (method.equals(HttpMethod.HEAD) || isBodiless(status)) {
       return BODILESS;
     }
-    if (HttpUtil.isTransferEncodingChunked(response)) {
+    if (chunked) {
       return CHUNKED;
     }
-    return HttpUtil.isContentLengthSet(response) ? LENGTH : CLOSE;
+    return hasLength ? LENGTH : CLOSE;
   }
 
-  private static boolean hasBodilessStatus(HttpResponse response) {
-    int status = response.status().code();
-    return response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+  private static boolean isBodiless(int status) {
+    return HttpStatusClass.valueOf(status) == HttpStatusClass.INFORMATIONAL
         || status == NO_CONTENT
         || status == NOT_MODIFIED;
   }
--- a/src/main/java/org/radishpost/http/ResponseHandlers.java
+++ b/src/main/java/org/radishpost/http/ResponseHandlers.java
@@ -6,7 +6,10 @@
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 
-/** Protects an HTTP client from responses that it did not ask for or that do not end. */
+/**
+ * Protects an HTTP client from responses that it did not ask for, that are malformed or that do not
+ * end.
+ */
 public final class ResponseHandlers {
   private ResponseHandlers() {}
 
@@ -16,7 +19,7 @@
    * @param client the client
    * @param correlationField the field that the server copies from the request to the response;
    *     empty if it copies none
-   * @param counters counts the responses that are dropped or cut
+   * @param counters counts the responses that are dropped, malformed or cut
    */
   public static HttpClient protect(
       HttpClient client, Optional<String> correlationField, ResponseCounters counters) {
@@ -31,7 +34,7 @@
    *
    * @param correlationField the field that the server copies from the request to the response;
    *     empty if it copies none
-   * @param counters counts the responses that are dropped or cut
+   * @param counters counts the responses that are dropped, malformed or cut
    */
   static void addTo(
       ChannelPipeline pipeline, Optional<String> correlationField, ResponseCounters counters) {
@@ -51,6 +54,11 @@
             NettyPipeline.HttpCodec,
             IdleConnectionHandler.class.getName(),
             new IdleConnectionHandler(correlation::awaitsResponse))
+        .addBefore(
+            NettyPipeline.HttpCodec,
+            MalformedResponseHandler.class.getName(),
+            new MalformedResponseHandler(
+                responseEnd::requestMethod, correlation::awaitsResponse, counters))
         .addAfter(NettyPipeline.HttpCodec, ResponseEndHandler.class.getName(), responseEnd)
         .addAfter(
             NettyPipeline.HttpCodec,
--- a/src/test/java/org/radishpost/http/FramingScannerTest.java
+++ b/src/test/java/org/radishpost/http/FramingScannerTest.java
@@ -79,7 +79,7 @@
 
   /** Returns the offset of the first fault in the stream, scanned in two parts. */
   private static Optional<Integer> faultOffset(byte[] bytes, int split) {
-    FramingScanner scanner = new FramingScanner();
+    FramingScanner scanner = new FramingScanner(new MessageKind.Requests());
     ByteBuf first = Unpooled.wrappedBuffer(bytes, 0, split);
     Optional<Integer> found = scanner.scan(first).map(FramingScanner.Fault::offset);
     if (found.isPresent()) {
--- a/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
@@ -10,9 +10,12 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.radishpost.http.LateServer;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.Place;
 import org.radishpost.lib.RegionName;
@@ -43,14 +46,26 @@
       "target-latency-s":0.25,"service":"s","max-attempts":2},
       "writes":{"host":"localhost","path-prefix":"/writes/","kind":"non_idempotent",
       "service":"s","max-attempts":2}%s},
-      "services":{"s":{"health-path":"/healthz"}},"limits":{"max-body-bytes":1000000}}\
+      "services":{"s":{"health-path":"/healthz"},"broken":{"health-path":"/healthz"}},
+      "limits":{"max-body-bytes":1000000}}\
       """;
   private static final String LATER_ROUTE =
       """
       ,"later":{"host":"localhost","path-prefix":"/later/","kind":"idempotent","service":"s"}\
       """;
 
+  /** Routes to the service whose first response to a call is malformed. */
+  private static final String BROKEN_ROUTES =
+      """
+      ,"broken-reads":{"host":"localhost","path-prefix":"/broken/reads/","kind":"idempotent",
+      "service":"broken","max-attempts":2},
+      "broken-writes":{"host":"localhost","path-prefix":"/broken/writes/","kind":"non_idempotent",
+      "service":"broken","max-attempts":2}\
+      """;
+
   private final HttpClient client = HttpClient.newHttpClient();
+  private final AtomicInteger brokenServiceCalls = new AtomicInteger();
+  private final List<LateServer> brokenTargets = new ArrayList<>();
   private LoopResources loops;
   private KeyedStore store;
   private KeyedStoreServer storeServer;
@@ -68,6 +83,7 @@
     second = new PlatformTargetServer("i-2", ANY_PORT, loops);
     register("i-1", first.start());
     register("i-2", second.start());
+    startBrokenService();
     EntrySettings settings =
         new EntrySettings(
             new VmId("e-1"),
@@ -83,21 +99,40 @@
     node.start();
   }
 
+  private void startBrokenService() throws Exception {
+    brokenServiceCalls.set(0);
+    for (String id : List.of("i-8", "i-9")) {
+      LateServer target = new LateServer(this::answerOnceBroken);
+      brokenTargets.add(target);
+      register(id, "broken", target.address());
+    }
+  }
+
   /** Stops the entry and the stand-ins. */
   @AfterMethod
-  public void stop() {
+  public void stop() throws Exception {
     node.stop().block();
     storeServer.stop().block();
     first.stop().block();
     second.stop().block();
+    for (LateServer target : brokenTargets) {
+      target.close();
+    }
+    brokenTargets.clear();
     loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
   }
 
   private void register(String id, Endpoint address) {
+    register(id, "s", address);
+  }
+
+  private void register(String id, String service, Endpoint address) {
     store.put(
         WireNames.TARGET_TOPIC,
         id,
-        "{\"service\":\"s\",\"address\":\""
+        "{\"service\":\""
+            + service
+            + "\",\"address\":\""
             + address
             + "\",\"zone\":\"k-a\",\"concurrency\":2,\"state\":\"ready\"}");
   }
@@ -191,6 +226,38 @@
     assertEquals(second.executedRequestIds(), List.of("r-1"));
   }
 
+  /** Returns an answer to a request; to the first call, one whose status does not exist. */
+  private LateServer.Answer answerOnceBroken(String head) {
+    boolean broken = !head.startsWith("GET /healthz") && brokenServiceCalls.incrementAndGet() == 1;
+    return new LateServer.Answer(
+        (broken ? "HTTP/1.1 000 OK\r\n" : "HTTP/1.1 200 OK\r\n")
+            + (WireNames.REQUEST_ID + ": r-1\r\n")
+            + (WireNames.UPSTREAM_SIGNATURE + ": proof\r\n")
+            + (WireNames.LOAD_REPORT + ": 0,0,2,100\r\n")
+            + "Content-Length: 2\r\n\r\nok",
+        "");
+  }
+
+  /** The status 000 was delivered. */
+  @Test
+  public void safeReadIsSentAgainAfterMalformedResponse() throws Exception {
+    publish(1, BROKEN_ROUTES);
+    awaitReady();
+    assertEquals(get(node.frontAddress(), "/broken/reads/x").statusCode(), 200);
+    assertEquals(brokenServiceCalls.get(), 2);
+  }
+
+  /** The target may have run it, so it is not sent again, and the caller is told so. */
+  @Test
+  public void outcomeOfWriteWithMalformedResponseIsUnknown() throws Exception {
+    publish(1, BROKEN_ROUTES);
+    awaitReady();
+    HttpResponse<String> response = post("/broken/writes/x", "body");
+    assertEquals(response.statusCode(), 502);
+    assertEquals(response.headers().firstValue(WireNames.NOT_EXECUTED), Optional.empty());
+    assertEquals(brokenServiceCalls.get(), 1);
+  }
+
   @Test
   public void metricsAndReadinessAreServed() throws Exception {
     publish(1, "");
