Reject responses with malformed fields or an unclear length

Cause: the codec ends a name at a blank and skips what follows, up to the colon. A folded line became part of the field before it, which RFC 9112, section 5.2, allows a gateway to reject. A transfer coding other than chunked was removed and its bytes delivered as they were. All control characters, bare carriage returns and line feeds, and names without a colon were rejected by the codec already; their rows stay. Change: the scanner judges the fields of responses as it did those of requests (FieldLine, BodyFraming), and control characters other than tabs in any line of both; for requests the codec refused these after it. Ruled out: a check of names behind the codec, which sees its own names.

--- a/src/main/java/org/radishpost/http/BodyFraming.java
+++ b/src/main/java/org/radishpost/http/BodyFraming.java
@@ -1,12 +1,12 @@
 package org.radishpost.http;
 
-import java.util.Locale;
 import java.util.Optional;
 
 /** The body framing that the header fields of a message define. */
 final class BodyFraming {
   private static final int ABSENT = -1;
-  private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
+  private static final String CONTENT_LENGTH = "content-length";
+  private static final String TRANSFER_ENCODING = "transfer-encoding";
 
   private long contentLength = ABSENT;
   private boolean chunked;
@@ -14,19 +14,21 @@
 
   /** Processes one header field line. Returns what is wrong with it, if anything. */
   Optional<MessageFault> addField(String line) {
-    int colon = line.indexOf(':');
-    if (line.charAt(0) == ' ' || line.charAt(0) == '\t') {
-      return Optional.of(MessageFault.LINE_FOLDING);
+    Optional<MessageFault> fault = FieldLine.fault(line);
+    if (fault.isPresent()) {
+      return fault;
     }
-    if (colon < 1 || !isToken(line, colon)) {
-      return Optional.of(MessageFault.FIELD_NAME);
+    int colon = line.indexOf(':');
+    if (isNamed(line, colon, CONTENT_LENGTH)) {
+      return addContentLength(line.substring(colon + 1).strip());
     }
-    String value = line.substring(colon + 1).strip();
-    return switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
-      case "content-length" -> addContentLength(value);
-      case "transfer-encoding" -> addTransferEncoding(value);
-      default -> Optional.empty();
-    };
+    return isNamed(line, colon, TRANSFER_ENCODING)
+        ? addTransferEncoding(line.substring(colon + 1).strip())
+        : Optional.empty();
+  }
+
+  private static boolean isNamed(String line, int colon, String name) {
+    return colon == name.length() && line.regionMatches(true, 0, name, 0, colon);
   }
 
   /**
@@ -51,17 +53,6 @@
     return Math.max(0, contentLength);
   }
 
-  private static boolean isToken(String line, int end) {
-    for (int i = 0; i < end; i++) {
-      char c = line.charAt(i);
-      boolean letterOrDigit = c >= '0' && c <= '9' || (c | 0x20) >= 'a' && (c | 0x20) <= 'z';
-      if (!letterOrDigit && TOKEN_PUNCTUATION.indexOf(c) < 0) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private Optional<MessageFault> addContentLength(String value) {
     if (contentLength != ABSENT || !value.matches("[0-9]{1,18}")) {
       return Optional.of(MessageFault.CONTENT_LENGTH);
--- a/src/main/java/org/radishpost/http/FramingScanner.java
+++ b/src/main/java/org/radishpost/http/FramingScanner.java
@@ -11,6 +11,7 @@
  * <p>There is one instance per connection, used by the event loop thread of the connection.
  */
 final class FramingScanner {
+  private static final byte DEL = 0x7f;
   private static final int MAX_LINE_BYTES = 65_536;
   private static final int MAX_CHUNK_SIZE_LINE_BYTES = 256;
 
@@ -95,8 +96,8 @@
       afterCarriageReturn = true;
       return Optional.empty();
     }
-    if (value == 0) {
-      return Optional.of(MessageFault.NUL_BYTE);
+    if (value >= 0 && value < ' ' && value != '\t' || value == DEL) {
+      return Optional.of(MessageFault.CONTROL_CHARACTER);
     }
     if (state == State.CHUNK_END) {
       return Optional.of(MessageFault.CHUNK_END);
@@ -158,14 +159,14 @@
   }
 
   private Optional<MessageFault> header(String text) {
-    Optional<MessageFault> fault = text.isEmpty() ? framing.fault() : framing.addField(text);
-    if (fault.isPresent() && kind instanceof MessageKind.Requests) {
-      return fault;
+    if (!text.isEmpty()) {
+      return framing.addField(text);
     }
-    if (text.isEmpty()) {
+    Optional<MessageFault> fault = framing.fault();
+    if (fault.isEmpty()) {
       startBody();
     }
-    return Optional.empty();
+    return fault;
   }
 
   private void startBody() {
--- a/src/main/java/org/radishpost/http/MessageFault.java
+++ b/src/main/java/org/radishpost/http/MessageFault.java
@@ -6,8 +6,8 @@
   BARE_CARRIAGE_RETURN("A carriage return is not followed by a line feed."),
   /** A line ends with a line feed only. */
   BARE_LINE_FEED("A line feed is not preceded by a carriage return."),
-  /** A line has a NUL byte in it. */
-  NUL_BYTE("A line contains a NUL byte."),
+  /** A line has a control character in it that is not a tab. */
+  CONTROL_CHARACTER("A line contains a control character."),
   /** A line exceeds the limit. */
   LONG_LINE("A line is too long."),
   /** The first line of a response is not its version, status and reason phrase. */
--- a/src/test/java/org/radishpost/http/FramingScannerTest.java
+++ b/src/test/java/org/radishpost/http/FramingScannerTest.java
@@ -46,6 +46,11 @@
       {HEAD + "Transfer-Encoding: chunked\r\n\r\n1111111111111111\r\n", -1},
       {HEAD + "X: a\rb\r\n\r\n", -1},
       {HEAD + "X: a\0\r\n\r\n", -1},
+      {HEAD + "X: a\u0001b\r\n\r\n", -1},
+      {HEAD + "X: a\u007fb\r\n\r\n", -1},
+      {HEAD + "X: \ta\tb\t\r\n\r\n", 1},
+      {HEAD + "X: é\u0080ÿ\r\n\r\n", 1},
+      {HEAD + "!#$%&'*+-.^_`|~09azAZ: v\r\n\r\n", 1},
       {BODILESS + "GET /b HTTP/1.1\nHost: h\r\n\r\n", -1},
     };
   }
--- a/src/test/java/org/radishpost/http/MalformedResponseTest.java
+++ b/src/test/java/org/radishpost/http/MalformedResponseTest.java
@@ -79,6 +79,77 @@
     assertEquals(call(method, line + "\r\n" + FIELDS + BODY), LOST);
   }
 
+  /** Returns lines that are not fields by the grammar, or that do not tell where the body ends. */
+  @DataProvider
+  public Object[][] malformedFieldLines() {
+    return forEachMethod(
+        "X A: v",
+        "X\tA: v",
+        "X-A : v",
+        "X-A\t: v",
+        " X-A: v",
+        "\tX-A: v",
+        " ",
+        "X\u0001A: v",
+        "\u0001X-A: v",
+        "X-A\u0001: v",
+        "X\0A: v",
+        "\u007fX-A: v",
+        "X-A\u000b: v",
+        "X\rA: v",
+        "X\nA: v",
+        "X(A): v",
+        "Xé: v",
+        "X-A",
+        ": v",
+        "X-A: v\0w",
+        "X-A: \u0001",
+        "X-A: v\u001f",
+        "X-A: v\u007fw",
+        "X-A: v\rw",
+        "X-A: v\nX-B: w",
+        "Content-Length : 5",
+        "Content-Length\t: 3",
+        "Content-Length: 3",
+        "Content-Length: 5, 5",
+        "Content-Length: +5",
+        "Content-Length: -1",
+        "Content-Length: 0x5",
+        "Content-Length:",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding: chunked",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: gzip, chunked");
+  }
+
+  /** Such a line was delivered, or was not believed when the end of the body was looked for. */
+  @Test(dataProvider = "malformedFieldLines")
+  public void responseWithMalformedFieldLineIsNotDelivered(String method, String line)
+      throws Exception {
+    assertEquals(call(method, OK + line + "\r\n" + BODY), LOST);
+  }
+
+  /** Returns fields that do not tell where the body ends, without another that does. */
+  @DataProvider
+  public Object[][] unclearLengths() {
+    return forEachMethod(
+        "Content-Length : 5",
+        "Content-Length\t: 3",
+        "Content Length: 5",
+        "Content-Length: 5\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 4",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, gzip");
+  }
+
+  /** The body was delivered cut, or with bytes that are not part of it. */
+  @Test(dataProvider = "unclearLengths")
+  public void responseOfUnclearLengthIsNotDelivered(String method, String fields) throws Exception {
+    assertEquals(call(method, OK + fields + "\r\n\r\nhello"), LOST);
+  }
+
   /** Returns responses that are valid, however odd, and the text that is delivered. */
   @DataProvider
   public Object[][] validResponses() {
