Reject responses with malformed chunk sizes or trailers

A response with a blank before, within or behind a chunk size was delivered, or a trailer whose name had a blank in it or behind it, under another name. Cause: the codec forgives here as in heads. Change: the scanner reads the chunks of responses as it does those of requests, and the lines of both trailers as fields.

--- a/src/main/java/org/radishpost/http/FramingScanner.java
+++ b/src/main/java/org/radishpost/http/FramingScanner.java
@@ -121,10 +121,7 @@
         state = State.CHUNK_SIZE;
         yield Optional.empty();
       }
-      case TRAILER_SECTION -> {
-        state = text.isEmpty() ? State.START_LINE : State.TRAILER_SECTION;
-        yield Optional.empty();
-      }
+      case TRAILER_SECTION -> trailer(text);
       case FIXED_BODY, CHUNK_DATA -> Optional.empty();
     };
   }
@@ -171,7 +168,7 @@
 
   private void startBody() {
     ResponseFraming bodyFraming = bodyFraming();
-    if (bodyFraming == ResponseFraming.CHUNKED && kind instanceof MessageKind.Requests) {
+    if (bodyFraming == ResponseFraming.CHUNKED) {
       state = State.CHUNK_SIZE;
       return;
     }
@@ -182,8 +179,8 @@
   private long bodyBytes(ResponseFraming bodyFraming) {
     return switch (bodyFraming) {
       case LENGTH -> framing.bodyBytes();
-      case CHUNKED, CLOSE -> ENDLESS;
-      case NONE, BODILESS -> 0;
+      case CLOSE -> ENDLESS;
+      case NONE, BODILESS, CHUNKED -> 0;
     };
   }
 
@@ -199,7 +196,7 @@
 
   private Optional<MessageFault> chunkSize(String text) {
     int end = text.indexOf(';');
-    String digits = end < 0 ? text : text.substring(0, end);
+    String digits = end < 0 ? text : text.substring(0, end).stripTrailing();
     if (!CHUNK_SIZE.matcher(digits).matches()) {
       return Optional.of(MessageFault.CHUNK_SIZE);
     }
@@ -208,6 +205,14 @@
     return Optional.empty();
   }
 
+  private Optional<MessageFault> trailer(String text) {
+    if (!text.isEmpty()) {
+      return FieldLine.fault(text);
+    }
+    state = State.START_LINE;
+    return Optional.empty();
+  }
+
   /**
    * A framing fault.
    *
--- a/src/test/java/org/radishpost/http/MalformedResponseTest.java
+++ b/src/test/java/org/radishpost/http/MalformedResponseTest.java
@@ -150,6 +150,43 @@
     assertEquals(call(method, OK + fields + "\r\n\r\nhello"), LOST);
   }
 
+  /** Returns chunks and trailers that the grammar does not allow. */
+  @DataProvider
+  public Object[][] malformedChunks() {
+    return new Object[][] {
+      {" 5\r\nhello\r\n0\r\n\r\n"},
+      {"5 \r\nhello\r\n0\r\n\r\n"},
+      {"+5\r\nhello\r\n0\r\n\r\n"},
+      {"-5\r\nhello\r\n0\r\n\r\n"},
+      {"0x5\r\nhello\r\n0\r\n\r\n"},
+      {"5x\r\nhello\r\n0\r\n\r\n"},
+      {"5 5\r\nhello\r\n0\r\n\r\n"},
+      {"\r\n5\r\nhello\r\n0\r\n\r\n"},
+      {";a\r\nhello\r\n0\r\n\r\n"},
+      {"5\nhello\r\n0\r\n\r\n"},
+      {"5\u0001\r\nhello\r\n0\r\n\r\n"},
+      {"5;a=\u0001\r\nhello\r\n0\r\n\r\n"},
+      {"0000000000000005\r\nhello\r\n0\r\n\r\n"},
+      {"3\r\nhello\r\n0\r\n\r\n"},
+      {"5\r\nhello0\r\n\r\n"},
+      {"5\r\nhello\r\n\r\n0\r\n\r\n"},
+      {"5\r\nhello\r\n \r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX A: v\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX-A : v\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\n X-A: v\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX-A\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX\u0001A: v\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX-A: v\0\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX-A: v\rw\r\n\r\n"},
+      {"5\r\nhello\r\n0\r\nX-A: v\n\r\n"},
+    };
+  }
+
+  @Test(dataProvider = "malformedChunks")
+  public void responseWithMalformedChunksIsNotDelivered(String chunks) throws Exception {
+    assertEquals(call("GET", OK + "Transfer-Encoding: chunked\r\n\r\n" + chunks), LOST);
+  }
+
   /** Returns responses that are valid, however odd, and the text that is delivered. */
   @DataProvider
   public Object[][] validResponses() {
