Count and report malformed responses by reason

The summary of surplus responses became ResponseSummary, for both; the store's error says that its response cannot be used, and why, in place of "cannot be reached". Ruled out: an event for each response, which a target in trouble could make thousands of a second. Result: the read of EntryEndToEndTest is counted once, by its reason.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -103,6 +103,8 @@
   TARGET_CRASHED(5012, Level.WARN),
   /** A target has sent responses that no request waited for. */
   TARGET_SURPLUS(5013, Level.WARN),
+  /** A target has sent malformed responses. */
+  TARGET_MALFORMED(5014, Level.WARN),
 
   /** This VM has read a claim stream to its end and can decide claims for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -91,7 +91,7 @@
   private final TargetDirectory directory;
   private final EntryReadiness readiness;
   private final LoadSummary loadSummary;
-  private final SurplusSummary surplusSummary;
+  private final ResponseFaultReports responseFaults;
   private final CrashHistory crashes;
   private final ByteBudget responseBudget =
       new ByteBudget(Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
@@ -131,7 +131,6 @@
         new EventLog(settings.vm(), hybridClock, new Timeline(MAX_TIMELINE_EVENTS), metrics);
     this.directory = new TargetDirectory(events);
     this.loadSummary = new LoadSummary(metrics, events, TICK_INTERVAL);
-    this.surplusSummary = new SurplusSummary(this::targetName, events);
     this.crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
     metrics.registerCrashes(crashes);
     this.readiness = new EntryReadiness(() -> configuration.version() > 0, directory::loaded);
@@ -147,15 +146,18 @@
             clock,
             loops);
     metrics.registerResponses(responseBudget, sender.counters());
-    sender.counters().received().subscribe(surplusSummary::record);
+    metrics.registerMalformedResponses("target", sender.counters());
+    this.responseFaults = new ResponseFaultReports(sender.counters(), this::targetName, events);
     this.relay = new Relay(settings.place(), createSlotBroker(), crashes);
     TcpRelayDialer relayDialer = new TcpRelayDialer(clock, loops);
     this.slotClient =
         new SlotClient(
             settings.place().zone(), relayDialer, clock, createRandom(), events, crashes);
+    StoreClient storeClient = new StoreClient(store, clock, loops);
+    metrics.registerMalformedResponses("store", storeClient.counters());
     this.platformFeed =
         new PlatformFeed(
-            new StoreClient(store, clock, loops),
+            storeClient,
             () -> this.settings.zones(),
             this::onConfiguration,
             directory,
@@ -276,7 +278,7 @@
 
   private void tick() {
     loadSummary.tick(clock.now(TimeUnit.NANOSECONDS));
-    surplusSummary.tick();
+    responseFaults.tick();
     directory.removeExpired(clock.now(TimeUnit.NANOSECONDS));
     relay.tick(!stopping && !follower.isFollowing() && platformFeed.isStoreReachable());
     follower.tick();
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -14,6 +14,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.http.ByteBudget;
 import org.radishpost.http.CallResult;
+import org.radishpost.http.MessageFault;
 import org.radishpost.http.Response;
 import org.radishpost.http.ResponseCounters;
 import org.radishpost.http.SurplusResponse;
@@ -108,6 +109,19 @@
     }
   }
 
+  /**
+   * Registers the numbers of malformed responses.
+   *
+   * @param sender what sent them
+   */
+  void registerMalformedResponses(String sender, ResponseCounters counters) {
+    for (MessageFault reason : MessageFault.values()) {
+      registry.register(
+          "responses.malformed;sender=" + sender + ";reason=" + reason,
+          new SuppliedCounter(() -> counters.malformed(reason)));
+    }
+  }
+
   void recordCall(Response response, long durationNanos) {
     callMicros.update(TimeUnit.NANOSECONDS.toMicros(durationNanos));
     if (response.refusalVerdict().isEmpty()) {
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
+import java.net.ProtocolException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -67,6 +68,7 @@
   private final Scheduler clock;
   private final LoopResources loops;
   private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+  private final ResponseCounters counters = new ResponseCounters();
   private final BodyCollector collector =
       new BodyCollector(
           new ByteBudget(MAX_HELD_BYTES), MAX_RESPONSE_BYTES, StoreClient::responseTooLarge);
@@ -84,12 +86,16 @@
     this.loops = loops;
   }
 
+  /** Returns the counters of the responses that were dropped, malformed or cut. */
+  public ResponseCounters counters() {
+    return counters;
+  }
+
   private HttpClient createClient(String topic) {
     ConnectionProvider connections =
         ConnectionProvider.create("store-" + topic, MAX_CONNECTIONS_PER_TOPIC);
     HttpClient protectedClient =
-        ResponseHandlers.protect(
-            HttpClient.create(connections), Optional.empty(), new ResponseCounters());
+        ResponseHandlers.protect(HttpClient.create(connections), Optional.empty(), counters);
     return NameResolution.disable(TcpKeepAlive.enable(protectedClient))
         .runOn(loops)
         .disableRetry(true)
@@ -251,6 +257,9 @@
       case RadishpostException known -> known;
       case TimeoutException late ->
           new StoreException("The store did not respond in time: retry later.", late);
+      case ProtocolException unusable ->
+          new StoreException(
+              "The response of the store cannot be used, " + unusable.getMessage(), unusable);
       default ->
           new StoreException("The store cannot be reached: check the network path to it.", error);
     };
--- a/src/test/java/org/radishpost/node/SurplusSummaryTest.java
+++ b/src/test/java/org/radishpost/node/ResponseSummaryTest.java
@@ -5,22 +5,26 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
-import org.radishpost.http.ReceivedSurplus;
 import org.radishpost.http.SurplusResponse;
 import org.radishpost.lib.Endpoint;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests the events for targets that respond more than once. */
-public class SurplusSummaryTest {
+/** Tests the events for targets that send faulty responses. */
+public class ResponseSummaryTest {
   private static final Endpoint FIRST = new Endpoint("127.0.0.1", 1);
   private static final Endpoint SECOND = new Endpoint("127.0.0.1", 2);
 
   private final List<List<EventField>> emitted = new ArrayList<>();
-  private final SurplusSummary summary =
-      new SurplusSummary(
-          address -> "i-" + address.port(), (code, fields) -> emitted.add(Arrays.asList(fields)));
+  private final ResponseSummary<SurplusResponse> summary =
+      new ResponseSummary<>(
+          SurplusResponse.class,
+          EventCode.TARGET_SURPLUS,
+          "moments",
+          address -> "i-" + address.port(),
+          (code, fields) -> emitted.add(Arrays.asList(fields)));
 
   /** Removes the events of earlier tests. */
   @BeforeMethod
@@ -29,17 +33,17 @@
   }
 
   private void endInterval() {
-    for (int i = 0; i < SurplusSummary.TICKS_PER_SUMMARY; i++) {
+    for (int i = 0; i < ResponseSummary.TICKS_PER_SUMMARY; i++) {
       summary.tick();
     }
   }
 
   @Test
   public void eachTargetIsReportedOnceInAnInterval() {
-    summary.record(new ReceivedSurplus(FIRST, SurplusResponse.IDLE_WITH_ID));
-    summary.record(new ReceivedSurplus(SECOND, SurplusResponse.WITHIN_BODY));
-    summary.record(new ReceivedSurplus(FIRST, SurplusResponse.IDLE_WITH_ID));
-    summary.record(new ReceivedSurplus(FIRST, SurplusResponse.WAITING_WITHOUT_ID));
+    summary.record(FIRST, SurplusResponse.IDLE_WITH_ID);
+    summary.record(SECOND, SurplusResponse.WITHIN_BODY);
+    summary.record(FIRST, SurplusResponse.IDLE_WITH_ID);
+    summary.record(FIRST, SurplusResponse.WAITING_WITHOUT_ID);
     endInterval();
     endInterval();
     assertEquals(
@@ -51,12 +55,11 @@
 
   @Test
   public void numberOfTargetsInAnIntervalIsLimited() {
-    for (int port = 1; port <= 2 * SurplusSummary.MAX_SENDERS; port++) {
-      summary.record(
-          new ReceivedSurplus(new Endpoint("127.0.0.1", port), SurplusResponse.IDLE_WITH_ID));
+    for (int port = 1; port <= 2 * ResponseSummary.MAX_SENDERS; port++) {
+      summary.record(new Endpoint("127.0.0.1", port), SurplusResponse.IDLE_WITH_ID);
     }
     endInterval();
-    assertEquals(emitted.size(), SurplusSummary.MAX_SENDERS);
+    assertEquals(emitted.size(), ResponseSummary.MAX_SENDERS);
   }
 
   private static List<EventField> report(String target, int responses, String moments) {
--- a/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
@@ -245,6 +245,11 @@
     awaitReady();
     assertEquals(get(node.frontAddress(), "/broken/reads/x").statusCode(), 200);
     assertEquals(brokenServiceCalls.get(), 2);
+    String metrics = get(node.metricsAddress(), "/metrics").body();
+    assertTrue(
+        metrics.contains(
+            "radishpost_responses_malformed_total{reason=\"STATUS_CODE\",sender=\"target\"} 1\n"),
+        metrics);
   }
 
   /** The target may have run it, so it is not sent again, and the caller is told so. */
