Test malformed heads on all connections that read responses

Brokers and relays talk MessagePack over frames of their own. The commands train and demo read their own processes, the load driver of the bench its target.

--- a/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
+++ b/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
@@ -11,6 +11,7 @@
 import org.radishpost.http.CallBody;
 import org.radishpost.http.HttpSender;
 import org.radishpost.http.LateServer;
+import org.radishpost.http.MalformedHeads;
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
 import org.radishpost.http.SenderOptions;
@@ -23,6 +24,7 @@
 import org.radishpost.platform.WireNames;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.netty.resources.LoopResources;
 import reactor.test.scheduler.VirtualTimeScheduler;
@@ -75,6 +77,17 @@
         0);
   }
 
+  private static TrackedTarget track(LateServer server) {
+    TargetDirectory directory = new TargetDirectory((code, fields) -> {});
+    directory.replaceAll(List.of(target(server)), 0);
+    return directory.find(new TargetId("t")).orElseThrow();
+  }
+
+  private LoadProber prober() {
+    return new LoadProber(
+        sender, protocol, clock, new ServiceBudget(() -> 1, 10), (code, fields) -> {});
+  }
+
   /** Returns a response whose load names the number of the request; only the first is repeated. */
   private LateServer.Answer numberedLoad(String head) {
     int number = requests.incrementAndGet();
@@ -89,12 +102,8 @@
   @Test
   public void lateLoadIsReplacedByNextProbe() throws Exception {
     try (LateServer server = new LateServer(this::numberedLoad)) {
-      TargetDirectory directory = new TargetDirectory((code, fields) -> {});
-      directory.replaceAll(List.of(target(server)), 0);
-      TrackedTarget tracked = directory.find(new TargetId("t")).orElseThrow();
-      LoadProber prober =
-          new LoadProber(
-              sender, protocol, clock, new ServiceBudget(() -> 1, 10), (code, fields) -> {});
+      TrackedTarget tracked = track(server);
+      LoadProber prober = prober();
       for (int probe = 1; probe <= 3; probe++) {
         awaitIdleConnections();
         prober.probe(List.of(tracked), reached -> true, TIMEOUT).toFuture().get();
@@ -104,6 +113,24 @@
     }
   }
 
+  /** Returns responses to a probe whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedHeads() {
+    return MalformedHeads.rows(
+        "HTTP/1.1 200 OK\r\nX-Instance-Id: t\r\nX-Upstream-Load: 1,0,9\r\n"
+            + "Content-Length: 0\r\n\r\n");
+  }
+
+  @Test(dataProvider = "malformedHeads")
+  public void loadInMalformedResponseIsNotBelieved(String bytes) throws Exception {
+    try (LateServer server = new LateServer(head -> LateServer.Answer.last(bytes))) {
+      TrackedTarget tracked = track(server);
+      prober().probe(List.of(tracked), reached -> true, TIMEOUT).toFuture().get();
+      assertEquals(tracked.lastSample(), Optional.empty());
+      assertEquals(tracked.suspended(clock.now(TimeUnit.NANOSECONDS)), true);
+    }
+  }
+
   /** Returns a refusal of a probe, twice, or the success of a call. */
   private LateServer.Answer refusalOrSuccess(String head) {
     return requests.incrementAndGet() == 1
--- a/src/test/java/org/radishpost/http/HopTest.java
+++ b/src/test/java/org/radishpost/http/HopTest.java
@@ -192,6 +192,24 @@
     assertEquals(results, expected);
   }
 
+  /** Returns responses of an owner whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedHeads() {
+    return MalformedHeads.rows(
+        "HTTP/1.1 200 OK\r\nradishpost-hop-result: answered\r\nContent-Length: 1\r\n\r\n1");
+  }
+
+  @Test(dataProvider = "malformedHeads")
+  public void malformedResponseOfOwnerIsLost(String malformed) throws Exception {
+    try (LateServer owner =
+        new LateServer(
+            head ->
+                LateServer.Answer.last(malformed.replaceFirst("\r\n", "\r\n" + hopIdLine(head))))) {
+      assertEquals(
+          summary(send(call(CallBody.buffered(new byte[0]), "k"), owner.address())), "Lost");
+    }
+  }
+
   /** Waits until the only thread has returned the connections of earlier calls to their pool. */
   private void awaitIdleConnections() throws Exception {
     senderLoops.onClient(true).next().submit(() -> {}).get();
--- a/src/test/java/org/radishpost/pgm/AdminClientTest.java
+++ b/src/test/java/org/radishpost/pgm/AdminClientTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
 import org.radishpost.http.LateServer;
+import org.radishpost.http.MalformedHeads;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -36,6 +37,20 @@
     assertEquals(acceptedVersion(body), Optional.empty());
   }
 
+  /** Returns responses to a change whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedHeads() {
+    return MalformedHeads.rows(LateServer.response("200 OK", "{\"version\":7}"));
+  }
+
+  @Test(dataProvider = "malformedHeads")
+  public void responseWithMalformedHeadIsNoResponse(String bytes) throws Exception {
+    try (LateServer vm = new LateServer(head -> LateServer.Answer.last(bytes))) {
+      AdminClient client = new AdminClient(vm.address(), "token");
+      assertEquals(client.sendChange(HttpMethod.PUT, "/v1/change", new byte[0]), Optional.empty());
+    }
+  }
+
   /** Returns what follows the response to a change, and the version that is reported. */
   @DataProvider
   public Object[][] bytesBehind() {
--- a/src/test/java/org/radishpost/platform/SecondStoreResponseTest.java
+++ b/src/test/java/org/radishpost/platform/SecondStoreResponseTest.java
@@ -11,6 +11,7 @@
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.errors.StoreException;
 import org.radishpost.http.LateServer;
+import org.radishpost.http.MalformedHeads;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -96,6 +97,28 @@
     assertEquals(read(bytes, store -> store.read("t", 0, Duration.ZERO)).records().size(), 2);
   }
 
+  /** Returns pages whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedPages() {
+    return MalformedHeads.rows(LateServer.response("200 OK", page(1)));
+  }
+
+  @Test(dataProvider = "malformedPages")
+  public void pageWithMalformedHeadIsError(String bytes) throws Exception {
+    assertFails(bytes, store -> store.read("t", 0, Duration.ZERO));
+  }
+
+  /** Returns snapshots whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedSnapshots() {
+    return MalformedHeads.rows(LateServer.response("200 OK", SNAPSHOT));
+  }
+
+  @Test(dataProvider = "malformedSnapshots")
+  public void snapshotWithMalformedHeadIsError(String bytes) throws Exception {
+    assertFails(bytes, store -> store.readSnapshot("t"));
+  }
+
   private void assertFails(String bytes, Read read) {
     ExecutionException error = expectThrows(ExecutionException.class, () -> read(bytes, read));
     boolean typed =
--- a/src/test/java/org/radishpost/store/http/LateLogResponseTest.java
+++ b/src/test/java/org/radishpost/store/http/LateLogResponseTest.java
@@ -10,6 +10,7 @@
 import org.radishpost.errors.LogUnavailableException;
 import org.radishpost.errors.VmListUnavailableException;
 import org.radishpost.http.LateServer;
+import org.radishpost.http.MalformedHeads;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -57,6 +58,22 @@
     }
   }
 
+  /** Returns responses to an append whose head is malformed. */
+  @DataProvider
+  public Object[][] malformedHeads() {
+    return MalformedHeads.rows(LateServer.response("200 OK", "{\"offset\":1,\"timeMillis\":1}"));
+  }
+
+  @Test(dataProvider = "malformedHeads")
+  public void outcomeOfAppendWithMalformedResponseIsUnknown(String bytes) throws Exception {
+    try (LateServer server = new LateServer(head -> LateServer.Answer.last(bytes))) {
+      HttpPlatformLog log = new HttpPlatformLog(connections, server.address(), LIMIT);
+      RuntimeException error =
+          expectThrows(RuntimeException.class, () -> log.append("a", BYTES).block());
+      assertEquals(Exceptions.unwrap(error).getClass(), AppendUnknownException.class);
+    }
+  }
+
   /** Returns a page without records, whose next offset is the number of the request. */
   private LateServer.Answer page(String head) {
     int number = requests.incrementAndGet();
