--- a/src/main/java/org/radishpost/http/BodyFraming.java
+++ b/src/main/java/org/radishpost/http/BodyFraming.java
@@ -7,11 +7,18 @@
   private static final int ABSENT = -1;
   private static final String CONTENT_LENGTH = "content-length";
   private static final String TRANSFER_ENCODING = "transfer-encoding";
+  private static final String CHUNKED = "chunked";
 
+  private final MessageKind kind;
   private long contentLength = ABSENT;
   private boolean chunked;
   private boolean hasTransferEncoding;
 
+  /** Creates the framing of a message of the given kind without fields. */
+  BodyFraming(MessageKind kind) {
+    this.kind = kind;
+  }
+
   /** Processes one header field line. Returns what is wrong with it, if anything. */
   Optional<MessageFault> addField(String line) {
     Optional<MessageFault> fault = FieldLine.fault(line);
@@ -62,11 +69,30 @@
   }
 
   private Optional<MessageFault> addTransferEncoding(String value) {
-    if (hasTransferEncoding || !value.equalsIgnoreCase("chunked")) {
+    return switch (kind) {
+      case MessageKind.Requests requests -> addOnlyCoding(value);
+      case MessageKind.Responses responses -> addCodings(value);
+    };
+  }
+
+  private Optional<MessageFault> addOnlyCoding(String coding) {
+    if (hasTransferEncoding || !coding.equalsIgnoreCase(CHUNKED)) {
       return Optional.of(MessageFault.TRANSFER_ENCODING);
     }
     hasTransferEncoding = true;
     chunked = true;
     return Optional.empty();
   }
+
+  /** Only the last coding tells where the body ends; without chunks, its connection does. */
+  private Optional<MessageFault> addCodings(String list) {
+    hasTransferEncoding = true;
+    for (String coding : list.split(",")) {
+      if (chunked) {
+        return Optional.of(MessageFault.CHUNKED_NOT_LAST);
+      }
+      chunked = coding.strip().equalsIgnoreCase(CHUNKED);
+    }
+    return Optional.empty();
+  }
 }
--- a/src/main/java/org/radishpost/http/FramingScanner.java
+++ b/src/main/java/org/radishpost/http/FramingScanner.java
@@ -24,7 +24,7 @@
   private final StringBuilder line = new StringBuilder();
   private State state = State.START_LINE;
   private int status;
-  private BodyFraming framing = new BodyFraming();
+  private BodyFraming framing;
   private long remainingBytes;
   private boolean afterCarriageReturn;
 
@@ -41,6 +41,7 @@
   /** Creates a scanner of messages of the given kind, at the beginning of the first one. */
   FramingScanner(MessageKind kind) {
     this.kind = kind;
+    this.framing = new BodyFraming(kind);
   }
 
   /**
@@ -151,7 +152,7 @@
   }
 
   private void startHead() {
-    framing = new BodyFraming();
+    framing = new BodyFraming(kind);
     state = State.HEADER_SECTION;
   }
 
--- a/src/main/java/org/radishpost/http/MessageFault.java
+++ b/src/main/java/org/radishpost/http/MessageFault.java
@@ -20,8 +20,10 @@
   FIELD_NAME("A header field name is not a valid token."),
   /** The length of the body is not clear. */
   CONTENT_LENGTH("Content-Length occurs more than once or is not a number."),
-  /** The body has a transfer coding that the recipient does not know. */
+  /** The body of a request has another transfer coding than chunks. */
   TRANSFER_ENCODING("Transfer-Encoding is not exactly one chunked coding."),
+  /** The chunks of a response are coded once more. */
+  CHUNKED_NOT_LAST("Transfer-Encoding has another coding behind the chunked one."),
   /** The body has two ways to find its end. */
   CONFLICTING_LENGTHS("Both Content-Length and Transfer-Encoding are present."),
   /** The size of a chunk is not clear. */
