Compile the pattern of content lengths once

Callers saw: nothing. It was compiled for each request; since for each response too, whose processor time the deployments pay for. Read, not measured on its own.

--- a/src/main/java/org/radishpost/http/BodyFraming.java
+++ b/src/main/java/org/radishpost/http/BodyFraming.java
@@ -1,6 +1,7 @@
 package org.radishpost.http;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** The body framing that the header fields of a message define. */
 final class BodyFraming {
@@ -8,6 +9,7 @@
   private static final String CONTENT_LENGTH = "content-length";
   private static final String TRANSFER_ENCODING = "transfer-encoding";
   private static final String CHUNKED = "chunked";
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
   private final MessageKind kind;
   private long contentLength = ABSENT;
@@ -61,7 +63,7 @@
   }
 
   private Optional<MessageFault> addContentLength(String value) {
-    if (contentLength != ABSENT || !value.matches("[0-9]{1,18}")) {
+    if (contentLength != ABSENT || !LENGTH.matcher(value).matches()) {
       return Optional.of(MessageFault.CONTENT_LENGTH);
     }
     contentLength = Long.parseLong(value);
