Record the framing of whole heads only

Callers saw: nothing. Cause: when a connection ends amid a head, the codec makes up a response of the fields that it has, and its framing was recorded for the log, before or after the test read it.

--- a/src/main/java/org/radishpost/http/ResponseEndHandler.java
+++ b/src/main/java/org/radishpost/http/ResponseEndHandler.java
@@ -81,7 +81,9 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (message instanceof HttpResponse response) {
       framing = ResponseFraming.of(method, response);
-      Exchange.of(context.channel()).ifPresent(exchange -> exchange.recordFraming(framing));
+      if (response.decoderResult().isSuccess()) {
+        Exchange.of(context.channel()).ifPresent(exchange -> exchange.recordFraming(framing));
+      }
       if (framing == ResponseFraming.CLOSE) {
         HttpUtil.setKeepAlive(response, false);
       }
