--- a/review/standin-2/PipelinedReads.java
+++ b/review/standin-2/PipelinedReads.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients send reads behind each other on kept connections while an upstream cuts a few of its
+ * Clients send reads behind each other on kept connections while some upstreams cut a few of their
  * responses, which are larger than an entry buffers. A read that a sound upstream has got must have
  * its answer.
  */
@@ -18,7 +18,8 @@
   private static final int RESPONSE_BYTES = 400_000;
   private static final double CUT_SHARE = 0.018;
   private static final int CUTTING_UPSTREAMS = 3;
-  private static final double FAULT_SECONDS = 5;
+  private static final int PERIODS = 5;
+  private static final double PERIOD_SECONDS = 5;
   private static final int CLIENTS = 16;
   private static final int READS_AT_ONCE = 4;
   private static final long CALM_MILLIS = 3_500;
@@ -42,17 +43,21 @@
   public boolean isBroken(Deployment deployment, Record record, boolean trouble) throws Exception {
     deployment.upstreams().forEach(upstream -> upstream.setResponseBytes(RESPONSE_BYTES));
     Thread.sleep(CALM_MILLIS);
-    List<Upstream> cutting = deployment.upstreams().subList(0, CUTTING_UPSTREAMS);
-    if (trouble) {
-      cutting.forEach(upstream -> upstream.setCutShare(CUT_SHARE));
-      record.add("three of seven upstreams cut %.3f of their responses", CUT_SHARE);
-    }
-    double end = record.seconds() + FAULT_SECONDS;
+    double end = record.seconds() + PERIODS * PERIOD_SECONDS;
     List<Thread> clients = new ArrayList<>();
     for (int client = 0; client < CLIENTS; client++) {
       int number = client;
       clients.add(Thread.ofVirtual().start(() -> runClient(deployment, record, number, end)));
     }
+    for (int period = 0; period < PERIODS; period++) {
+      List<Upstream> cutting = deployment.upstreams().subList(period, period + CUTTING_UPSTREAMS);
+      if (trouble) {
+        cutting.forEach(upstream -> upstream.setCutShare(CUT_SHARE));
+        record.add("three upstreams from %s on cut part of their responses", cutting.get(0).id());
+      }
+      Scenario.sleepUntil(record, end - (PERIODS - 1 - period) * PERIOD_SECONDS);
+      cutting.forEach(upstream -> upstream.setCutShare(0));
+    }
     for (Thread client : clients) {
       client.join();
     }
