Show that SIGHUP during the start ends an entry

Cause: EntryCommand installs the handler of SIGHUP after EntryNode.start. Until then the handler of the Java runtime ends the process.

The stand-ins send SIGHUP and add entries now. Nothing is mended.

--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -57,25 +57,38 @@
       upstreams.add(upstream);
     }
     for (int i = 0; i < ENTRIES; i++) {
-      entries.add(new EntryProcess("edge-" + i, ip(i), directory));
+      addEntry();
     }
-    for (int i = 0; i < ENTRIES; i++) {
-      entries.get(i).start(settings(i));
+    for (EntryProcess entry : entries) {
+      writeSettings(entry, RELAYS);
+      entry.start();
     }
     awaitReady();
     record.add("all entries are ready");
   }
 
+  /** Adds a machine whose entry is not started yet. */
+  EntryProcess addEntry() {
+    int number = entries.size();
+    EntryProcess entry = new EntryProcess("edge-" + number, ip(number), directory);
+    entries.add(entry);
+    return entry;
+  }
+
+  /** Writes the settings file of an entry, with the first entries as seeds. */
+  void writeSettings(EntryProcess entry, int seedCount) throws IOException {
+    entry.writeSettings(settings(entry, seedCount));
+  }
+
   /** Returns a loopback address that depends on the process, so that runs can be parallel. */
   private static String ip(int number) {
     long pid = ProcessHandle.current().pid();
     return "127." + (50 + pid % 150) + "." + (pid / 150 % 200) + "." + (10 + number);
   }
 
-  private String settings(int number) {
-    EntryProcess entry = entries.get(number);
+  private String settings(EntryProcess entry, int seedCount) {
     String seeds =
-        entries.subList(0, RELAYS).stream()
+        entries.subList(0, seedCount).stream()
             .map(relay -> '"' + relay.control() + '"')
             .collect(Collectors.joining(","));
     return """
@@ -92,7 +105,7 @@
         .formatted(
             entry.name(),
             entry.front().substring(0, entry.front().indexOf(':')),
-            ZONES.get(number % ZONES.size()),
+            ZONES.get(entries.indexOf(entry) % ZONES.size()),
             entry.front(),
             entry.readiness(),
             entry.control(),
@@ -100,7 +113,8 @@
             store.address());
   }
 
-  private void awaitReady() throws Exception {
+  /** Waits until all entries are ready. */
+  void awaitReady() throws Exception {
     double giveUp = record.seconds() + START_TIMEOUT_SECONDS;
     while (!entries.stream().allMatch(EntryProcess::isReady)) {
       if (record.seconds() > giveUp || !entries.stream().allMatch(EntryProcess::isAlive)) {
--- a/review/standin-2/EntryProcess.java
+++ b/review/standin-2/EntryProcess.java
@@ -6,8 +6,11 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -45,10 +48,19 @@
     return ip + ":" + (FRONT_PORT + 2);
   }
 
-  /** Writes the settings file and starts the process in the root of the repository. */
-  void start(String settings) throws IOException {
-    Path file = directory.resolve(name + ".json");
-    Files.writeString(file, settings);
+  /** Replaces the settings file as a whole. */
+  void writeSettings(String settings) throws IOException {
+    Path newFile = directory.resolve(name + ".new");
+    Files.writeString(newFile, settings);
+    Files.move(newFile, settingsFile(), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  private Path settingsFile() {
+    return directory.resolve(name + ".json");
+  }
+
+  /** Starts the process in the root of the repository. */
+  void start() throws IOException {
     Matcher run = RUN_LINE.matcher(Files.readString(Path.of("deploy/system.toml")));
     if (!run.find()) {
       throw new IOException("deploy/system.toml has no run line");
@@ -56,7 +68,7 @@
     ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" "));
     Map<String, String> environment = builder.environment();
     environment.keySet().retainAll(INHERITED);
-    environment.put("RADISHPOST_CONFIG", file.toString());
+    environment.put("RADISHPOST_CONFIG", settingsFile().toString());
     File log = directory.resolve(name + ".log").toFile();
     process = builder.redirectErrorStream(true).redirectOutput(log).start();
   }
@@ -76,6 +88,22 @@
     }
   }
 
+  /** Sends SIGHUP to the processes with a single command. */
+  static void hangUp(List<EntryProcess> entries) throws IOException, InterruptedException {
+    List<String> command = new ArrayList<>(List.of("kill", "-HUP"));
+    entries.forEach(entry -> command.add(String.valueOf(entry.process.pid())));
+    new ProcessBuilder(command).start().waitFor();
+  }
+
+  /** Waits for the end of the process; returns whether it has ended in time. */
+  boolean awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS);
+  }
+
+  int exitCode() {
+    return process.exitValue();
+  }
+
   void kill() {
     if (process != null) {
       process.destroyForcibly();
