Drop the case that review/4 already shows, and number the others anew

Done: review/7 is removed with its stand-in. Case 8 becomes 7, case 9 becomes 8; the stand-ins lose what nothing uses any more. SIGHUP comes 0.06 s after the start in case 8, as it came too late in some runs.

--- a/review/standin-2/ChangedSettings.java
+++ b/review/standin-2/ChangedSettings.java
@@ -12,7 +12,7 @@
   private static final int CHANGES = 5;
 
   /** The time from the start of the new entries to the next change. */
-  private static final long CHANGE_MILLIS = 120;
+  private static final long CHANGE_MILLIS = 60;
 
   /** The delay after which the platform starts an entry that has ended again. */
   private static final long RESTART_MILLIS = 300;
--- a/review/standin-2/HttpListener.java
+++ b/review/standin-2/HttpListener.java
@@ -23,7 +23,7 @@
   /** Responds to one request. */
   interface Handler {
     /** Writes the response; returns whether the connection stays open. */
-    boolean handle(Http.Message request, InputStream in, OutputStream out) throws Exception;
+    boolean handle(Http.Message request, OutputStream out) throws Exception;
   }
 
   HttpListener(Handler handler) {
@@ -72,7 +72,7 @@
       InputStream in = new BufferedInputStream(connection.getInputStream());
       OutputStream out = connection.getOutputStream();
       Http.Message request = Http.read(in);
-      while (request != null && handler.handle(request, in, out)) {
+      while (request != null && handler.handle(request, out)) {
         request = Http.read(in);
       }
     } catch (Exception e) {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -75,8 +74,7 @@
     return topics.computeIfAbsent(name, unused -> new ArrayList<>());
   }
 
-  private boolean handle(Http.Message request, InputStream in, OutputStream out)
-      throws Exception {
+  private boolean handle(Http.Message request, OutputStream out) throws Exception {
     String target = request.word(1);
     String path = target.substring(0, (target + "?").indexOf('?'));
     Map<String, String> query = query(target);
--- a/review/standin-2/Upstream.java
+++ b/review/standin-2/Upstream.java
@@ -1,7 +1,6 @@
 package review;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
@@ -20,6 +19,7 @@
 
   private static final int SLOTS = 8;
   private static final int QUEUE = 4;
+  private static final int WORK_MILLIS = 40;
   private static final int REPORT_INTERVAL_MILLIS = 1_500;
 
   private final String id;
@@ -31,13 +31,9 @@
   private final long bornMillis = System.currentTimeMillis();
   private final Semaphore slots = new Semaphore(SLOTS, true);
   private final AtomicInteger pending = new AtomicInteger();
-  private final AtomicInteger runs = new AtomicInteger();
   private int sequence;
-  private String state = "ready";
   private boolean reporting = true;
-  private volatile int workMillis = 40;
   private volatile int responseBytes = 40;
-  private volatile double hangingShare;
   private volatile double cutShare;
   private final Set<String> ranSoundly = ConcurrentHashMap.newKeySet();
 
@@ -53,26 +49,11 @@
     return id;
   }
 
-  /** Returns the number of requests that this upstream has run. */
-  int runs() {
-    return runs.get();
-  }
-
-  /** Sets how long the work for a request takes. */
-  void setWorkMillis(int millis) {
-    workMillis = millis;
-  }
-
   /** Sets the size of the bodies of responses. */
   void setResponseBytes(int bytes) {
     responseBytes = bytes;
   }
 
-  /** Sets the share of the responses that stop in the middle while their connection stays open. */
-  void setHangingShare(double share) {
-    hangingShare = share;
-  }
-
   /** Sets the share of the responses that end in the middle, with the end of their connection. */
   void setCutShare(double share) {
     cutShare = share;
@@ -104,27 +85,12 @@
     }
   }
 
-  /** Returns the entry of the next report, which then counts as sent. */
-  synchronized String nextEntry() {
+  private String nextEntry() {
     sequence++;
     return """
         {"service":"%s","address":"%s","zone":"%s","version":"v1","concurrency":%d,\
-        "state":"%s","warmup-left-s":0,"sequence":%d,"born":%d}"""
-        .formatted(service, listener.address(), zone, SLOTS, state, sequence, bornMillis);
-  }
-
-  /** Reports that this upstream will leave. */
-  synchronized void drain() {
-    state = "draining";
-    report();
-    record.add("%s: draining, acknowledged by the store, sequence %d", id, sequence);
-  }
-
-  /** Leaves: deletes the entry and ends. */
-  void leave() {
-    stop();
-    store.put(TOPIC, id, null);
-    record.add("%s: has left", id);
+        "state":"ready","warmup-left-s":0,"sequence":%d,"born":%d}"""
+        .formatted(service, listener.address(), zone, SLOTS, sequence, bornMillis);
   }
 
   private void reportPeriodically() {
@@ -138,11 +104,9 @@
     }
   }
 
-  private boolean handle(Http.Message request, InputStream in, OutputStream out)
-      throws Exception {
+  private boolean handle(Http.Message request, OutputStream out) throws Exception {
     if (request.word(1).equals(HEALTH_PATH)) {
-      boolean healthy = isReady();
-      send(out, healthy ? "200 OK" : "503 Service Unavailable", request, "", "X-Instance-Id", id);
+      send(out, "200 OK", request, "", "X-Instance-Id", id);
       return true;
     }
     String expected = request.field("X-Expect-Instance");
@@ -158,7 +122,7 @@
     try {
       slots.acquire();
       try {
-        return run(request, in, out);
+        return run(request, out);
       } finally {
         slots.release();
       }
@@ -167,28 +131,21 @@
     }
   }
 
-  private synchronized boolean isReady() {
-    return state.equals("ready");
-  }
-
   /** Runs a request; returns whether the connection stays open. */
-  private boolean run(Http.Message request, InputStream in, OutputStream out) throws Exception {
+  private boolean run(Http.Message request, OutputStream out) throws Exception {
     String requestId = request.field("X-Request-Id");
-    boolean hangs = ThreadLocalRandom.current().nextDouble() < hangingShare;
     boolean cuts = ThreadLocalRandom.current().nextDouble() < cutShare;
-    if (hangingShare == 0 && cutShare == 0) {
+    if (cutShare == 0) {
       ranSoundly.add(requestId);
     }
-    runs.incrementAndGet();
-    String fault = hangs ? ", and hangs within its response" : cuts ? ", and cuts its response" : "";
-    record.add("%s: runs %s%s", id, requestId, fault);
-    Thread.sleep(workMillis);
+    record.add("%s: runs %s%s", id, requestId, cuts ? ", and cuts its response" : "");
+    Thread.sleep(WORK_MILLIS);
     byte[] response =
         response("200 OK", request, body(requestId), "X-Upstream-Signature", "s." + requestId);
-    if (hangs || cuts) {
+    if (cuts) {
       out.write(response, 0, response.length / 2);
       out.flush();
-      return hangs && in.read() >= 0; // Waits until the entry closes the connection.
+      return false;
     }
     out.write(response);
     out.flush();
