--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -126,7 +126,8 @@
     page.writeLong(0);
     for (StoredRecord stored : records.subList(from, records.size())) {
       byte[] key = stored.key().getBytes(StandardCharsets.UTF_8);
-      byte[] value = stored.value() == null ? NO_BODY : stored.value().getBytes(StandardCharsets.UTF_8);
+      byte[] value =
+          stored.value() == null ? NO_BODY : stored.value().getBytes(StandardCharsets.UTF_8);
       page.writeInt(1 + key.length + value.length);
       page.writeByte(key.length);
       page.write(key);
