--- a/review/standin-2/PipelinedReads.java
+++ b/review/standin-2/PipelinedReads.java
@@ -102,6 +102,7 @@
               "X-Deadline-Ms",
               String.valueOf(Client.DEADLINE_MILLIS)));
     }
+    record.add("client: sends %s0 to %s%d on one connection", prefix, prefix, READS_AT_ONCE - 1);
     socket.getOutputStream().write(requests.toByteArray());
     for (int i = 0; i < READS_AT_ONCE; i++) {
       try {
@@ -115,6 +116,7 @@
         throw e;
       }
     }
+    record.add("client: has all answers to %s0 to %s%d", prefix, prefix, READS_AT_ONCE - 1);
   }
 
   /** Counts the reads behind the one whose response was cut that a sound upstream has got. */
--- a/review/standin-2/RestoredStore.java
+++ b/review/standin-2/RestoredStore.java
@@ -70,6 +70,7 @@
       for (EntryProcess entry : deployment.entries()) {
         for (String prefix : new String[] {"/base/", "/added-14/"}) {
           String status = status(entry, prefix + number, entry.name() + prefix + number);
+          record.add("client: sent %s%d to %s, answered %s", prefix, number, entry.name(), status);
           counts.merge(entry.name() + " " + prefix + " " + status, 1, Integer::sum);
           broken |= prefix.equals("/added-14/") && status.equals("404");
         }
