Log the era and the offset that a reader of the store has reached

Change: the client decodes Store-Era (gauge store.era), and 8003, 8004 and 8005 name the era and the offset of the next record. What is read is the same. The stand-in of the store can be restored from a backup: offsets go back, the era rises, a read beyond the end gets 410 (it got an empty page).

--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -89,6 +89,11 @@
     registerTraffic("link.frames;direction=out", links, PeerTraffic::framesOut);
   }
 
+  /** Registers the newest era of the platform's store that a response has named. */
+  void registerStoreEra(Supplier<Number> era) {
+    registerGauge("store.era", era);
+  }
+
   /** Registers the number of crashes of targets that this VM knows. */
   void registerCrashes(CrashHistory crashes) {
     registerGauge("crashes.known", crashes::size);
--- a/src/main/java/org/radishpost/platform/KeyedPage.java
+++ b/src/main/java/org/radishpost/platform/KeyedPage.java
@@ -11,11 +11,12 @@
 /**
  * A page of a keyed topic; records without a valid key are omitted.
  *
+ * @param era the era of the store in which the page was created
  * @param records the records in ascending order of offset
  * @param nextOffset the offset from which to read the next page
  * @param endsWithTopic whether the topic had no more records when the page was created
  */
-record KeyedPage(List<KeyedRecord> records, long nextOffset, boolean endsWithTopic) {
+record KeyedPage(long era, List<KeyedRecord> records, long nextOffset, boolean endsWithTopic) {
   private static final int BYTE_MASK = 0xff;
 
   KeyedPage {
@@ -28,12 +29,13 @@
    * in 4 bytes, the length of the key in 1 byte, the key and the value. An empty value deletes the
    * key.
    *
+   * @param era the era of the store in which the response was created
    * @param bytes the body of the response
    * @param from the requested offset
    * @throws StoreException if the response is truncated, or holds records that would lie after the
    *     end of the topic, as a late response to an earlier request does
    */
-  static KeyedPage decode(byte[] bytes, long from) throws StoreException {
+  static KeyedPage decode(long era, byte[] bytes, long from) throws StoreException {
     ByteBuffer buffer = ByteBuffer.wrap(bytes);
     if (buffer.remaining() < 2 * Long.BYTES) {
       throw new StoreException("The store's response is too short: check the store.");
@@ -56,7 +58,7 @@
             "A record in the store's response lies after the end of its topic: check the store.");
       }
     }
-    return new KeyedPage(records, offset, offset >= endOffset);
+    return new KeyedPage(era, records, offset, offset >= endOffset);
   }
 
   /** Returns the decoded record; empty if its key is missing or truncated. */
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -34,6 +34,7 @@
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
 
@@ -68,6 +69,7 @@
   private final Scheduler clock;
   private final LoopResources loops;
   private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+  private final StoreEra era = new StoreEra();
   private final ResponseCounters counters = new ResponseCounters();
   private final BodyCollector collector =
       new BodyCollector(
@@ -91,6 +93,11 @@
     return counters;
   }
 
+  /** Returns the newest era of the store that a response has named; 0 if none has. */
+  public long newestEra() {
+    return era.newest();
+  }
+
   private HttpClient createClient(String topic) {
     ConnectionProvider connections =
         ConnectionProvider.create("store-" + topic, MAX_CONNECTIONS_PER_TOPIC);
@@ -125,7 +132,7 @@
         topic,
         uri,
         RESPONSE_TIMEOUT.plus(wait),
-        bytes -> KeyedPage.decode(bytes, from),
+        (responseEra, bytes) -> KeyedPage.decode(responseEra, bytes, from),
         KeyedPage::endsWithTopic);
   }
 
@@ -167,7 +174,7 @@
                 return readSnapshot(
                     topic, Optional.of(lastKeyOfPage), records, Optional.of(firstEndOffset));
               }
-              return Mono.just(new KeyedPage(records, firstEndOffset, true));
+              return Mono.just(new KeyedPage(page.era(), records, firstEndOffset, true));
             });
   }
 
@@ -188,7 +195,7 @@
                 collector
                     .collect(body(connection))
                     .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray()))
-                    .map(bytes -> decode(decoder, bytes))
+                    .map(bytes -> decode(decoder, response, bytes))
                     .doOnNext(page -> closeUnless(allowsReuse.test(page), connection))
                     .doOnError(error -> closeUnless(false, connection)))
         .next()
@@ -265,27 +272,30 @@
     };
   }
 
-  private static <T> T decode(Decoder<T> decoder, byte[] bytes) {
+  private <T> T decode(Decoder<T> decoder, HttpClientResponse response, byte[] bytes) {
     try {
-      return decoder.decode(bytes);
+      String header = response.responseHeaders().get(WireNames.STORE_ERA);
+      return decoder.decode(era.record(Optional.ofNullable(header)), bytes);
     } catch (RadishpostException e) {
       throw Exceptions.propagate(e);
     }
   }
 
   private interface Decoder<T> {
-    T decode(byte[] bytes) throws RadishpostException;
+    T decode(long era, byte[] bytes) throws RadishpostException;
   }
 
   /**
    * A page of the response to {@code log-newest}.
    *
+   * @param era the era of the store in which the page was created
    * @param records the latest records of some keys
    * @param hasMore whether more keys follow on the next page
    * @param endOffset the end offset of the topic when the page was created
    */
-  private record SnapshotPage(List<KeyedRecord> records, boolean hasMore, long endOffset) {
-    private static SnapshotPage decode(byte[] bytes) throws PlatformDocumentException {
+  private record SnapshotPage(
+      long era, List<KeyedRecord> records, boolean hasMore, long endOffset) {
+    private static SnapshotPage decode(long era, byte[] bytes) throws PlatformDocumentException {
       Document page = Document.parse("page of latest records", bytes);
       List<KeyedRecord> records = new ArrayList<>();
       for (Document item : page.objectList("items")) {
@@ -293,7 +303,8 @@
         records.add(
             new KeyedRecord((long) item.number("offset"), item.text("key"), Optional.of(value)));
       }
-      return new SnapshotPage(records, page.booleanOrFalse("has-more"), (long) page.number("end"));
+      return new SnapshotPage(
+          era, records, page.booleanOrFalse("has-more"), (long) page.number("end"));
     }
   }
 }
--- a/src/main/java/org/radishpost/platform/TopicReader.java
+++ b/src/main/java/org/radishpost/platform/TopicReader.java
@@ -41,6 +41,7 @@
   private final Disposable.Swap pendingRead = Disposables.swap();
   private boolean initialized;
   private boolean storeLost;
+  private long era;
   private long nextOffset;
   private long consecutiveFailures;
   private long lastResponseNanos;
@@ -151,6 +152,7 @@
   }
 
   private void onPage(KeyedPage page) {
+    era = page.era();
     if (initialized) {
       onStoreResponding();
       List<KeyedRecord> changes = applyNewRecords(page.records());
@@ -182,7 +184,7 @@
   private void onStoreResponding() {
     if (storeLost) {
       storeLost = false;
-      events.emit(EventCode.STORE_REGAINED, EventField.of("topic", topic));
+      events.emit(EventCode.STORE_REGAINED, EventField.of("topic", topic), position());
       listener.onStoreRegained();
     }
     consecutiveFailures = 0;
@@ -191,8 +193,7 @@
 
   private void onError(Throwable error) {
     if (error instanceof RecordsDeletedException) {
-      events.emit(
-          EventCode.STORE_RESYNC, EventField.of("topic", topic), EventField.of("next", nextOffset));
+      events.emit(EventCode.STORE_RESYNC, EventField.of("topic", topic), position());
       initialized = false;
       scheduleRead(Duration.ZERO);
       return;
@@ -203,7 +204,8 @@
           EventCode.STORE_LOST,
           EventField.of("topic", topic),
           EventField.of("why", error.getMessage()),
-          EventField.of("heardMsAgo", millisSinceLastResponse()));
+          EventField.of("heardMsAgo", millisSinceLastResponse()),
+          position());
       listener.onStoreLost();
     }
     long backoffMillis =
@@ -212,6 +214,11 @@
     scheduleRead(Duration.ofMillis(backoffMillis));
   }
 
+  /** Returns the era and the offset of the next record, separated by a slash. */
+  private EventField position() {
+    return EventField.of("next", era + "/" + nextOffset);
+  }
+
   private long millisSinceLastResponse() {
     return TimeUnit.NANOSECONDS.toMillis(clock.now(TimeUnit.NANOSECONDS) - lastResponseNanos);
   }
--- a/src/main/java/org/radishpost/platform/WireNames.java
+++ b/src/main/java/org/radishpost/platform/WireNames.java
@@ -36,6 +36,12 @@
   /** Response header: the remaining time in milliseconds until the target is warm. */
   public static final String REMAINING_WARM_UP_MILLIS = "X-Warmup-Ms";
 
+  /**
+   * Response header of the store: the number of its era. It rises by one each time the store is
+   * restored from an earlier copy, which loses records and gives their offsets out again.
+   */
+  public static final String STORE_ERA = "Store-Era";
+
   /** The path of the request for the latest record of each key. */
   public static final String LOG_NEWEST_PATH = "/radishpost/log-newest";
 
--- a/src/main/java/org/radishpost/standin/KeyedStoreServer.java
+++ b/src/main/java/org/radishpost/standin/KeyedStoreServer.java
@@ -40,6 +40,7 @@
   private final LoopResources loops;
   private final AtomicInteger requestCount = new AtomicInteger();
   private volatile StoreFault fault = new StoreFault.None();
+  private volatile boolean sendsEra = true;
 
   /**
    * Creates a server; call {@link #start()} to open its listening socket.
@@ -69,6 +70,11 @@
     fault = newFault;
   }
 
+  /** Leaves out the era in all following responses, as an older store does. */
+  public void omitEra() {
+    sendsEra = false;
+  }
+
   /** Returns the number of requests received. */
   public int requestCount() {
     return requestCount.get();
@@ -84,7 +90,8 @@
     requestCount.incrementAndGet();
     return switch (currentFault) {
       case StoreFault.None none -> serve(request, response);
-      case StoreFault.ErrorResponse error -> response.status(error.status()).send();
+      case StoreFault.ErrorResponse error ->
+          addEra(response, store.era()).status(error.status()).send();
       case StoreFault.NoResponse noResponse -> Mono.never();
       case StoreFault.DelayedResponse delayed ->
           Mono.delay(delayed.delay()).then(Mono.from(serve(request, response)));
@@ -114,23 +121,24 @@
   private Publisher<Void> read(
       String topic, long fromOffset, Duration wait, HttpServerResponse response) {
     return Flux.interval(Duration.ZERO, POLL_INTERVAL)
-        .filter(tick -> store.endOffset(topic) > fromOffset)
+        .filter(tick -> store.endOffset(topic) != fromOffset)
         .next()
         .timeout(wait.plusMillis(1), Mono.empty())
         .then(Mono.defer(() -> Mono.from(sendRecords(topic, fromOffset, response))));
   }
 
   private Publisher<Void> sendRecords(String topic, long fromOffset, HttpServerResponse response) {
-    return store
-        .read(topic, fromOffset)
-        .map(bytes -> (Publisher<Void>) response.status(OK).sendByteArray(Mono.just(bytes)))
-        .orElseGet(() -> response.status(GONE).send());
+    KeyedStore.Page page = store.read(topic, fromOffset);
+    HttpServerResponse withEra = addEra(response, page.era());
+    return page.body()
+        .map(bytes -> (Publisher<Void>) withEra.status(OK).sendByteArray(Mono.just(bytes)))
+        .orElseGet(() -> withEra.status(GONE).send());
   }
 
   private Publisher<Void> sendNewestRecords(
       String topic, String afterKey, HttpServerResponse response) {
-    final long endOffset = store.endOffset(topic);
-    List<KeyedStore.NewestRecord> records = store.newestRecords(topic, afterKey);
+    KeyedStore.NewestRecords newest = store.newestRecords(topic, afterKey);
+    List<KeyedStore.NewestRecord> records = newest.records();
     ObjectNode page = MAPPER.createObjectNode();
     ArrayNode items = page.putArray("items");
     for (KeyedStore.NewestRecord newestRecord :
@@ -142,13 +150,17 @@
           .put("offset", newestRecord.offset());
     }
     page.put("has-more", records.size() > MAX_PAGE_ITEMS);
-    page.put("end", endOffset);
-    return response
+    page.put("end", newest.endOffset());
+    return addEra(response, newest.era())
         .status(OK)
         .header("content-type", "application/json")
         .sendString(Mono.just(page.toString()));
   }
 
+  private HttpServerResponse addEra(HttpServerResponse response, long era) {
+    return sendsEra ? response.header(WireNames.STORE_ERA, Long.toString(era)) : response;
+  }
+
   private static String parameter(QueryStringDecoder query, String name, String defaultValue) {
     Map<String, List<String>> parameters = query.parameters();
     return parameters.getOrDefault(name, List.of(defaultValue)).getFirst();
--- a/src/test/java/org/radishpost/platform/KeyedPageTest.java
+++ b/src/test/java/org/radishpost/platform/KeyedPageTest.java
@@ -37,7 +37,7 @@
 
   @Test
   public void decodesKeysAndValues() throws Exception {
-    KeyedPage page = KeyedPage.decode(page(9, 0, record("a", "1"), record("b", "")), 7);
+    KeyedPage page = KeyedPage.decode(1, page(9, 0, record("a", "1"), record("b", "")), 7);
     assertEquals(page.nextOffset(), 9);
     assertEquals(page.records().get(0).key(), "a");
     assertEquals(new String(page.records().get(0).value().get(), StandardCharsets.UTF_8), "1");
@@ -47,12 +47,12 @@
 
   @Test
   public void emptyPageKeepsTheOffset() throws Exception {
-    assertEquals(KeyedPage.decode(page(7, 0), 7).nextOffset(), 7);
+    assertEquals(KeyedPage.decode(1, page(7, 0), 7).nextOffset(), 7);
   }
 
   @Test
   public void skipsRecordWithTruncatedKeyButCountsItsOffset() throws Exception {
-    KeyedPage page = KeyedPage.decode(page(9, 0, new byte[] {9, 'x'}, record("b", "2")), 7);
+    KeyedPage page = KeyedPage.decode(1, page(9, 0, new byte[] {9, 'x'}, record("b", "2")), 7);
     assertEquals(page.records().size(), 1);
     assertEquals(page.nextOffset(), 9);
   }
@@ -61,20 +61,20 @@
   public void rejectsTruncatedRecord() {
     byte[] complete = page(8, 0, record("a", "1"));
     byte[] truncated = Arrays.copyOf(complete, complete.length - 1);
-    expectThrows(StoreException.class, () -> KeyedPage.decode(truncated, 7));
-    expectThrows(StoreException.class, () -> KeyedPage.decode(new byte[3], 7));
+    expectThrows(StoreException.class, () -> KeyedPage.decode(1, truncated, 7));
+    expectThrows(StoreException.class, () -> KeyedPage.decode(1, new byte[3], 7));
   }
 
   /** A page that was cut and looks complete lacks records, which the next read returns. */
   @Test
   public void cutPageHoldsTheFirstRecordsOrIsRejected() throws Exception {
     byte[] complete = page(10, 0, record("a", "1"), record("b", ""), record("c", "3"));
-    List<KeyedRecord> records = KeyedPage.decode(complete, 7).records();
+    List<KeyedRecord> records = KeyedPage.decode(1, complete, 7).records();
     int rejected = 0;
     for (int length = 0; length < complete.length; length++) {
       byte[] cut = Arrays.copyOf(complete, length);
       try {
-        KeyedPage page = KeyedPage.decode(cut, 7);
+        KeyedPage page = KeyedPage.decode(1, cut, 7);
         int count = (int) page.nextOffset() - 7;
         assertFalse(page.endsWithTopic(), "cut at " + length);
         assertEquals(page.records().size(), count, "cut at " + length);
@@ -92,6 +92,6 @@
   @Test
   public void rejectsRecordsAfterTheEndOfTheTopic() {
     byte[] late = page(9, 0, record("a", "1"), record("b", "2"));
-    expectThrows(StoreException.class, () -> KeyedPage.decode(late, 8));
+    expectThrows(StoreException.class, () -> KeyedPage.decode(1, late, 8));
   }
 }
