--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -141,7 +141,11 @@
   /** This VM requests slots of targets from the broker of a relay. */
   BROKER_CONNECTED(8008, Level.INFO),
   /** The broker of a relay is unavailable; this VM asks another one or selects targets itself. */
-  BROKER_LOST(8009, Level.WARN);
+  BROKER_LOST(8009, Level.WARN),
+  /** The store was restored from an earlier copy; a topic starts anew. */
+  STORE_RESTORED(8010, Level.WARN),
+  /** A topic has been read again after the store was restored. */
+  STORE_RECOVERED(8011, Level.INFO);
 
   /** The severity of an event. */
   public enum Level {
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -13,16 +13,22 @@
 import org.radishpost.slots.SlotCodec;
 import org.radishpost.suspects.CrashUpdateCodec;
 
-/** Encodes feed messages as MessagePack. Each message begins with the number of its type. */
+/**
+ * Encodes feed messages as MessagePack. Each message begins with the number of its type.
+ *
+ * <p>The numbers 2, 3, 4 and 6 belong to messages of earlier releases, whose offsets have no era. A
+ * VM of such a release closes the connection on a number that it does not know, and reads the store
+ * itself.
+ */
 public final class FeedCodec {
   private static final int HELLO = 1;
-  private static final int SUBSCRIBE = 2;
-  private static final int HEARTBEAT = 3;
-  private static final int RECORDS = 4;
   private static final int SUBSCRIBE_WITH_SNAPSHOT = 5;
-  private static final int SNAPSHOT = 6;
   private static final int SLOTS = 7;
   private static final int CRASHES = 8;
+  private static final int SUBSCRIBE = 12;
+  private static final int HEARTBEAT = 13;
+  private static final int RECORDS = 14;
+  private static final int SNAPSHOT = 16;
 
   private FeedCodec() {}
 
@@ -55,7 +61,7 @@
           packer.packInt(SNAPSHOT);
           packer.packInt(snapshot.feed().ordinal());
           pack(packer, snapshot.records());
-          packer.packLong(snapshot.nextOffset());
+          pack(packer, snapshot.nextOffset());
         }
         case FeedMessage.Slots slots -> {
           packer.packInt(SLOTS);
@@ -90,7 +96,7 @@
         case RECORDS -> new FeedMessage.Records(feed(unpacker), records(unpacker));
         case SUBSCRIBE_WITH_SNAPSHOT -> new FeedMessage.SubscribeWithSnapshot();
         case SNAPSHOT ->
-            new FeedMessage.Snapshot(feed(unpacker), records(unpacker), unpacker.unpackLong());
+            new FeedMessage.Snapshot(feed(unpacker), records(unpacker), offset(unpacker));
         case SLOTS -> new FeedMessage.Slots(SlotCodec.unpack(unpacker));
         case CRASHES -> new FeedMessage.Crashes(CrashUpdateCodec.unpack(unpacker));
         default -> throw invalidMessage(null);
@@ -101,8 +107,13 @@
   }
 
   private static void pack(MessageBufferPacker packer, Position position) throws IOException {
-    packer.packLong(position.operatorsOffset());
-    packer.packLong(position.targetsOffset());
+    pack(packer, position.operators());
+    pack(packer, position.targets());
+  }
+
+  private static void pack(MessageBufferPacker packer, TopicOffset offset) throws IOException {
+    packer.packLong(offset.era());
+    packer.packLong(offset.offset());
   }
 
   private static void pack(MessageBufferPacker packer, List<KeyedRecord> records)
@@ -114,7 +125,7 @@
   }
 
   private static void pack(MessageBufferPacker packer, KeyedRecord record) throws IOException {
-    packer.packLong(record.offset());
+    pack(packer, record.offset());
     packer.packString(record.key());
     if (record.value().isEmpty()) {
       packer.packNil();
@@ -126,7 +137,11 @@
   }
 
   private static Position position(MessageUnpacker unpacker) throws IOException {
-    return new Position(unpacker.unpackLong(), unpacker.unpackLong());
+    return new Position(offset(unpacker), offset(unpacker));
+  }
+
+  private static TopicOffset offset(MessageUnpacker unpacker) throws IOException {
+    return new TopicOffset(unpacker.unpackLong(), unpacker.unpackLong());
   }
 
   private static Feed feed(MessageUnpacker unpacker) throws IOException, LinkException {
@@ -147,7 +162,7 @@
   }
 
   private static KeyedRecord record(MessageUnpacker unpacker) throws IOException {
-    long offset = unpacker.unpackLong();
+    TopicOffset offset = offset(unpacker);
     String key = unpacker.unpackString();
     if (unpacker.tryUnpackNil()) {
       return new KeyedRecord(offset, key, Optional.empty());
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -31,7 +31,8 @@
    * @param records the records, in any order
    * @param nextOffset the offset from which all further records are sent as {@link Records}
    */
-  record Snapshot(Feed feed, List<KeyedRecord> records, long nextOffset) implements FeedMessage {
+  record Snapshot(Feed feed, List<KeyedRecord> records, TopicOffset nextOffset)
+      implements FeedMessage {
     /** Creates a message with an immutable copy of the list. */
     public Snapshot {
       records = List.copyOf(records);
--- a/src/main/java/org/radishpost/feed/FeedPublisher.java
+++ b/src/main/java/org/radishpost/feed/FeedPublisher.java
@@ -13,7 +13,7 @@
    * @param nextOffset the offset of the record after the last one
    */
   void publishRecords(
-      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, long nextOffset);
+      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, TopicOffset nextOffset);
 
   /**
    * Publishes the latest record of each key of a feed.
@@ -22,7 +22,7 @@
    * @param snapshot the records
    * @param nextOffset the offset from which all records will be published
    */
-  void publishSnapshot(Feed feed, List<KeyedRecord> snapshot, long nextOffset);
+  void publishSnapshot(Feed feed, List<KeyedRecord> snapshot, TopicOffset nextOffset);
 
   /**
    * Restarts a feed at an offset because records before this offset were not published.
@@ -30,5 +30,5 @@
    * @param feed the feed
    * @param nextOffset the offset from which all records will be published
    */
-  void resetTo(Feed feed, long nextOffset);
+  void resetTo(Feed feed, TopicOffset nextOffset);
 }
--- a/src/main/java/org/radishpost/feed/Follower.java
+++ b/src/main/java/org/radishpost/feed/Follower.java
@@ -192,7 +192,8 @@
         EventField.of("why", reason),
         EventField.of(
             "heardMsAgo",
-            TimeUnit.NANOSECONDS.toMillis(nowNanos.getAsLong() - relay.lastReceivedNanos)));
+            TimeUnit.NANOSECONDS.toMillis(nowNanos.getAsLong() - relay.lastReceivedNanos)),
+        nextField());
     reader.resume();
   }
 
@@ -209,14 +210,23 @@
     if (!heartbeat.storeReachable()) {
       disconnect("the relay cannot reach the store");
     } else if (heartbeat.allSent()) {
-      reader.advanceTo(heartbeat.position());
-      follow(relay);
+      followTo(relay, heartbeat.position());
     } else if (!relay.subscribed
         && reader.position().filter(heartbeat.position()::covers).isPresent()) {
       relay.subscribe(new FeedMessage.Subscribe(reader.position().get()));
     }
   }
 
+  /** Follows the relay to its position, or leaves it if that is of another era than the data. */
+  private void followTo(Candidate relay, Position position) {
+    if (reader.position().filter(position::sameEras).isEmpty()) {
+      disconnect("the data of the relay is of another era of the store");
+      return;
+    }
+    reader.advanceTo(position);
+    follow(relay);
+  }
+
   private void onSnapshot(Candidate relay, FeedMessage.Snapshot snapshot) {
     if (isSelected(relay)) {
       follow(relay);
@@ -234,7 +244,12 @@
     events.emit(
         EventCode.RELAY_FOLLOWED,
         EventField.of("relay", relay.address),
-        EventField.of("zone", relay.place.orElseThrow().zone()));
+        EventField.of("zone", relay.place.orElseThrow().zone()),
+        nextField());
+  }
+
+  private EventField nextField() {
+    return EventField.of("next", reader.position().map(Position::toString).orElse("none"));
   }
 
   private boolean isSelected(Candidate candidate) {
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -119,8 +119,8 @@
   }
 
   private void subscribe(FeedLink link, Position from) {
-    Optional<List<KeyedRecord>> operatorsSince = recentOperators.since(from.operatorsOffset());
-    Optional<List<KeyedRecord>> targetsSince = recentTargets.since(from.targetsOffset());
+    Optional<List<KeyedRecord>> operatorsSince = recentOperators.since(from.operators());
+    Optional<List<KeyedRecord>> targetsSince = recentTargets.since(from.targets());
     if (!storeReachable || operatorsSince.isEmpty() || targetsSince.isEmpty()) {
       link.close();
       return;
@@ -133,23 +133,25 @@
 
   @Override
   public void publishRecords(
-      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, long nextOffset) {
+      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, TopicOffset nextOffset) {
     recent(feed).add(changes, nextOffset);
     latest(feed).add(records);
     List.copyOf(subscribers).forEach(link -> sendRecords(link, feed, changes));
   }
 
   @Override
-  public void publishSnapshot(Feed feed, List<KeyedRecord> snapshot, long nextOffset) {
+  public void publishSnapshot(Feed feed, List<KeyedRecord> snapshot, TopicOffset nextOffset) {
     resetTo(feed, nextOffset);
     latest(feed).reset(snapshot);
   }
 
   @Override
-  public void resetTo(Feed feed, long nextOffset) {
+  public void resetTo(Feed feed, TopicOffset nextOffset) {
     recent(feed).resetTo(nextOffset);
     latest(feed).clear();
-    List.copyOf(subscribers).forEach(FeedLink::close);
+    List<FeedLink> disconnected = List.copyOf(subscribers);
+    subscribers.clear();
+    disconnected.forEach(FeedLink::close);
   }
 
   /**
--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -155,7 +155,7 @@
             settings.place().zone(), relayDialer, clock, createRandom(), events, crashes);
     StoreClient storeClient = new StoreClient(store, clock, loops);
     metrics.registerMalformedResponses("store", storeClient.counters());
-    metrics.registerStoreEra(storeClient::newestEra);
+    metrics.registerStore(storeClient);
     this.platformFeed =
         new PlatformFeed(
             storeClient,
--- a/src/main/java/org/radishpost/node/NodeMetrics.java
+++ b/src/main/java/org/radishpost/node/NodeMetrics.java
@@ -21,6 +21,7 @@
 import org.radishpost.lib.Verdict;
 import org.radishpost.link.PeerTraffic;
 import org.radishpost.link.TcpLinks;
+import org.radishpost.platform.StoreClient;
 import org.radishpost.pool.HandBackReason;
 import org.radishpost.pool.PoolView;
 import org.radishpost.suspects.CrashHistory;
@@ -89,9 +90,13 @@
     registerTraffic("link.frames;direction=out", links, PeerTraffic::framesOut);
   }
 
-  /** Registers the newest era of the platform's store that a response has named. */
-  void registerStoreEra(Supplier<Number> era) {
-    registerGauge("store.era", era);
+  /**
+   * Registers the newest era of the platform's store that a response has named, and the number of
+   * responses that were dropped because their era had ended.
+   */
+  void registerStore(StoreClient store) {
+    registerGauge("store.era", store::newestEra);
+    registry.register("store.outdated", new SuppliedCounter(store::outdatedResponses));
   }
 
   /** Registers the number of crashes of targets that this VM knows. */
--- a/src/main/java/org/radishpost/platform/KeyedPage.java
+++ b/src/main/java/org/radishpost/platform/KeyedPage.java
@@ -7,16 +7,16 @@
 import java.util.Optional;
 import org.radishpost.errors.StoreException;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.TopicOffset;
 
 /**
  * A page of a keyed topic; records without a valid key are omitted.
  *
- * @param era the era of the store in which the page was created
  * @param records the records in ascending order of offset
  * @param nextOffset the offset from which to read the next page
  * @param endsWithTopic whether the topic had no more records when the page was created
  */
-record KeyedPage(long era, List<KeyedRecord> records, long nextOffset, boolean endsWithTopic) {
+record KeyedPage(List<KeyedRecord> records, TopicOffset nextOffset, boolean endsWithTopic) {
   private static final int BYTE_MASK = 0xff;
 
   KeyedPage {
@@ -29,20 +29,19 @@
    * in 4 bytes, the length of the key in 1 byte, the key and the value. An empty value deletes the
    * key.
    *
-   * @param era the era of the store in which the response was created
    * @param bytes the body of the response
-   * @param from the requested offset
+   * @param from the requested offset, with the era of the store in which the response was created
    * @throws StoreException if the response is truncated, or holds records that would lie after the
    *     end of the topic, as a late response to an earlier request does
    */
-  static KeyedPage decode(long era, byte[] bytes, long from) throws StoreException {
+  static KeyedPage decode(byte[] bytes, TopicOffset from) throws StoreException {
     ByteBuffer buffer = ByteBuffer.wrap(bytes);
     if (buffer.remaining() < 2 * Long.BYTES) {
       throw new StoreException("The store's response is too short: check the store.");
     }
     long endOffset = buffer.getLong();
     long firstRetained = buffer.getLong();
-    long offset = Math.max(from, firstRetained);
+    TopicOffset offset = new TopicOffset(from.era(), Math.max(from.offset(), firstRetained));
     List<KeyedRecord> records = new ArrayList<>();
     while (buffer.remaining() >= Integer.BYTES) {
       int length = buffer.getInt();
@@ -52,17 +51,17 @@
       byte[] record = new byte[length];
       buffer.get(record);
       decodeRecord(offset, record).ifPresent(records::add);
-      offset++;
-      if (offset > endOffset) {
+      offset = offset.next();
+      if (offset.offset() > endOffset) {
         throw new StoreException(
             "A record in the store's response lies after the end of its topic: check the store.");
       }
     }
-    return new KeyedPage(era, records, offset, offset >= endOffset);
+    return new KeyedPage(records, offset, offset.offset() >= endOffset);
   }
 
   /** Returns the decoded record; empty if its key is missing or truncated. */
-  private static Optional<KeyedRecord> decodeRecord(long offset, byte[] record) {
+  private static Optional<KeyedRecord> decodeRecord(TopicOffset offset, byte[] record) {
     if (record.length == 0 || record.length < 1 + (record[0] & BYTE_MASK)) {
       return Optional.empty();
     }
--- a/src/main/java/org/radishpost/platform/PlatformFeed.java
+++ b/src/main/java/org/radishpost/platform/PlatformFeed.java
@@ -14,6 +14,7 @@
 import org.radishpost.feed.FeedReader;
 import org.radishpost.feed.KeyedRecord;
 import org.radishpost.feed.Position;
+import org.radishpost.feed.TopicOffset;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.placement.TargetDirectory;
@@ -81,6 +82,7 @@
             () -> isRelay.getAsBoolean() ? RELAY_OPERATORS_TIMING : OPERATORS_TIMING,
             new OperatorTopicListener(configurationListener, events),
             publisher,
+            this::onNewEra,
             clock,
             events);
     this.targets =
@@ -91,6 +93,7 @@
             () -> isRelay.getAsBoolean() ? RELAY_TARGETS_TIMING : TARGETS_TIMING,
             new TargetTopicListener(directory, regionsByZone, clock, events),
             publisher,
+            this::onNewEra,
             clock,
             events);
   }
@@ -105,12 +108,11 @@
     if (operators.nextOffset().isEmpty() || targets.nextOffset().isEmpty()) {
       return Optional.empty();
     }
-    return Optional.of(
-        new Position(operators.nextOffset().getAsLong(), targets.nextOffset().getAsLong()));
+    return Optional.of(new Position(operators.nextOffset().get(), targets.nextOffset().get()));
   }
 
   @Override
-  public void applySnapshot(Feed feed, List<KeyedRecord> records, long nextOffset) {
+  public void applySnapshot(Feed feed, List<KeyedRecord> records, TopicOffset nextOffset) {
     topic(feed).applySnapshot(records, nextOffset);
   }
 
@@ -121,8 +123,8 @@
 
   @Override
   public void advanceTo(Position position) {
-    operators.advanceTo(position.operatorsOffset());
-    targets.advanceTo(position.targetsOffset());
+    operators.advanceTo(position.operators());
+    targets.advanceTo(position.targets());
   }
 
   @Override
@@ -137,6 +139,12 @@
     targets.resume();
   }
 
+  /** Makes both topics start anew as soon as one of them has found that the store was restored. */
+  private void onNewEra(long era) {
+    operators.startAnew(era);
+    targets.startAnew(era);
+  }
+
   private TopicReader topic(Feed feed) {
     return switch (feed) {
       case OPERATORS -> operators;
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -21,6 +21,7 @@
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.errors.StoreException;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.TopicOffset;
 import org.radishpost.http.BodyCollector;
 import org.radishpost.http.ByteBudget;
 import org.radishpost.http.NameResolution;
@@ -44,7 +45,8 @@
  * <p>Responses do not name their requests. So that a late one is not taken for the response to
  * another request, each topic has its own connections, and a connection is only reused after a
  * response after which a late copy can be told from the next one: a page that ends with its topic.
- * A page that contradicts the requested offset is an error.
+ * A page that contradicts the requested offset is an error, and so is a response of an era that has
+ * ended.
  */
 public final class StoreClient {
   private static final int OK = 200;
@@ -98,6 +100,11 @@
     return era.newest();
   }
 
+  /** Returns the number of responses that were dropped because their era has ended. */
+  public long outdatedResponses() {
+    return era.outdatedResponses();
+  }
+
   private HttpClient createClient(String topic) {
     ConnectionProvider connections =
         ConnectionProvider.create("store-" + topic, MAX_CONNECTIONS_PER_TOPIC);
@@ -117,22 +124,25 @@
    * @param topic the topic
    * @param from the offset of the first record
    * @param wait how long the store waits for a new record if there is none
-   * @return the records, or an error: {@link RecordsDeletedException} if the records at {@code
-   *     from} have been deleted, or another {@link StoreException}
+   * @return the records, without any if the store is in a later era than {@code from}; or an error:
+   *     {@link RecordsDeletedException} if the store does not have the offset, or another {@link
+   *     StoreException}
    */
-  Mono<KeyedPage> read(String topic, long from, Duration wait) {
+  Mono<KeyedPage> read(String topic, TopicOffset from, Duration wait) {
     String uri =
         WireNames.LOG_READ_PATH
             + "?topic="
             + topic
             + "&part=0&from="
-            + from
+            + from.offset()
             + (wait.isZero() ? "" : "&wait-ms=" + wait.toMillis());
     return get(
         topic,
         uri,
+        from.era(),
         RESPONSE_TIMEOUT.plus(wait),
-        (responseEra, bytes) -> KeyedPage.decode(responseEra, bytes, from),
+        (responseEra, bytes) ->
+            KeyedPage.decode(bytes, new TopicOffset(responseEra, from.offset())),
         KeyedPage::endsWithTopic);
   }
 
@@ -140,19 +150,25 @@
    * Reads the latest record of each key of a topic, which has a single partition.
    *
    * @param topic the topic
+   * @param minEra the earliest era in which the snapshot may be created
    * @return the records and the offset from which to read further records, or a {@link
    *     StoreException} as the error
    */
-  Mono<KeyedPage> readSnapshot(String topic) {
-    return readSnapshot(topic, Optional.empty(), new ArrayList<>(), Optional.empty());
+  Mono<KeyedPage> readSnapshot(String topic, long minEra) {
+    return readSnapshot(topic, minEra, Optional.empty(), new ArrayList<>(), Optional.empty());
   }
 
   /**
    * Reads the pages after a key and adds their records to {@code records}. Records may be appended
    * to the topic between two pages, so new records are read from the end offset in the first page.
+   * Pages of different eras do not belong together: the snapshot is read anew.
    */
   private Mono<KeyedPage> readSnapshot(
-      String topic, Optional<String> lastKey, List<KeyedRecord> records, Optional<Long> endOffset) {
+      String topic,
+      long minEra,
+      Optional<String> lastKey,
+      List<KeyedRecord> records,
+      Optional<TopicOffset> endOffset) {
     String uri =
         WireNames.LOG_NEWEST_PATH
             + "?topic="
@@ -161,31 +177,44 @@
             + lastKey
                 .map(key -> "&after=" + URLEncoder.encode(key, StandardCharsets.UTF_8))
                 .orElse("");
-    return get(topic, uri, RESPONSE_TIMEOUT, SnapshotPage::decode, page -> !page.hasMore())
+    return get(topic, uri, minEra, RESPONSE_TIMEOUT, SnapshotPage::decode, page -> !page.hasMore())
         .flatMap(
             page -> {
+              if (endOffset.filter(end -> !end.sameEra(page.endOffset())).isPresent()) {
+                return readSnapshot(topic, page.endOffset().era());
+              }
               records.addAll(page.records());
               if (bytes(records) > MAX_SNAPSHOT_BYTES) {
                 return Mono.error(snapshotTooLarge(topic));
               }
-              long firstEndOffset = endOffset.orElse(page.endOffset());
+              TopicOffset firstEndOffset = endOffset.orElse(page.endOffset());
               if (page.hasMore() && !page.records().isEmpty()) {
                 String lastKeyOfPage = page.records().getLast().key();
                 return readSnapshot(
-                    topic, Optional.of(lastKeyOfPage), records, Optional.of(firstEndOffset));
+                    topic,
+                    firstEndOffset.era(),
+                    Optional.of(lastKeyOfPage),
+                    records,
+                    Optional.of(firstEndOffset));
               }
-              return Mono.just(new KeyedPage(page.era(), records, firstEndOffset, true));
+              return Mono.just(new KeyedPage(records, firstEndOffset, true));
             });
   }
 
   /**
    * Sends a request.
    *
+   * @param knownEra an era of the store that this VM has heard of
    * @param decoder decodes the body of the response
    * @param allowsReuse returns whether the connection can be reused after this page
    */
   private <T> Mono<T> get(
-      String topic, String uri, Duration timeout, Decoder<T> decoder, Predicate<T> allowsReuse) {
+      String topic,
+      String uri,
+      long knownEra,
+      Duration timeout,
+      Decoder<T> decoder,
+      Predicate<T> allowsReuse) {
     return clients
         .computeIfAbsent(topic, this::createClient)
         .get()
@@ -194,8 +223,7 @@
             (response, connection) ->
                 collector
                     .collect(body(connection))
-                    .flatMap(bytes -> checkStatus(response.status().code(), bytes.toArray()))
-                    .map(bytes -> decode(decoder, response, bytes))
+                    .map(bytes -> decode(decoder, response, knownEra, bytes.toArray()))
                     .doOnNext(page -> closeUnless(allowsReuse.test(page), connection))
                     .doOnError(error -> closeUnless(false, connection)))
         .next()
@@ -220,17 +248,14 @@
     }
   }
 
-  private static Mono<byte[]> checkStatus(int status, byte[] bytes) {
-    if (status == OK) {
-      return Mono.just(bytes);
-    }
+  private static void checkStatus(int status) throws RadishpostException {
     if (status == GONE) {
-      return Mono.error(
-          new RecordsDeletedException(
-              "The records have been deleted: read the latest record of each key."));
+      throw new RecordsDeletedException(
+          "The store does not have these records: read the latest record of each key.");
+    }
+    if (status != OK) {
+      throw new StoreException("The store responded with status " + status + ": retry later.");
     }
-    return Mono.error(
-        new StoreException("The store responded with status " + status + ": retry later."));
   }
 
   private static long bytes(List<KeyedRecord> records) {
@@ -272,10 +297,13 @@
     };
   }
 
-  private <T> T decode(Decoder<T> decoder, HttpClientResponse response, byte[] bytes) {
+  private <T> T decode(
+      Decoder<T> decoder, HttpClientResponse response, long knownEra, byte[] bytes) {
     try {
       String header = response.responseHeaders().get(WireNames.STORE_ERA);
-      return decoder.decode(era.record(Optional.ofNullable(header)), bytes);
+      long responseEra = era.check(Optional.ofNullable(header), knownEra);
+      checkStatus(response.status().code());
+      return decoder.decode(responseEra, bytes);
     } catch (RadishpostException e) {
       throw Exceptions.propagate(e);
     }
@@ -288,23 +316,25 @@
   /**
    * A page of the response to {@code log-newest}.
    *
-   * @param era the era of the store in which the page was created
    * @param records the latest records of some keys
    * @param hasMore whether more keys follow on the next page
    * @param endOffset the end offset of the topic when the page was created
    */
-  private record SnapshotPage(
-      long era, List<KeyedRecord> records, boolean hasMore, long endOffset) {
+  private record SnapshotPage(List<KeyedRecord> records, boolean hasMore, TopicOffset endOffset) {
     private static SnapshotPage decode(long era, byte[] bytes) throws PlatformDocumentException {
       Document page = Document.parse("page of latest records", bytes);
       List<KeyedRecord> records = new ArrayList<>();
       for (Document item : page.objectList("items")) {
         byte[] value = Base64.getDecoder().decode(item.text("value"));
         records.add(
-            new KeyedRecord((long) item.number("offset"), item.text("key"), Optional.of(value)));
+            new KeyedRecord(offset(era, item, "offset"), item.text("key"), Optional.of(value)));
       }
-      return new SnapshotPage(
-          era, records, page.booleanOrFalse("has-more"), (long) page.number("end"));
+      return new SnapshotPage(records, page.booleanOrFalse("has-more"), offset(era, page, "end"));
+    }
+
+    private static TopicOffset offset(long era, Document document, String field)
+        throws PlatformDocumentException {
+      return new TopicOffset(era, (long) document.number(field));
     }
   }
 }
--- a/src/main/java/org/radishpost/platform/TopicListener.java
+++ b/src/main/java/org/radishpost/platform/TopicListener.java
@@ -8,6 +8,15 @@
   /** Handles the latest record of each key; all other keys have been deleted. */
   void onSnapshot(List<KeyedRecord> records);
 
+  /**
+   * Handles the latest record of each key after the store was restored from an earlier copy. Keys
+   * may be missing, or have an older value than before, until their writers have written them
+   * again.
+   */
+  default void onRestoredSnapshot(List<KeyedRecord> records) {
+    onSnapshot(records);
+  }
+
   /** Handles the next record and returns whether it changed the state. */
   boolean onRecord(KeyedRecord record);
 
--- a/src/main/java/org/radishpost/platform/TopicReader.java
+++ b/src/main/java/org/radishpost/platform/TopicReader.java
@@ -3,8 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.radishpost.errors.RecordsDeletedException;
 import org.radishpost.events.EventCode;
@@ -13,6 +14,7 @@
 import org.radishpost.feed.Feed;
 import org.radishpost.feed.FeedPublisher;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.TopicOffset;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -23,8 +25,9 @@
  *
  * <p>At most one read is pending at a time. While the store does not respond, the reader keeps its
  * state and retries with increasing backoff and without long polling. If unread records have been
- * deleted from the store, the reader starts again with the latest record of each key. While the
- * reader is paused, it applies the records that a relay sends. Confined to the clock's thread.
+ * deleted from the store, or if the store was restored from an earlier copy, the reader starts
+ * again with the latest record of each key. While the reader is paused, it applies the records that
+ * a relay sends. Confined to the clock's thread.
  */
 final class TopicReader {
   private static final long INITIAL_BACKOFF_MILLIS = 100;
@@ -36,13 +39,14 @@
   private final Supplier<PollTiming> timing;
   private final TopicListener listener;
   private final FeedPublisher publisher;
+  private final LongConsumer newEraListener;
   private final Scheduler clock;
   private final EventSink events;
   private final Disposable.Swap pendingRead = Disposables.swap();
-  private boolean initialized;
+  private Optional<TopicOffset> nextOffset = Optional.empty();
+  private boolean snapshotRequired = true;
+  private long newestEra;
   private boolean storeLost;
-  private long era;
-  private long nextOffset;
   private long consecutiveFailures;
   private long lastResponseNanos;
 
@@ -55,6 +59,7 @@
    * @param timing supplies the current timing of reads
    * @param listener receives the records
    * @param publisher forwards the records that are read from the store to other VMs
+   * @param newEraListener receives each new era of the store that this reader finds
    * @param clock the clock and scheduler
    * @param events receives events
    */
@@ -65,6 +70,7 @@
       Supplier<PollTiming> timing,
       TopicListener listener,
       FeedPublisher publisher,
+      LongConsumer newEraListener,
       Scheduler clock,
       EventSink events) {
     this.topic = topic;
@@ -73,6 +79,7 @@
     this.timing = timing;
     this.listener = listener;
     this.publisher = publisher;
+    this.newEraListener = newEraListener;
     this.clock = clock;
     this.events = events;
     this.lastResponseNanos = clock.now(TimeUnit.NANOSECONDS);
@@ -85,42 +92,78 @@
 
   /** Continues reading immediately; starts with the latest record of each key if none is known. */
   void resume() {
-    if (initialized) {
-      publisher.resetTo(feed, nextOffset);
-    }
+    nextOffset().ifPresent(offset -> publisher.resetTo(feed, offset));
     scheduleRead(Duration.ZERO);
   }
 
-  /** Returns the offset of the next record; empty until the topic has been read. */
-  OptionalLong nextOffset() {
-    return initialized ? OptionalLong.of(nextOffset) : OptionalLong.empty();
+  /** Returns the offset of the next record; empty if a snapshot of the topic is required. */
+  Optional<TopicOffset> nextOffset() {
+    return snapshotRequired ? Optional.empty() : nextOffset;
   }
 
   /** Returns whether the last response of the store is at most {@code maxAge} old. */
   boolean respondedWithin(Duration maxAge) {
-    return initialized
+    return !snapshotRequired
         && !storeLost
         && clock.now(TimeUnit.NANOSECONDS) - lastResponseNanos <= maxAge.toNanos();
   }
 
-  /** Applies a snapshot from a relay; ignored if it is older than the current state. */
-  void applySnapshot(List<KeyedRecord> records, long newNextOffset) {
-    if (!initialized || newNextOffset >= nextOffset) {
-      loadSnapshot(records, newNextOffset);
-      publisher.resetTo(feed, nextOffset);
+  /**
+   * Reads the topic anew if the era is new: the store was restored from an earlier copy, so the
+   * offsets of the era before mean nothing any more. Must not be called while the reader is paused.
+   */
+  void startAnew(long era) {
+    if (era <= newestEra) {
+      return;
+    }
+    newestEra = era;
+    if (nextOffset.isEmpty()) {
+      return;
+    }
+    events.emit(
+        EventCode.STORE_RESTORED,
+        EventField.of("topic", topic),
+        EventField.of("era", era),
+        EventField.of("heardMsAgo", millisSinceLastResponse()),
+        nextField());
+    snapshotRequired = true;
+    scheduleRead(Duration.ZERO);
+  }
+
+  /**
+   * Applies a snapshot from a relay; ignored if it is older than the current state or of an earlier
+   * era than this reader has heard of.
+   */
+  void applySnapshot(List<KeyedRecord> records, TopicOffset newNextOffset) {
+    boolean older = nextOffset.filter(newNextOffset::isBefore).isPresent();
+    if (older || newNextOffset.era() < newestEra) {
+      return;
     }
+    loadSnapshot(records, newNextOffset);
+    publisher.resetTo(feed, newNextOffset);
   }
 
-  private void loadSnapshot(List<KeyedRecord> records, long newNextOffset) {
+  private void loadSnapshot(List<KeyedRecord> records, TopicOffset newNextOffset) {
     onStoreResponding();
-    listener.onSnapshot(records);
-    initialized = true;
-    nextOffset = newNextOffset;
+    final Optional<TopicOffset> previous = nextOffset;
+    nextOffset = Optional.of(newNextOffset);
+    newestEra = newNextOffset.era();
+    snapshotRequired = false;
+    if (previous.isPresent() && !previous.get().sameEra(newNextOffset)) {
+      listener.onRestoredSnapshot(records);
+      events.emit(
+          EventCode.STORE_RECOVERED,
+          EventField.of("topic", topic),
+          EventField.of("before", previous.get()),
+          nextField());
+    } else {
+      listener.onSnapshot(records);
+    }
   }
 
   /** Applies new records from a relay. */
   void applyRecords(List<KeyedRecord> records) {
-    if (initialized) {
+    if (!snapshotRequired) {
       applyNewRecords(records);
     }
   }
@@ -129,16 +172,20 @@
    * Advances to the offset that a relay has reported. The relay reaches the store and has sent all
    * changes before this offset.
    */
-  void advanceTo(long offset) {
+  void advanceTo(TopicOffset offset) {
     onStoreResponding();
-    nextOffset = Math.max(nextOffset, offset);
+    if (nextOffset.filter(known -> known.sameEra(offset) && known.isBefore(offset)).isPresent()) {
+      nextOffset = Optional.of(offset);
+    }
   }
 
   private void scheduleRead(Duration delay) {
     Mono<KeyedPage> page =
         Mono.defer(
             () ->
-                initialized ? store.read(topic, nextOffset, maxWait()) : store.readSnapshot(topic));
+                snapshotRequired
+                    ? store.readSnapshot(topic, newestEra)
+                    : store.read(topic, nextOffset.orElseThrow(), maxWait()));
     Mono<KeyedPage> delayed = delay.isZero() ? page : Mono.delay(delay, clock).then(page);
     pendingRead.update(delayed.publishOn(clock).subscribe(this::onPage, this::onError));
   }
@@ -152,15 +199,17 @@
   }
 
   private void onPage(KeyedPage page) {
-    era = page.era();
-    if (initialized) {
+    if (snapshotRequired) {
+      loadSnapshot(page.records(), page.nextOffset());
+      publisher.publishSnapshot(feed, page.records(), page.nextOffset());
+    } else if (page.nextOffset().era() > newestEra) {
+      newEraListener.accept(page.nextOffset().era());
+      return;
+    } else {
       onStoreResponding();
       List<KeyedRecord> changes = applyNewRecords(page.records());
-      nextOffset = Math.max(nextOffset, page.nextOffset());
-      publisher.publishRecords(feed, page.records(), changes, nextOffset);
-    } else {
-      loadSnapshot(page.records(), page.nextOffset());
-      publisher.publishSnapshot(feed, page.records(), nextOffset);
+      nextOffset = Optional.of(page.nextOffset());
+      publisher.publishRecords(feed, page.records(), changes, page.nextOffset());
     }
     scheduleRead(timing.get().pause());
   }
@@ -169,10 +218,11 @@
   private List<KeyedRecord> applyNewRecords(List<KeyedRecord> records) {
     List<KeyedRecord> changes = new ArrayList<>();
     for (KeyedRecord record : records) {
-      if (record.offset() < nextOffset) {
+      TopicOffset expected = nextOffset.orElseThrow();
+      if (!record.offset().sameEra(expected) || record.offset().isBefore(expected)) {
         continue;
       }
-      nextOffset = record.offset() + 1;
+      nextOffset = Optional.of(record.offset().next());
       if (listener.onRecord(record)) {
         changes.add(record);
       }
@@ -184,7 +234,7 @@
   private void onStoreResponding() {
     if (storeLost) {
       storeLost = false;
-      events.emit(EventCode.STORE_REGAINED, EventField.of("topic", topic), position());
+      events.emit(EventCode.STORE_REGAINED, EventField.of("topic", topic), nextField());
       listener.onStoreRegained();
     }
     consecutiveFailures = 0;
@@ -192,9 +242,13 @@
   }
 
   private void onError(Throwable error) {
+    if (nextOffset.isPresent() && store.newestEra() > newestEra) {
+      newEraListener.accept(store.newestEra());
+      return;
+    }
     if (error instanceof RecordsDeletedException) {
-      events.emit(EventCode.STORE_RESYNC, EventField.of("topic", topic), position());
-      initialized = false;
+      events.emit(EventCode.STORE_RESYNC, EventField.of("topic", topic), nextField());
+      snapshotRequired = true;
       scheduleRead(Duration.ZERO);
       return;
     }
@@ -205,7 +259,7 @@
           EventField.of("topic", topic),
           EventField.of("why", error.getMessage()),
           EventField.of("heardMsAgo", millisSinceLastResponse()),
-          position());
+          nextField());
       listener.onStoreLost();
     }
     long backoffMillis =
@@ -214,9 +268,8 @@
     scheduleRead(Duration.ofMillis(backoffMillis));
   }
 
-  /** Returns the era and the offset of the next record, separated by a slash. */
-  private EventField position() {
-    return EventField.of("next", era + "/" + nextOffset);
+  private EventField nextField() {
+    return EventField.of("next", nextOffset.map(TopicOffset::toString).orElse("none"));
   }
 
   private long millisSinceLastResponse() {
--- a/src/test/java/org/radishpost/feed/FakeReader.java
+++ b/src/test/java/org/radishpost/feed/FakeReader.java
@@ -1,13 +1,16 @@
 package org.radishpost.feed;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** A reader that records its calls; tests set its position. */
 final class FakeReader implements FeedReader {
   final List<String> calls = new ArrayList<>();
-  Optional<Position> position = Optional.of(new Position(10, 20));
+  private final Map<Feed, TopicOffset> snapshots = new EnumMap<>(Feed.class);
+  Optional<Position> position = Optional.of(TestOffsets.position(10, 20));
 
   @Override
   public Optional<Position> position() {
@@ -15,8 +18,13 @@
   }
 
   @Override
-  public void applySnapshot(Feed feed, List<KeyedRecord> records, long nextOffset) {
-    calls.add("newest " + feed + " " + records.size() + " before " + nextOffset);
+  public void applySnapshot(Feed feed, List<KeyedRecord> records, TopicOffset nextOffset) {
+    calls.add("newest " + feed + " " + records.size() + " before " + nextOffset.offset());
+    snapshots.put(feed, nextOffset);
+    if (snapshots.size() == Feed.values().length) {
+      position =
+          Optional.of(new Position(snapshots.get(Feed.OPERATORS), snapshots.get(Feed.TARGETS)));
+    }
   }
 
   @Override
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -1,5 +1,7 @@
 package org.radishpost.feed;
 
+import static org.radishpost.feed.TestOffsets.at;
+import static org.radishpost.feed.TestOffsets.position;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
 
@@ -32,16 +34,16 @@
   /** Returns one message of each type. */
   @DataProvider
   public Object[][] messages() {
-    KeyedRecord deleted = new KeyedRecord(1L << 40, "k", Optional.empty());
+    KeyedRecord deleted = new KeyedRecord(at(1L << 40), "k", Optional.empty());
     return new Object[][] {
       {new FeedMessage.Hello(Place.of("r", "z"))},
-      {new FeedMessage.Subscribe(new Position(1, 2))},
+      {new FeedMessage.Subscribe(position(1, 2))},
       {new FeedMessage.SubscribeWithSnapshot()},
       {
         new FeedMessage.Snapshot(
-            Feed.TARGETS, List.of(new KeyedRecord(4, "t", Optional.empty())), 1L << 33)
+            Feed.TARGETS, List.of(new KeyedRecord(at(4), "t", Optional.empty())), at(1L << 33))
       },
-      {new FeedMessage.Heartbeat(true, new Position(1L << 40, 0), true)},
+      {new FeedMessage.Heartbeat(true, position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(deleted))},
       {new FeedMessage.Slots(new SlotMessage.Open())},
       {
@@ -102,7 +104,7 @@
     byte[] value = {0, 1, (byte) 0xff};
     FeedMessage message =
         new FeedMessage.Records(
-            Feed.OPERATORS, List.of(new KeyedRecord(3, "config", Optional.of(value))));
+            Feed.OPERATORS, List.of(new KeyedRecord(at(3), "config", Optional.of(value))));
     FeedMessage.Records decoded = (FeedMessage.Records) FeedCodec.decode(FeedCodec.encode(message));
     assertEquals(decoded.records().getFirst().value().orElseThrow(), value);
   }
--- a/src/test/java/org/radishpost/feed/FollowerTest.java
+++ b/src/test/java/org/radishpost/feed/FollowerTest.java
@@ -1,5 +1,7 @@
 package org.radishpost.feed;
 
+import static org.radishpost.feed.TestOffsets.at;
+import static org.radishpost.feed.TestOffsets.position;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -48,13 +50,13 @@
     assertEquals(dialer.openLinks.keySet(), java.util.Set.of(NEAR_RELAY));
     assertEquals(
         dialer.openLinks.get(NEAR_RELAY).sent,
-        List.of(new FeedMessage.Subscribe(new Position(10, 20))));
+        List.of(new FeedMessage.Subscribe(position(10, 20))));
   }
 
   @Test
   public void appliesRecordsFromTheRelay() {
     followNearRelay();
-    KeyedRecord record = new KeyedRecord(21, "t-1", Optional.empty());
+    KeyedRecord record = new KeyedRecord(at(21), "t-1", Optional.empty());
     dialer
         .openLinks
         .get(NEAR_RELAY)
@@ -67,11 +69,11 @@
   public void doesNotSubscribeToRelayThatIsBehind() {
     tick();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 19));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 19));
     tick();
-    receiveHeartbeat(NEAR_RELAY, true, new Position(9, 30));
+    receiveHeartbeat(NEAR_RELAY, true, position(9, 30));
     assertEquals(dialer.openLinks.get(NEAR_RELAY).sent, List.of());
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
     assertEquals(dialer.openLinks.get(NEAR_RELAY).sent.size(), 1);
     assertFalse(follower.isFollowing());
   }
@@ -84,14 +86,14 @@
   public void heartbeatSentBeforeSubscriptionDoesNotAdvancePosition() {
     tick();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
     tick();
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 25));
-    assertEquals(reader.position, Optional.of(new Position(10, 20)));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 25));
+    assertEquals(reader.position, Optional.of(position(10, 20)));
     assertFalse(follower.isFollowing());
-    receiveCompleteHeartbeat(NEAR_RELAY, new Position(10, 25));
-    assertEquals(reader.position, Optional.of(new Position(10, 25)));
+    receiveCompleteHeartbeat(NEAR_RELAY, position(10, 25));
+    assertEquals(reader.position, Optional.of(position(10, 25)));
     assertTrue(follower.isFollowing());
   }
 
@@ -110,7 +112,7 @@
   @Test
   public void readsStoreWhenRelayCannotReachStore() {
     followNearRelay();
-    receiveHeartbeat(NEAR_RELAY, false, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, false, position(10, 20));
     assertFalse(follower.isFollowing());
     assertEquals(reader.calls.getLast(), "resume");
   }
@@ -132,12 +134,12 @@
   public void ignoresMessagesFromDisconnectedRelay() {
     followNearRelay();
     RelayDialer.Listener disconnected = dialer.openLinks.get(NEAR_RELAY).listener;
-    receiveHeartbeat(NEAR_RELAY, false, new Position(10, 20));
-    disconnected.received(new FeedMessage.Heartbeat(true, new Position(99, 99), true));
-    KeyedRecord record = new KeyedRecord(21, "t-1", Optional.empty());
+    receiveHeartbeat(NEAR_RELAY, false, position(10, 20));
+    disconnected.received(new FeedMessage.Heartbeat(true, position(99, 99), true));
+    KeyedRecord record = new KeyedRecord(at(21), "t-1", Optional.empty());
     disconnected.received(new FeedMessage.Records(Feed.TARGETS, List.of(record)));
     assertEquals(reader.calls.getLast(), "resume");
-    assertEquals(reader.position, Optional.of(new Position(10, 20)));
+    assertEquals(reader.position, Optional.of(position(10, 20)));
   }
 
   @Test
@@ -171,9 +173,9 @@
     reader.position = Optional.empty();
     tick();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(0, 0));
+    receiveHeartbeat(NEAR_RELAY, true, position(0, 0));
     tick();
-    receiveHeartbeat(NEAR_RELAY, true, new Position(0, 0));
+    receiveHeartbeat(NEAR_RELAY, true, position(0, 0));
     assertEquals(
         dialer.openLinks.get(NEAR_RELAY).sent, List.of(new FeedMessage.SubscribeWithSnapshot()));
     assertFalse(follower.isFollowing());
@@ -184,8 +186,8 @@
     tick();
     receiveHello(NEAR_RELAY, "near");
     receiveHello(FAR_RELAY, "far");
-    receiveHeartbeat(NEAR_RELAY, false, new Position(10, 20));
-    receiveHeartbeat(FAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, false, position(10, 20));
+    receiveHeartbeat(FAR_RELAY, true, position(10, 20));
     tick();
     assertEquals(dialer.openLinks.keySet(), java.util.Set.of(FAR_RELAY));
   }
@@ -196,16 +198,16 @@
     follower.start();
     receiveHello(NEAR_RELAY, "near");
     receiveHello(FAR_RELAY, "far");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
-    receiveHeartbeat(FAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
+    receiveHeartbeat(FAR_RELAY, true, position(10, 20));
     tick();
     FakeDialer.FakeLink near = dialer.openLinks.get(NEAR_RELAY);
     assertEquals(near.sent, List.of(new FeedMessage.SubscribeWithSnapshot()));
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 21));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 21));
     assertEquals(reader.position, Optional.empty());
-    near.listener.received(new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), 10));
-    near.listener.received(new FeedMessage.Snapshot(Feed.TARGETS, List.of(), 21));
-    receiveCompleteHeartbeat(NEAR_RELAY, new Position(10, 21));
+    near.listener.received(new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), at(10)));
+    near.listener.received(new FeedMessage.Snapshot(Feed.TARGETS, List.of(), at(21)));
+    receiveCompleteHeartbeat(NEAR_RELAY, position(10, 21));
     assertEquals(
         reader.calls,
         List.of(
@@ -240,7 +242,7 @@
     now += 2_000_000_000L;
     tick();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
     tick();
     assertEquals(
         dialer.openLinks.get(NEAR_RELAY).sent, List.of(new FeedMessage.SubscribeWithSnapshot()));
@@ -255,7 +257,7 @@
     tick();
     assertEquals(dialer.dialCount, dials + 2);
     receiveHello(FAR_RELAY, "far");
-    receiveHeartbeat(FAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(FAR_RELAY, true, position(10, 20));
     tick();
     assertEquals(
         dialer.openLinks.get(FAR_RELAY).sent, List.of(new FeedMessage.SubscribeWithSnapshot()));
@@ -265,7 +267,7 @@
   public void startupReadsStoreWhenRelayClosesConnection() {
     follower.start();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
     tick();
     dialer.openLinks.get(NEAR_RELAY).listener.closed();
     assertEquals(reader.calls, List.of("resume"));
@@ -275,10 +277,10 @@
   public void startupReadsStoreWhenRelayFailsDuringSnapshot() {
     follower.start();
     receiveHello(NEAR_RELAY, "near");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
     tick();
     FakeDialer.FakeLink near = dialer.openLinks.get(NEAR_RELAY);
-    near.listener.received(new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), 10));
+    near.listener.received(new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), at(10)));
     near.listener.closed();
     assertEquals(reader.calls.getLast(), "resume");
     assertFalse(follower.isFollowing());
@@ -292,15 +294,53 @@
     assertEquals(dialer.dialCount, 0);
   }
 
+  /** The offsets of the relay are higher, but say nothing: the store has assigned them anew. */
+  @Test
+  public void doesNotSubscribeToRelayOfEarlierEra() {
+    reader.position = Optional.of(new Position(new TopicOffset(2, 5), new TopicOffset(2, 6)));
+    tick();
+    receiveHello(NEAR_RELAY, "near");
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
+    tick();
+    receiveHeartbeat(NEAR_RELAY, true, position(11, 21));
+    assertEquals(dialer.openLinks.get(NEAR_RELAY).sent, List.of());
+    Position restored = new Position(new TopicOffset(2, 5), new TopicOffset(2, 6));
+    receiveHeartbeat(NEAR_RELAY, true, restored);
+    assertEquals(
+        dialer.openLinks.get(NEAR_RELAY).sent, List.of(new FeedMessage.Subscribe(restored)));
+  }
+
+  /** A VM that has not seen the return of the store must read what the relay cannot send. */
+  @Test
+  public void doesNotSubscribeToRelayOfLaterEra() {
+    tick();
+    receiveHello(NEAR_RELAY, "near");
+    Position restored = new Position(new TopicOffset(2, 30), new TopicOffset(2, 30));
+    receiveHeartbeat(NEAR_RELAY, true, restored);
+    tick();
+    receiveHeartbeat(NEAR_RELAY, true, restored);
+    assertEquals(dialer.openLinks.get(NEAR_RELAY).sent, List.of());
+  }
+
+  @Test
+  public void leavesRelayWhosePositionIsOfAnotherEra() {
+    followNearRelay();
+    receiveCompleteHeartbeat(
+        NEAR_RELAY, new Position(new TopicOffset(2, 30), new TopicOffset(2, 30)));
+    assertFalse(follower.isFollowing());
+    assertEquals(reader.calls.getLast(), "resume");
+    assertEquals(reader.position, Optional.of(position(10, 20)));
+  }
+
   private void followNearRelay() {
     tick();
     receiveHello(NEAR_RELAY, "near");
     receiveHello(FAR_RELAY, "far");
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
-    receiveHeartbeat(FAR_RELAY, true, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
+    receiveHeartbeat(FAR_RELAY, true, position(10, 20));
     tick();
-    receiveHeartbeat(NEAR_RELAY, true, new Position(10, 20));
-    receiveCompleteHeartbeat(NEAR_RELAY, new Position(10, 20));
+    receiveHeartbeat(NEAR_RELAY, true, position(10, 20));
+    receiveCompleteHeartbeat(NEAR_RELAY, position(10, 20));
     assertTrue(follower.isFollowing());
   }
 
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -1,5 +1,7 @@
 package org.radishpost.feed;
 
+import static org.radishpost.feed.TestOffsets.at;
+import static org.radishpost.feed.TestOffsets.position;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -30,8 +32,8 @@
   public void create() {
     crashes = new CrashHistory(() -> 0);
     relay = new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets(), crashes);
-    relay.publishSnapshot(Feed.OPERATORS, List.of(record(7)), 10);
-    relay.publishSnapshot(Feed.TARGETS, List.of(record(18), record(19)), 20);
+    relay.publishSnapshot(Feed.OPERATORS, List.of(record(7)), at(10));
+    relay.publishSnapshot(Feed.TARGETS, List.of(record(18), record(19)), at(20));
     relay.tick(true);
     follower = new FakeLink();
   }
@@ -43,7 +45,7 @@
         follower.sent,
         List.of(
             new FeedMessage.Hello(Place.of("k", "k-a")),
-            new FeedMessage.Heartbeat(true, new Position(10, 20), false)));
+            new FeedMessage.Heartbeat(true, position(10, 20), false)));
   }
 
   @Test
@@ -52,22 +54,22 @@
         Feed.TARGETS,
         List.of(record(20), record(21), record(22)),
         List.of(record(20), record(22)),
-        25);
+        at(25));
     relay.connected(follower);
-    relay.received(follower, new FeedMessage.Subscribe(new Position(10, 21)));
-    relay.publishRecords(Feed.TARGETS, List.of(record(25)), List.of(record(25)), 30);
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 21)));
+    relay.publishRecords(Feed.TARGETS, List.of(record(25)), List.of(record(25)), at(30));
     assertEquals(
         follower.sent.subList(2, 5),
         List.of(
             new FeedMessage.Records(Feed.TARGETS, List.of(record(22))),
-            new FeedMessage.Heartbeat(true, new Position(10, 25), true),
+            new FeedMessage.Heartbeat(true, position(10, 25), true),
             new FeedMessage.Records(Feed.TARGETS, List.of(record(25)))));
   }
 
   @Test
   public void rejectsFollowerThatIsTooFarBehind() {
     relay.connected(follower);
-    relay.received(follower, new FeedMessage.Subscribe(new Position(9, 20)));
+    relay.received(follower, new FeedMessage.Subscribe(position(9, 20)));
     assertTrue(follower.closed);
     assertEquals(relay.followerCount(), 0);
   }
@@ -75,46 +77,68 @@
   @Test
   public void disconnectsFollowersWhenRecordsAreSkipped() {
     relay.connected(follower);
-    relay.received(follower, new FeedMessage.Subscribe(new Position(10, 20)));
-    relay.resetTo(Feed.TARGETS, 500);
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 20)));
+    relay.resetTo(Feed.TARGETS, at(500));
     assertTrue(follower.closed);
   }
 
+  /** Until its connection is closed, such a follower must not take the new position for its own. */
+  @Test
+  public void followersOfEarlierEraAreNotAdvanced() {
+    relay.connected(follower);
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 20)));
+    relay.publishSnapshot(Feed.TARGETS, List.of(), new TopicOffset(2, 5));
+    assertTrue(follower.closed);
+    relay.tick(true);
+    assertEquals(
+        follower.sent.getLast(),
+        new FeedMessage.Heartbeat(true, new Position(at(10), new TopicOffset(2, 5)), false));
+  }
+
+  @Test
+  public void rejectsSubscriptionOfAnotherEra() {
+    relay.publishSnapshot(Feed.TARGETS, List.of(), new TopicOffset(2, 5));
+    relay.connected(follower);
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 20)));
+    assertTrue(follower.closed);
+    assertEquals(relay.followerCount(), 0);
+  }
+
   @Test
   public void reportsUnreachableStoreAndRejectsSubscriptions() {
     relay.connected(follower);
     relay.tick(false);
     assertEquals(
-        follower.sent.getLast(), new FeedMessage.Heartbeat(false, new Position(10, 20), false));
-    relay.received(follower, new FeedMessage.Subscribe(new Position(10, 20)));
+        follower.sent.getLast(), new FeedMessage.Heartbeat(false, position(10, 20), false));
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 20)));
     assertTrue(follower.closed);
   }
 
   @Test
   public void sendsLatestRecordOfEachKeyAsSnapshot() {
-    KeyedRecord first = new KeyedRecord(20, "t", Optional.of(new byte[] {1}));
-    KeyedRecord updated = new KeyedRecord(21, "t", Optional.of(new byte[] {2}));
-    KeyedRecord other = new KeyedRecord(22, "u", Optional.of(new byte[] {3}));
-    KeyedRecord deleted = new KeyedRecord(23, "u", Optional.empty());
-    relay.publishRecords(Feed.TARGETS, List.of(first), List.of(first), 21);
+    KeyedRecord first = new KeyedRecord(at(20), "t", Optional.of(new byte[] {1}));
+    KeyedRecord updated = new KeyedRecord(at(21), "t", Optional.of(new byte[] {2}));
+    KeyedRecord other = new KeyedRecord(at(22), "u", Optional.of(new byte[] {3}));
+    KeyedRecord deleted = new KeyedRecord(at(23), "u", Optional.empty());
+    relay.publishRecords(Feed.TARGETS, List.of(first), List.of(first), at(21));
     relay.publishRecords(
-        Feed.TARGETS, List.of(updated, other, deleted), List.of(other, deleted), 24);
+        Feed.TARGETS, List.of(updated, other, deleted), List.of(other, deleted), at(24));
     relay.connected(follower);
     relay.received(follower, new FeedMessage.SubscribeWithSnapshot());
     assertEquals(
         follower.sent.subList(2, 5),
         List.of(
-            new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), 10),
-            new FeedMessage.Snapshot(Feed.TARGETS, List.of(updated), 24),
-            new FeedMessage.Heartbeat(true, new Position(10, 24), true)));
-    relay.publishRecords(Feed.OPERATORS, List.of(record(10)), List.of(record(10)), 11);
+            new FeedMessage.Snapshot(Feed.OPERATORS, List.of(), at(10)),
+            new FeedMessage.Snapshot(Feed.TARGETS, List.of(updated), at(24)),
+            new FeedMessage.Heartbeat(true, position(10, 24), true)));
+    relay.publishRecords(Feed.OPERATORS, List.of(record(10)), List.of(record(10)), at(11));
     assertEquals(
         follower.sent.getLast(), new FeedMessage.Records(Feed.OPERATORS, List.of(record(10))));
   }
 
   @Test
   public void rejectsSnapshotRequestAfterSkippedRecords() {
-    relay.resetTo(Feed.OPERATORS, 15);
+    relay.resetTo(Feed.OPERATORS, at(15));
     relay.connected(follower);
     relay.received(follower, new FeedMessage.SubscribeWithSnapshot());
     assertTrue(follower.closed);
@@ -125,9 +149,9 @@
   public void rejectsSnapshotRequestWhenSnapshotIsTooLarge() {
     List<KeyedRecord> many = new ArrayList<>();
     for (int i = 0; i <= LatestRecords.MAX_SNAPSHOT_RECORDS; i++) {
-      many.add(new KeyedRecord(i, "t-" + i, Optional.of(new byte[0])));
+      many.add(new KeyedRecord(at(i), "t-" + i, Optional.of(new byte[0])));
     }
-    relay.publishSnapshot(Feed.TARGETS, many, many.size());
+    relay.publishSnapshot(Feed.TARGETS, many, at(many.size()));
     relay.connected(follower);
     relay.received(follower, new FeedMessage.SubscribeWithSnapshot());
     assertTrue(follower.closed);
@@ -144,11 +168,11 @@
   @Test
   public void dropsOldestRecordsBeyondLimit() {
     RecentFeedRecords recent = new RecentFeedRecords(2);
-    recent.resetTo(5);
-    recent.add(List.of(record(5), record(6), record(8)), 9);
-    assertEquals(recent.since(5), Optional.empty());
-    assertEquals(recent.since(6), Optional.of(List.of(record(6), record(8))));
-    assertEquals(recent.since(9), Optional.of(List.of()));
+    recent.resetTo(at(5));
+    recent.add(List.of(record(5), record(6), record(8)), at(9));
+    assertEquals(recent.since(at(5)), Optional.empty());
+    assertEquals(recent.since(at(6)), Optional.of(List.of(record(6), record(8))));
+    assertEquals(recent.since(at(9)), Optional.of(List.of()));
   }
 
   @Test
@@ -178,7 +202,7 @@
   }
 
   private static KeyedRecord record(long offset) {
-    return new KeyedRecord(offset, "t-" + offset, Optional.empty());
+    return new KeyedRecord(at(offset), "t-" + offset, Optional.empty());
   }
 
   private static final class FakeLink implements FeedLink {
--- a/src/test/java/org/radishpost/platform/EndlessStoreResponseTest.java
+++ b/src/test/java/org/radishpost/platform/EndlessStoreResponseTest.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import static org.radishpost.feed.TestOffsets.at;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
@@ -56,7 +57,7 @@
   @Test(dataProvider = "responses")
   public void readWithoutEndIsEndedByLimits(EndlessResponse endless) throws Exception {
     try (EndlessServer server = new EndlessServer(endless, "")) {
-      Mono<KeyedPage> page = client(server.address()).read("t", 0, Duration.ZERO);
+      Mono<KeyedPage> page = client(server.address()).read("t", at(0), Duration.ZERO);
       assertFails(page);
       assertTrue(server.awaitSentBytes() < EndlessServer.MAX_BYTES);
     }
@@ -65,7 +66,7 @@
   @Test(dataProvider = "responses")
   public void snapshotWithoutEndIsEndedByLimits(EndlessResponse endless) throws Exception {
     try (EndlessServer server = new EndlessServer(endless, "")) {
-      assertFails(client(server.address()).readSnapshot("t"));
+      assertFails(client(server.address()).readSnapshot("t", 1));
       assertTrue(server.awaitSentBytes() < EndlessServer.MAX_BYTES);
     }
   }
@@ -92,7 +93,7 @@
                         response.sendByteArray(Mono.just(page(pages.incrementAndGet())))));
     ExecutionException error =
         expectThrows(
-            ExecutionException.class, () -> client(address).readSnapshot("t").toFuture().get());
+            ExecutionException.class, () -> client(address).readSnapshot("t", 1).toFuture().get());
     assertEquals(error.getCause().getClass(), StoreException.class);
     listener.stop().block();
   }
--- a/src/test/java/org/radishpost/platform/LateStoreResponseTest.java
+++ b/src/test/java/org/radishpost/platform/LateStoreResponseTest.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import static org.radishpost.feed.TestOffsets.at;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
@@ -40,7 +41,7 @@
 
   private List<String> read(StoreClient client, String topic, long from) throws Exception {
     awaitIdleConnections();
-    return values(client.read(topic, from, Duration.ZERO).toFuture().get());
+    return values(client.read(topic, at(from), Duration.ZERO).toFuture().get());
   }
 
   /** Waits until the only thread has returned the connections of earlier reads to their pool. */
@@ -99,7 +100,7 @@
   public void pageAfterTimeoutIsNotPageOfNextRead() throws Exception {
     try (RepeatingStore store = new RepeatingStore(RepeatingStore.First.SILENCE)) {
       StoreClient client = client(store);
-      CompletableFuture<KeyedPage> silent = client.read("a", 0, Duration.ZERO).toFuture();
+      CompletableFuture<KeyedPage> silent = client.read("a", at(0), Duration.ZERO).toFuture();
       store.awaitRequest();
       clock.advanceTimeBy(Duration.ofSeconds(1));
       expectThrows(ExecutionException.class, silent::get);
--- /dev/null
+++ b/src/test/java/org/radishpost/platform/RecordingTopicListener.java
@@ -0,0 +1,53 @@
+package org.radishpost.platform;
+
+import java.util.List;
+import java.util.Queue;
+import org.radishpost.feed.KeyedRecord;
+
+/** A listener that adds one line of text for each call to a queue. */
+final class RecordingTopicListener implements TopicListener {
+  private final Queue<String> received;
+
+  RecordingTopicListener(Queue<String> received) {
+    this.received = received;
+  }
+
+  @Override
+  public void onSnapshot(List<KeyedRecord> records) {
+    received.add("newest" + text(records));
+  }
+
+  @Override
+  public void onRestoredSnapshot(List<KeyedRecord> records) {
+    received.add("restored" + text(records));
+  }
+
+  @Override
+  public boolean onRecord(KeyedRecord record) {
+    received.add(text(record));
+    return true;
+  }
+
+  @Override
+  public void onStoreLost() {
+    received.add("lost");
+  }
+
+  @Override
+  public void onStoreRegained() {
+    received.add("back");
+  }
+
+  private static String text(List<KeyedRecord> records) {
+    StringBuilder all = new StringBuilder();
+    records.forEach(record -> all.append(' ').append(text(record)));
+    return all.toString();
+  }
+
+  private static String text(KeyedRecord record) {
+    return record
+        .value()
+        .map(value -> record.key() + "=" + new String(value))
+        .orElse(record.key() + " dropped");
+  }
+}
--- a/src/test/java/org/radishpost/platform/SecondStoreResponseTest.java
+++ b/src/test/java/org/radishpost/platform/SecondStoreResponseTest.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import static org.radishpost.feed.TestOffsets.at;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
@@ -60,13 +61,13 @@
   @Test(dataProvider = "secondResponses")
   public void snapshotBeforeSecondResponseIsError(String second) throws Exception {
     String bytes = LateServer.responseWithoutLength("200 OK", SNAPSHOT) + second;
-    assertFails(bytes, store -> store.readSnapshot("t"));
+    assertFails(bytes, store -> store.readSnapshot("t", 1));
   }
 
   @Test(dataProvider = "secondResponses")
   public void pageBeforeSecondResponseIsError(String second) throws Exception {
     String bytes = LateServer.responseWithoutLength("200 OK", page(1)) + second;
-    assertFails(bytes, store -> store.read("t", 0, Duration.ZERO));
+    assertFails(bytes, store -> store.read("t", at(0), Duration.ZERO));
   }
 
   /** The record takes its missing bytes from the response behind the page. */
@@ -76,25 +77,25 @@
     String second = LateServer.response("503 B", "");
     String filling = second.substring(0, RECORD.length() - 4);
     String bytes = LateServer.responseWithoutLength("200 OK", cut) + filling;
-    assertFails(bytes, store -> store.read("t", 0, Duration.ZERO));
+    assertFails(bytes, store -> store.read("t", at(0), Duration.ZERO));
   }
 
   @Test
   public void pageWithoutLengthIsRead() throws Exception {
     String bytes = LateServer.responseWithoutLength("200 OK", page(2));
-    assertEquals(read(bytes, store -> store.read("t", 0, Duration.ZERO)).records().size(), 2);
+    assertEquals(read(bytes, store -> store.read("t", at(0), Duration.ZERO)).records().size(), 2);
   }
 
   @Test
   public void snapshotWithoutLengthIsRead() throws Exception {
     String bytes = LateServer.responseWithoutLength("200 OK", SNAPSHOT);
-    assertEquals(read(bytes, store -> store.readSnapshot("t")).nextOffset(), 7);
+    assertEquals(read(bytes, store -> store.readSnapshot("t", 1)).nextOffset(), at(7));
   }
 
   @Test
   public void pageWithLengthMayQuoteResponse() throws Exception {
     String bytes = LateServer.response("200 OK", page(2));
-    assertEquals(read(bytes, store -> store.read("t", 0, Duration.ZERO)).records().size(), 2);
+    assertEquals(read(bytes, store -> store.read("t", at(0), Duration.ZERO)).records().size(), 2);
   }
 
   /** Returns pages whose head is malformed. */
@@ -105,7 +106,7 @@
 
   @Test(dataProvider = "malformedPages")
   public void pageWithMalformedHeadIsError(String bytes) throws Exception {
-    assertFails(bytes, store -> store.read("t", 0, Duration.ZERO));
+    assertFails(bytes, store -> store.read("t", at(0), Duration.ZERO));
   }
 
   /** Returns snapshots whose head is malformed. */
@@ -116,7 +117,7 @@
 
   @Test(dataProvider = "malformedSnapshots")
   public void snapshotWithMalformedHeadIsError(String bytes) throws Exception {
-    assertFails(bytes, store -> store.readSnapshot("t"));
+    assertFails(bytes, store -> store.readSnapshot("t", 1));
   }
 
   private void assertFails(String bytes, Read read) {
--- a/src/test/java/org/radishpost/platform/TargetTopicListenerTest.java
+++ b/src/test/java/org/radishpost/platform/TargetTopicListenerTest.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import static org.radishpost.feed.TestOffsets.at;
 import static org.testng.Assert.assertEquals;
 
 import java.nio.charset.StandardCharsets;
@@ -32,7 +33,7 @@
           (code, fields) -> events.add(code));
 
   private static KeyedRecord record(long offset, String key, String entry) {
-    return new KeyedRecord(offset, key, Optional.of(entry.getBytes(StandardCharsets.UTF_8)));
+    return new KeyedRecord(at(offset), key, Optional.of(entry.getBytes(StandardCharsets.UTF_8)));
   }
 
   private static KeyedRecord sound(long offset, String key) {
--- a/src/test/java/org/radishpost/platform/TopicReaderTest.java
+++ b/src/test/java/org/radishpost/platform/TopicReaderTest.java
@@ -1,5 +1,6 @@
 package org.radishpost.platform;
 
+import static org.radishpost.feed.TestOffsets.at;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -59,8 +60,9 @@
         Feed.TARGETS,
         client,
         () -> new PollTiming(maxWait, Duration.ofMillis(5)),
-        new RecordingListener(),
+        new RecordingTopicListener(received),
         new Relay(Place.of("k", "k-a"), TestBrokers.withoutTargets(), new CrashHistory(() -> 0)),
+        era -> reader.startAnew(era),
         clock,
         (code, fields) -> received.add(code.name()));
   }
@@ -139,11 +141,13 @@
 
   @Test
   public void snapshotFromAnotherVmReplacesFirstRead() throws Exception {
-    KeyedRecord record = new KeyedRecord(0, "a", Optional.of(new byte[] {'9'}));
-    Mono.fromRunnable(() -> reader.applySnapshot(List.of(record), 1)).subscribeOn(clock).block();
+    KeyedRecord record = new KeyedRecord(at(0), "a", Optional.of(new byte[] {'9'}));
+    Mono.fromRunnable(() -> reader.applySnapshot(List.of(record), at(1)))
+        .subscribeOn(clock)
+        .block();
     await("newest a=9");
     assertEquals(server.requestCount(), 0);
-    Mono.fromRunnable(() -> reader.applySnapshot(List.of(), 0)).subscribeOn(clock).block();
+    Mono.fromRunnable(() -> reader.applySnapshot(List.of(), at(0))).subscribeOn(clock).block();
     store.put(TOPIC, "b", "2");
     Mono.fromRunnable(reader::resume).subscribeOn(clock).block();
     await("b=2");
@@ -174,36 +178,4 @@
     }
     assertEquals(next, expected);
   }
-
-  private final class RecordingListener implements TopicListener {
-    @Override
-    public void onSnapshot(List<KeyedRecord> records) {
-      StringBuilder all = new StringBuilder("newest");
-      records.forEach(record -> all.append(' ').append(text(record)));
-      received.add(all.toString());
-    }
-
-    @Override
-    public boolean onRecord(KeyedRecord record) {
-      received.add(text(record));
-      return true;
-    }
-
-    @Override
-    public void onStoreLost() {
-      received.add("lost");
-    }
-
-    @Override
-    public void onStoreRegained() {
-      received.add("back");
-    }
-
-    private static String text(KeyedRecord record) {
-      return record
-          .value()
-          .map(value -> record.key() + "=" + new String(value))
-          .orElse(record.key() + " dropped");
-    }
-  }
 }
