Keep an evacuation that a restored store lacks

What callers saw: none have reported it. After the store came back from a copy older than an evacuation, calls went to the zone again until the operator had written the evacuation once more (EVAC).

A desired state does not go back already: versions never fall.

--- a/src/main/java/org/radishpost/platform/OperatorTopicListener.java
+++ b/src/main/java/org/radishpost/platform/OperatorTopicListener.java
@@ -18,12 +18,18 @@
 /**
  * Creates configurations from the records of the operators' topic.
  *
- * <p>The version of the configuration never decreases during the lifetime of the process.
+ * <p>The version of the configuration never decreases during the lifetime of the process. A zone
+ * that is out of service stays so when the store was restored from a copy without the record that
+ * took it out, until a record of this zone is read again.
  */
 final class OperatorTopicListener implements TopicListener {
   private final Consumer<Configuration> configurationListener;
   private final EventSink events;
   private final Set<Scope> outOfService = new HashSet<>();
+
+  /** The zones that are out of service although the restored store has no record of them yet. */
+  private final Set<Scope> awaitingRecord = new HashSet<>();
+
   private Optional<VersionedManifest> manifest = Optional.empty();
 
   OperatorTopicListener(Consumer<Configuration> configurationListener, EventSink events) {
@@ -34,10 +40,17 @@
   @Override
   public void onSnapshot(List<KeyedRecord> records) {
     outOfService.clear();
+    outOfService.addAll(awaitingRecord);
     records.forEach(this::applyRecord);
     publishConfiguration();
   }
 
+  @Override
+  public void onRestoredSnapshot(List<KeyedRecord> records) {
+    awaitingRecord.addAll(outOfService);
+    onSnapshot(records);
+  }
+
   @Override
   public boolean onRecord(KeyedRecord record) {
     applyRecord(record);
@@ -56,6 +69,7 @@
   private void applyEvacuation(KeyedRecord record) {
     String zone = record.key().substring(WireNames.EVACUATION_PREFIX.length());
     Scope scope = new Scope(Scope.Kind.ZONE, zone);
+    awaitingRecord.remove(scope);
     if (record.value().isPresent()) {
       outOfService.add(scope);
     } else {
