Do not let targets go back to what a restored store says

What callers saw: none have reported it. After the store came back from a copy, calls went to a target that had left, or that was draining (DRAIN), and a target younger than the copy got none until its next heartbeat.

Entries of targets that left lately are held back until the target writes, or for 10 s. Ruled out: the sequence number, as relays forward only changes.

--- a/src/main/java/org/radishpost/node/EntryNode.java
+++ b/src/main/java/org/radishpost/node/EntryNode.java
@@ -281,6 +281,7 @@
     loadSummary.tick(clock.now(TimeUnit.NANOSECONDS));
     responseFaults.tick();
     directory.removeExpired(clock.now(TimeUnit.NANOSECONDS));
+    directory.registerHeldBack(clock.now(TimeUnit.NANOSECONDS));
     relay.tick(!stopping && !follower.isFollowing() && platformFeed.isStoreReachable());
     follower.tick();
     slotClient.tick();
--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -19,19 +19,34 @@
  * <p>While the registry is unavailable, targets cannot renew their entries, so the entries of
  * healthy targets expire too. Targets without an entry are therefore kept during an outage and for
  * a grace period after it, in which they can register again. Until then, calls are sent to such a
- * target only if it has recently reported its load. Confined to one thread.
+ * target only if it has recently reported its load.
+ *
+ * <p>A registry that was restored from an earlier copy may lack the newest entries and still have
+ * those of targets that have left. The former are treated as after an outage, the latter are held
+ * back. Confined to one thread.
  */
 public final class TargetDirectory {
   /** How long a target without an entry is kept after the registry becomes available again. */
   public static final long REREGISTRATION_GRACE_NANOS = 2_200_000_000L;
 
+  /**
+   * How long an entry of a departed target is held back if nothing is written for this target. The
+   * registry deletes the entry of a target after three heartbeat intervals of silence, so one that
+   * is still there belongs to a target that runs.
+   */
+  static final long HOLD_BACK_NANOS = 10_000_000_000L;
+
   private final EventSink events;
   private final Map<TargetId, TrackedTarget> targets = new HashMap<>();
   private final Map<TargetId, Long> missingExpiryNanos = new HashMap<>();
+  private final DepartedTargets departed = new DepartedTargets();
+  private final Map<TargetId, HeldBackEntry> heldBack = new HashMap<>();
   private boolean loaded;
   private boolean registryUnavailable;
   private long graceEndNanos;
 
+  private record HeldBackEntry(Target entry, long untilNanos) {}
+
   /** Creates an empty directory that emits an event for each change of a target. */
   public TargetDirectory(EventSink events) {
     this.events = events;
@@ -43,6 +58,8 @@
    * @return whether the entry changed the directory
    */
   public boolean register(Target entry, long nowNanos) {
+    heldBack.remove(entry.id());
+    departed.remove(entry.id());
     boolean wasMissing = missingExpiryNanos.remove(entry.id()) != null;
     TrackedTarget known = targets.get(entry.id());
     if (known == null) {
@@ -61,6 +78,7 @@
 
   /** Removes a target whose entry is gone; during an outage only after the grace period. */
   public void unregister(TargetId id, long nowNanos) {
+    heldBack.remove(id);
     if (!targets.containsKey(id)) {
       return;
     }
@@ -69,14 +87,19 @@
       targets.get(id).setEntryMissing(true);
       return;
     }
-    remove(id);
+    remove(id, nowNanos);
   }
 
-  /** Registers all given entries and unregisters all targets without one. */
+  /**
+   * Registers all given entries and unregisters all targets without one. An entry that is held back
+   * stays so.
+   */
   public void replaceAll(Collection<Target> entries, long nowNanos) {
     loaded = true;
     Map<TargetId, Target> byId = new HashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
+    heldBack.keySet().retainAll(byId.keySet());
+    byId.values().removeIf(this::isHeldBack);
     for (TargetId known : List.copyOf(targets.keySet())) {
       if (!byId.containsKey(known)) {
         unregister(known, nowNanos);
@@ -85,6 +108,45 @@
     byId.values().forEach(entry -> register(entry, nowNanos));
   }
 
+  private boolean isHeldBack(Target entry) {
+    HeldBackEntry held = heldBack.get(entry.id());
+    return held != null && entry.startedMillis() <= held.entry().startedMillis();
+  }
+
+  /**
+   * Applies all entries of a registry that was restored from an earlier copy, which starts the
+   * grace period. Entries that are older than what is known do not take it back.
+   */
+  public void restore(Collection<Target> entries, long nowNanos) {
+    registryUnavailable();
+    registryAvailable(nowNanos);
+    List<Target> applicable = new ArrayList<>();
+    for (Target entry : entries) {
+      switch (RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()))) {
+        case APPLY -> applicable.add(entry);
+        case HOLD_BACK -> {
+          heldBack.put(entry.id(), new HeldBackEntry(entry, nowNanos + HOLD_BACK_NANOS));
+          applicable.add(entry);
+        }
+        case IGNORE -> {}
+      }
+    }
+    replaceAll(applicable, nowNanos);
+  }
+
+  private Optional<Target> knownEntry(TargetId id) {
+    return find(id).map(TrackedTarget::target);
+  }
+
+  /** Registers the entries that have been held back for long enough; called periodically. */
+  public void registerHeldBack(long nowNanos) {
+    for (HeldBackEntry held : List.copyOf(heldBack.values())) {
+      if (nowNanos - held.untilNanos() >= 0) {
+        register(held.entry(), nowNanos);
+      }
+    }
+  }
+
   /** Records that the registry does not respond. */
   public void registryUnavailable() {
     registryUnavailable = true;
@@ -102,12 +164,13 @@
 
   /** Removes the targets whose entries are still missing at the end of the grace period. */
   public void removeExpired(long nowNanos) {
+    departed.removeOld(nowNanos);
     if (registryUnavailable || missingExpiryNanos.isEmpty()) {
       return;
     }
     for (Map.Entry<TargetId, Long> missing : List.copyOf(missingExpiryNanos.entrySet())) {
       if (nowNanos - missing.getValue() >= 0) {
-        remove(missing.getKey());
+        remove(missing.getKey(), nowNanos);
       }
     }
   }
@@ -146,10 +209,11 @@
     return targets.size();
   }
 
-  private void remove(TargetId id) {
+  private void remove(TargetId id, long nowNanos) {
     missingExpiryNanos.remove(id);
     TrackedTarget removed = targets.remove(id);
     if (removed != null) {
+      departed.add(removed.target(), nowNanos);
       emit(EventCode.TARGET_GONE, removed.target());
     }
   }
--- a/src/main/java/org/radishpost/platform/TargetTopicListener.java
+++ b/src/main/java/org/radishpost/platform/TargetTopicListener.java
@@ -38,9 +38,12 @@
 
   @Override
   public void onSnapshot(List<KeyedRecord> records) {
-    List<Target> targets = new ArrayList<>();
-    records.forEach(record -> decode(record).ifPresent(targets::add));
-    directory.replaceAll(targets, nowNanos());
+    directory.replaceAll(decode(records), nowNanos());
+  }
+
+  @Override
+  public void onRestoredSnapshot(List<KeyedRecord> records) {
+    directory.restore(decode(records), nowNanos());
   }
 
   @Override
@@ -64,6 +67,12 @@
     directory.registryAvailable(nowNanos());
   }
 
+  private List<Target> decode(List<KeyedRecord> records) {
+    List<Target> targets = new ArrayList<>();
+    records.forEach(record -> decode(record).ifPresent(targets::add));
+    return targets;
+  }
+
   private Optional<Target> decode(KeyedRecord record) {
     try {
       return Optional.of(
--- a/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
+++ b/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
@@ -75,6 +75,69 @@
     assertEquals(serving(), List.of("a"));
   }
 
+  /** The outage may fall between two reads, so that only the restored entries show it. */
+  @Test
+  public void targetThatRestoredRegistryLacksIsKeptForTheGracePeriod() {
+    directory.restore(List.of(TestTargets.ready("a")), 100);
+    assertEquals(serving(), List.of("a", "b"));
+    directory.removeExpired(100 + GRACE_NANOS - 1);
+    assertEquals(serving(), List.of("a", "b"));
+    directory.removeExpired(100 + GRACE_NANOS);
+    assertEquals(serving(), List.of("a"));
+  }
+
+  /** The record of its leaving is lost with the registry's newest records. */
+  @Test
+  public void targetThatLeftIsNotServedAgainByRestoredEntry() {
+    directory.unregister(new TargetId("b"), 50);
+    directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
+    assertEquals(serving(), List.of("a"));
+    directory.replaceAll(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 200);
+    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS - 1);
+    assertEquals(serving(), List.of("a"));
+    directory.unregister(new TargetId("b"), 300);
+    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS);
+    assertEquals(serving(), List.of("a"));
+  }
+
+  @Test
+  public void targetThatLeftIsServedAgainWhenItWritesItsEntry() {
+    directory.unregister(new TargetId("b"), 50);
+    directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
+    directory.register(TestTargets.ready("b"), 200);
+    assertEquals(serving(), List.of("a", "b"));
+  }
+
+  /** A relay forwards only what changes, so a follower may not see that the target writes. */
+  @Test
+  public void targetThatLeftIsServedAgainIfItsRestoredEntryStays() {
+    directory.unregister(new TargetId("b"), 50);
+    directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
+    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS);
+    assertEquals(serving(), List.of("a", "b"));
+  }
+
+  @Test
+  public void drainingTargetIsNotServedAgainByRestoredEntry() {
+    directory.register(TestTargets.draining("b"), 50);
+    directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
+    assertEquals(serving(), List.of("a"));
+    directory.removeExpired(100 + GRACE_NANOS);
+    assertEquals(serving(), List.of("a"));
+  }
+
+  /** The later run has written its entry, and the copy still has that of the earlier one. */
+  @Test
+  public void laterRunIsKeptUntilItWritesItsEntryAgain() {
+    Target laterRun = TestTargets.startedAt(TestTargets.ready("b"), 7);
+    directory.register(laterRun, 50);
+    directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
+    assertEquals(directory.find(laterRun.id()).orElseThrow().target(), laterRun);
+    directory.register(laterRun, 200);
+    directory.removeExpired(100 + GRACE_NANOS);
+    assertEquals(serving(), List.of("a", "b"));
+  }
+
   /**
    * A target can shut down while an entry VM is partitioned from the registry. Afterwards, the VM
    * must not send calls to a target without an entry unless the target has just reported its load.
--- a/src/test/java/org/radishpost/placement/TestTargets.java
+++ b/src/test/java/org/radishpost/placement/TestTargets.java
@@ -29,6 +29,19 @@
     return target(id, Place.of("k", "k-a"), false, coldRemaining);
   }
 
+  /** Returns the same target in a run that started at another time. */
+  public static Target startedAt(Target target, long startedMillis) {
+    return new Target(
+        target.id(),
+        target.service(),
+        target.address(),
+        target.place(),
+        target.slots(),
+        target.draining(),
+        target.coldRemaining(),
+        startedMillis);
+  }
+
   private static Target target(String id, Place place, boolean draining, Duration coldRemaining) {
     return new Target(
         new TargetId(id),
--- a/src/test/java/org/radishpost/platform/TargetTopicListenerTest.java
+++ b/src/test/java/org/radishpost/platform/TargetTopicListenerTest.java
@@ -8,11 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.radishpost.events.EventCode;
 import org.radishpost.feed.KeyedRecord;
 import org.radishpost.lib.RegionName;
+import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.placement.TargetDirectory;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.test.scheduler.VirtualTimeScheduler;
@@ -24,13 +27,21 @@
           + "\"state\":\"ready\",\"extra\":%s}";
 
   private final List<EventCode> events = new ArrayList<>();
-  private final TargetDirectory directory = new TargetDirectory((code, fields) -> events.add(code));
-  private final TargetTopicListener listener =
-      new TargetTopicListener(
-          directory,
-          () -> Map.of(new ZoneName("z"), new RegionName("r")),
-          VirtualTimeScheduler.create(),
-          (code, fields) -> events.add(code));
+  private TargetDirectory directory;
+  private TargetTopicListener listener;
+
+  /** Creates an empty directory. */
+  @BeforeMethod
+  public void start() {
+    events.clear();
+    directory = new TargetDirectory((code, fields) -> events.add(code));
+    listener =
+        new TargetTopicListener(
+            directory,
+            () -> Map.of(new ZoneName("z"), new RegionName("r")),
+            VirtualTimeScheduler.create(),
+            (code, fields) -> events.add(code));
+  }
 
   private static KeyedRecord record(long offset, String key, String entry) {
     return new KeyedRecord(at(offset), key, Optional.of(entry.getBytes(StandardCharsets.UTF_8)));
@@ -55,12 +66,40 @@
 
   @Test(dataProvider = "oddEntries")
   public void oddEntryOfAnotherWriterLeavesTheOthersInUse(String odd) {
-    events.clear();
     listener.onSnapshot(List.of(sound(0, "a"), record(1, "odd", odd), sound(2, "b")));
     listener.onRecord(record(3, "odd", odd));
     listener.onRecord(sound(4, "c"));
     assertEquals(directory.size(), 3);
     assertEquals(events.stream().filter(EventCode.TARGET_ENTRY_UNREADABLE::equals).count(), 2);
-    directory.replaceAll(List.of(), 0);
+  }
+
+  /** An outage that falls between two reads is not seen otherwise. */
+  @Test
+  public void targetThatRestoredStoreLacksIsKept() {
+    listener.onSnapshot(List.of(sound(0, "a"), sound(1, "b")));
+    listener.onRestoredSnapshot(List.of(sound(0, "a")));
+    assertEquals(servingTargets(), 2);
+  }
+
+  @Test
+  public void targetThatLeftIsNotServedBecauseRestoredStoreHasIt() {
+    listener.onSnapshot(List.of(sound(0, "a"), sound(1, "b")));
+    listener.onRecord(new KeyedRecord(at(2), "b", Optional.empty()));
+    listener.onRestoredSnapshot(List.of(sound(0, "a"), sound(1, "b")));
+    assertEquals(servingTargets(), 1);
+    listener.onRecord(sound(2, "b"));
+    assertEquals(servingTargets(), 2);
+  }
+
+  @Test
+  public void drainingTargetIsNotServedBecauseItIsReadyInRestoredStore() {
+    listener.onSnapshot(List.of(sound(0, "a"), sound(1, "b")));
+    listener.onRecord(record(2, "b", ENTRY.formatted(80, 2, 0).replace("ready", "draining")));
+    listener.onRestoredSnapshot(List.of(sound(0, "a"), sound(1, "b")));
+    assertEquals(servingTargets(), 1);
+  }
+
+  private int servingTargets() {
+    return directory.serving(new ServiceName("s"), Set.of()).size();
   }
 }
