Restore the store from a backup in the soak

The soak takes backups at random and brings the store back from the latest one after an outage of up to four steps. The operator and the targets then write their records again. Restores draw from a random source of their own, so the other faults of a seed stay as they were.

--- a/src/test/java/org/radishpost/soak/FaultInjector.java
+++ b/src/test/java/org/radishpost/soak/FaultInjector.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.radishpost.platform.WireNames;
 import org.radishpost.soak.EntryProcess.Signal;
+import org.radishpost.standin.KeyedStore;
 import org.radishpost.standin.StoreFault;
 
 /**
@@ -45,15 +46,37 @@
           new StoreFault.ClosedConnection(),
           new StoreFault.DelayedResponse(Duration.ofMillis(300)));
 
+  /** The faults of the store until it returns from a backup. */
+  private static final List<StoreFault> OUTAGES =
+      List.of(
+          new StoreFault.NoResponse(),
+          new StoreFault.ErrorResponse(503),
+          new StoreFault.ClosedConnection());
+
+  private static final int STEPS_PER_BACKUP = 4;
+  private static final int STEPS_PER_RESTORE = 8;
+  private static final int MAX_OUTAGE_STEPS = 4;
+
   private final SoakSystem system;
   private final Random random;
+  private final Random restoreRandom;
   private final List<ActiveFault> activeFaults = new ArrayList<>();
   private final List<String> events = new ArrayList<>();
+  private KeyedStore.Backup backup;
   private int step;
 
-  FaultInjector(SoakSystem system, Random random) {
+  /**
+   * Creates an injector.
+   *
+   * @param random draws all faults but the restores
+   * @param restoreRandom draws the restores of the store, so that a seed has the same other faults
+   *     as before there were any
+   */
+  FaultInjector(SoakSystem system, Random random, Random restoreRandom) {
     this.system = system;
     this.random = random;
+    this.restoreRandom = restoreRandom;
+    this.backup = system.store().backup();
   }
 
   /** The action that ends a fault. */
@@ -89,6 +112,12 @@
       default -> publishConfiguration();
     }
     injectTargetFault(RESPONSE_FAULTS);
+    if (restoreRandom.nextInt(STEPS_PER_BACKUP) == 0) {
+      backup = system.store().backup();
+    }
+    if (restoreRandom.nextInt(STEPS_PER_RESTORE) == 0) {
+      restoreStore();
+    }
   }
 
   /** Ends all active faults and starts every entry that is not running. */
@@ -105,8 +134,12 @@
   }
 
   private void addFault(String description, Recovery recovery) {
+    addFault(description, 1 + random.nextInt(MAX_FAULT_STEPS), recovery);
+  }
+
+  private void addFault(String description, int steps, Recovery recovery) {
     events.add(step + " " + description);
-    activeFaults.add(new ActiveFault(step + 1 + random.nextInt(MAX_FAULT_STEPS), recovery));
+    activeFaults.add(new ActiveFault(step + steps, recovery));
   }
 
   private EntryProcess anyEntry() {
@@ -201,6 +234,20 @@
     addFault("store " + fault, () -> system.storeServer().setFault(new StoreFault.None()));
   }
 
+  /** Takes the store away for some steps and brings it back from the latest backup. */
+  private void restoreStore() {
+    StoreFault outage = OUTAGES.get(restoreRandom.nextInt(OUTAGES.size()));
+    KeyedStore.Backup restored = backup;
+    system.storeServer().setFault(outage);
+    addFault(
+        "store restored after " + outage,
+        1 + restoreRandom.nextInt(MAX_OUTAGE_STEPS),
+        () -> {
+          system.restoreStore(restored);
+          system.storeServer().setFault(new StoreFault.None());
+        });
+  }
+
   private void publishConfiguration() {
     if (random.nextInt(3) == 0) {
       system.store().compact(WireNames.TARGET_TOPIC);
--- a/src/test/java/org/radishpost/soak/SoakRun.java
+++ b/src/test/java/org/radishpost/soak/SoakRun.java
@@ -50,7 +50,7 @@
     Random random = new Random(seed);
     try (SoakSystem system = new SoakSystem(directory, ENTRY_COUNT, random, tracker)) {
       system.start(TARGETS_PER_SERVICE);
-      FaultInjector faultInjector = new FaultInjector(system, random);
+      FaultInjector faultInjector = new FaultInjector(system, random, new Random(~seed));
       awaitEntries(system, "START", SoakSystem::isReady);
       final List<Thread> callers = startCallers(system);
       callers.addAll(startSamplers(system));
--- a/src/test/java/org/radishpost/soak/SoakSystem.java
+++ b/src/test/java/org/radishpost/soak/SoakSystem.java
@@ -46,6 +46,7 @@
   private final Map<String, List<FaultyLink>> relayLinks = new LinkedHashMap<>();
   private final Map<SoakTarget, FaultyLink> targetLinks = new ConcurrentHashMap<>();
   private final List<SoakTarget> drainingTargets = new CopyOnWriteArrayList<>();
+  private final List<String> crashedTargetIds = new CopyOnWriteArrayList<>();
   private final AtomicInteger configurationVersion = new AtomicInteger();
   private int nextTargetNumber;
 
@@ -131,7 +132,10 @@
 
   /** Publishes a new configuration version, which has a route that no other version has. */
   void publishConfiguration() {
-    int newVersion = configurationVersion.incrementAndGet();
+    writeConfiguration(configurationVersion.incrementAndGet());
+  }
+
+  private void writeConfiguration(int version) {
     store.put(
         WireNames.OPERATOR_TOPIC,
         WireNames.CONFIGURATION_KEY,
@@ -148,7 +152,19 @@
         "services":{"reading":{"health-path":"/healthz"},"writing":{"health-path":"/healthz"}},
         "limits":{"max-body-bytes":10000000}}
         """
-            .formatted(newVersion, HOST, MAX_ATTEMPTS));
+            .formatted(version, HOST, MAX_ATTEMPTS));
+  }
+
+  /**
+   * Restores the store from an earlier backup. The operator and the targets then write the records
+   * again that they have written since.
+   */
+  void restoreStore(KeyedStore.Backup backup) {
+    store.restore(backup);
+    writeConfiguration(configurationVersion.get());
+    activeTargets().forEach(target -> register(target, "ready"));
+    drainingTargets.forEach(target -> register(target, "draining"));
+    crashedTargetIds.forEach(id -> store.delete(WireNames.TARGET_TOPIC, id));
   }
 
   /** Returns the path prefix of the route that only the latest configuration has. */
@@ -190,6 +206,7 @@
     target.close();
     link.close();
     store.delete(WireNames.TARGET_TOPIC, target.id());
+    crashedTargetIds.add(target.id());
   }
 
   /** Registers a target as draining. It continues to serve requests until the system is closed. */
