--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
@@ -95,11 +96,16 @@
    * stays so.
    */
   public void replaceAll(Collection<Target> entries, long nowNanos) {
+    Set<TargetId> ids = entries.stream().map(Target::id).collect(Collectors.toSet());
+    heldBack.keySet().retainAll(ids);
+    List<Target> applicable = entries.stream().filter(entry -> !isHeldBack(entry)).toList();
+    replaceAllExceptHeldBack(applicable, nowNanos);
+  }
+
+  private void replaceAllExceptHeldBack(Collection<Target> entries, long nowNanos) {
     loaded = true;
     Map<TargetId, Target> byId = new HashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
-    heldBack.keySet().retainAll(byId.keySet());
-    byId.values().removeIf(this::isHeldBack);
     for (TargetId known : List.copyOf(targets.keySet())) {
       if (!byId.containsKey(known)) {
         unregister(known, nowNanos);
@@ -124,14 +130,15 @@
     for (Target entry : entries) {
       switch (RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()))) {
         case APPLY -> applicable.add(entry);
-        case HOLD_BACK -> {
-          heldBack.put(entry.id(), new HeldBackEntry(entry, nowNanos + HOLD_BACK_NANOS));
-          applicable.add(entry);
-        }
-        case IGNORE -> {}
+        case HOLD_BACK -> holdBack(entry, nowNanos + HOLD_BACK_NANOS);
+        case IGNORE -> {} // It counts as missing.
       }
     }
-    replaceAll(applicable, nowNanos);
+    replaceAllExceptHeldBack(applicable, nowNanos);
+  }
+
+  private void holdBack(Target entry, long untilNanos) {
+    heldBack.put(entry.id(), new HeldBackEntry(entry, untilNanos));
   }
 
   private Optional<Target> knownEntry(TargetId id) {
--- a/src/main/java/org/radishpost/platform/StoreClient.java
+++ b/src/main/java/org/radishpost/platform/StoreClient.java
@@ -124,9 +124,9 @@
    * @param topic the topic
    * @param from the offset of the first record
    * @param wait how long the store waits for a new record if there is none
-   * @return the records, without any if the store is in a later era than {@code from}; or an error:
-   *     {@link RecordsDeletedException} if the store does not have the offset, or another {@link
-   *     StoreException}
+   * @return the records, whose offsets are of a later era than {@code from} if the store has been
+   *     restored since, or an error: {@link RecordsDeletedException} if the store does not have the
+   *     offset, or another {@link StoreException}
    */
   Mono<KeyedPage> read(String topic, TopicOffset from, Duration wait) {
     String uri =
