Let the tests of relays share the deployment of entries

EntryRelayTest set up entries, a store and a target for itself, as StoreDrillTest does now. FeedCodecTest checks that messages of earlier releases, whose offsets have no era, are rejected.

--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -109,6 +109,20 @@
     assertEquals(decoded.records().getFirst().value().orElseThrow(), value);
   }
 
+  /**
+   * An offset of an earlier release has no era, so it must not be taken for one of this release.
+   */
+  @Test
+  public void messagesOfEarlierReleasesAreRejected() {
+    byte[] subscribe = {2, 10, 20};
+    byte[] heartbeat = {3, (byte) 0xc3, 10, 20, (byte) 0xc3};
+    byte[] records = {4, 0, (byte) 0x90};
+    byte[] snapshot = {6, 0, (byte) 0x90, 10};
+    for (byte[] message : List.of(subscribe, heartbeat, records, snapshot)) {
+      assertThrows(LinkException.class, () -> FeedCodec.decode(message));
+    }
+  }
+
   @Test
   public void unknownMessagesAreRejected() {
     SplittableRandom random = new SplittableRandom(7);
--- a/src/test/java/org/radishpost/pgm/EntryDeployment.java
+++ b/src/test/java/org/radishpost/pgm/EntryDeployment.java
@@ -36,8 +36,7 @@
 final class EntryDeployment implements AutoCloseable {
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
   private static final List<String> ZONES = List.of("k-a", "l-a", "m-a", "k-b", "l-b", "m-b");
-  private static final int NOT_FOUND = 404;
-  private static final int NOT_READY = 503;
+  private static final int OK = 200;
   private static final String CONFIGURATION =
       """
       {"version":"r%1$d","routes":{"v%1$d":{"host":"localhost","path-prefix":"/v%1$d/",
@@ -54,6 +53,7 @@
   private final LoopResources loops = LoopResources.create("entry-deployment", 2, true);
   private final KeyedStore store = new KeyedStore();
   private final KeyedStoreServer storeServer = new KeyedStoreServer(store, ANY_PORT, loops);
+  private final List<KeyedStoreServer> otherStoreServers = new ArrayList<>();
   private final Map<String, PlatformTargetServer> targets = new HashMap<>();
   private final Map<String, Endpoint> targetAddresses = new HashMap<>();
   private final List<EntryNode> entries = new ArrayList<>();
@@ -73,19 +73,19 @@
     renewTargets();
     publish(1);
     for (int i = 0; i < relayCount; i++) {
-      entries.add(startEntry(i));
+      entries.add(startEntry(i, storeAddress));
     }
     relays = entries.stream().map(entry -> entry.relayAddress().orElseThrow()).toList();
     for (int i = 0; i < relayCount; i++) {
       entries.get(i).reload(settings(i));
     }
     for (int i = relayCount; i < entryCount; i++) {
-      entries.add(startEntry(i));
+      entries.add(startEntry(i, storeAddress));
     }
   }
 
-  private EntryNode startEntry(int number) throws RadishpostException {
-    EntryNode entry = new EntryNode(settings(number), ANY_PORT, storeAddress, new RuntimeClock());
+  private EntryNode startEntry(int number, Endpoint store) throws RadishpostException {
+    EntryNode entry = new EntryNode(settings(number), ANY_PORT, store, new RuntimeClock());
     entry.start();
     return entry;
   }
@@ -128,7 +128,20 @@
 
   /** Replaces an entry by a new one, which starts without any data, and stops the old one. */
   void replaceEntry(int number) throws RadishpostException {
-    entries.set(number, startEntry(number)).stop().subscribe();
+    replaceEntry(number, storeAddress);
+  }
+
+  /** Replaces an entry by one that reads the store at another address. */
+  void replaceEntry(int number, Endpoint store) throws RadishpostException {
+    entries.set(number, startEntry(number, store)).stop().subscribe();
+  }
+
+  /** Serves the same store at another address, with a fault of its own. */
+  Endpoint serveStoreWithFault(StoreFault fault) throws RadishpostException {
+    KeyedStoreServer server = new KeyedStoreServer(store, ANY_PORT, loops);
+    server.setFault(fault);
+    otherStoreServers.add(server);
+    return server.start();
   }
 
   /** Writes a version of the configuration, which has the route {@code /vN/} and no other. */
@@ -148,8 +161,13 @@
                     address, zone(Integer.parseInt(id.substring(2))), sequence.incrementAndGet())));
   }
 
-  /** Returns whether an entry has applied a version of the configuration and no newer one. */
+  /** Returns whether an entry serves the route of a version of the configuration. */
   boolean serves(int entry, int version) throws IOException, InterruptedException {
+    return status(entry, version) == OK;
+  }
+
+  /** Returns the status with which an entry responds on the route of a version. */
+  int status(int entry, int version) throws IOException, InterruptedException {
     URI uri =
         URI.create(
             "http://localhost:" + entries.get(entry).frontAddress().port() + "/v" + version + "/x");
@@ -159,14 +177,14 @@
             .header(WireNames.REQUEST_ID, "r-" + requestNumber.incrementAndGet())
             .header(WireNames.DEADLINE_MILLIS, "5000")
             .build();
-    int status = client.send(request, BodyHandlers.discarding()).statusCode();
-    return status != NOT_FOUND && status != NOT_READY;
+    return client.send(request, BodyHandlers.discarding()).statusCode();
   }
 
   @Override
   public void close() {
     storeServer.setFault(new StoreFault.None());
     entries.forEach(entry -> entry.stop().subscribe());
+    otherStoreServers.forEach(server -> server.stop().block());
     storeServer.stop().block();
     targets.values().forEach(target -> target.stop().block());
     loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
