--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -126,19 +126,16 @@
   public void restore(Collection<Target> entries, long nowNanos) {
     registryUnavailable();
     registryAvailable(nowNanos);
-    List<Target> applicable = new ArrayList<>();
-    for (Target entry : entries) {
-      switch (RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()))) {
-        case APPLY -> applicable.add(entry);
-        case HOLD_BACK -> holdBack(entry, nowNanos + HOLD_BACK_NANOS);
-        case IGNORE -> {} // It counts as missing.
-      }
+    Map<RestoredEntryUse, List<Target>> byUse =
+        entries.stream().collect(Collectors.groupingBy(this::restoredEntryUse));
+    for (Target entry : byUse.getOrDefault(RestoredEntryUse.HOLD_BACK, List.of())) {
+      heldBack.put(entry.id(), new HeldBackEntry(entry, nowNanos + HOLD_BACK_NANOS));
     }
-    replaceAllExceptHeldBack(applicable, nowNanos);
+    replaceAllExceptHeldBack(byUse.getOrDefault(RestoredEntryUse.APPLY, List.of()), nowNanos);
   }
 
-  private void holdBack(Target entry, long untilNanos) {
-    heldBack.put(entry.id(), new HeldBackEntry(entry, untilNanos));
+  private RestoredEntryUse restoredEntryUse(Target entry) {
+    return RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()));
   }
 
   private Optional<Target> knownEntry(TargetId id) {
