--- a/review/standin-3/review3/EarlyAnswer.java
+++ b/review/standin-3/review3/EarlyAnswer.java
@@ -156,7 +156,8 @@
       return read(in, requestId, length - before);
     }
 
-    private void answer(OutputStream out, String requestId) throws IOException {
+    @Override
+    void answer(OutputStream out, String requestId) throws IOException {
       write(
           out,
           200,
--- a/review/standin-3/review3/Upstream.java
+++ b/review/standin-3/review3/Upstream.java
@@ -128,6 +128,17 @@
       running.decrementAndGet();
       slot.release();
     }
+    answer(out, requestId);
+    return true;
+  }
+
+  /** Does the work of a request, which holds a slot meanwhile. */
+  void work(Http.Head head, OutputStream out) throws IOException, InterruptedException {
+    Thread.sleep(workMillis);
+  }
+
+  /** Sends the answer to a request that has run. */
+  void answer(OutputStream out, String requestId) throws IOException, InterruptedException {
     write(
         out,
         200,
@@ -135,12 +146,6 @@
             "X-Request-Id", requestId, "X-Upstream-Signature", "mac." + requestId,
             "X-Upstream-Load", load()),
         responseBody);
-    return true;
-  }
-
-  /** Does the work of a request, which holds a slot meanwhile. */
-  void work(Http.Head head, OutputStream out) throws IOException, InterruptedException {
-    Thread.sleep(workMillis);
   }
 
   String load() {
