--- a/review/standin-3/review3/LateEntry.java
+++ b/review/standin-3/review3/LateEntry.java
@@ -74,6 +74,12 @@
     lab.record.line("expired  the entry of i-leaves");
     sleepUntil(lab, start + END + 3);
 
+    for (Entry entry : lab.entries) {
+      List<String> log = lab.log(entry).lines().toList();
+      lab.record.line(
+          "log      %s: i-leaves registered %d times, gone %d times",
+          entry.name, count(log, "TARGET_REGISTERED"), count(log, "TARGET_GONE"));
+    }
     List<Upstream.Run> after =
         leaving.runs.stream().filter(run -> run.arrivedSeconds() > left + DRAIN_TIMEOUT).toList();
     long lost =
@@ -85,6 +91,12 @@
     return after.isEmpty() ? Verdict.HELD : Verdict.BROKEN;
   }
 
+  private static long count(List<String> log, String event) {
+    return log.stream()
+        .filter(line -> line.contains(event) && line.contains("\"i-leaves\""))
+        .count();
+  }
+
   private static boolean isLost(Client.Answer answer, Upstream.Run run) {
     return answer.requestId().equals(run.requestId()) && answer.status() != 200;
   }
