--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins of the cases review/11 to review/15 from source, without a network, to
+# Compiles the stand-ins of the cases review/11 to review/14 from source, without a network, to
 # target/review-3. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
