End a review case with 1 only if its program found the rule broken

Cause: the JVM ends with 1 when it can't run a program, and the time limit with 124; a run that did not take place would have counted as a broken rule. Done: the programs end with 10 for a broken rule, and run.sh turns all but 0 and 10 into 2.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,9 @@
 cd "$(dirname "$0")/../.." || exit 2
 source .ci/jdk.sh || exit 2
 [ -x target/java/bin/java ] && [ -d target/review-3 ] || { echo "Run deploy/build and review/build-3.sh first." >&2; exit 2; }
-exec timeout -k 5 115 "$JAVA_HOME/bin/java" -cp target/review-3 review3.FalseRefusal review/12
+timeout -k 5 115 "$JAVA_HOME/bin/java" -cp target/review-3 review3.FalseRefusal review/12
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin-3/review3/Verdict.java
+++ b/review/standin-3/review3/Verdict.java
@@ -1,11 +1,13 @@
 package review3;
 
-/** The exit codes of a case. */
+/** The exit codes of a case's program; run.sh turns them into its own. */
 final class Verdict {
   static final int HELD = 0;
-  static final int BROKEN = 1;
   static final int COULD_NOT_RUN = 2;
 
+  /** Not 1, which is what the JVM ends with when it could not run the program. */
+  static final int BROKEN = 10;
+
   private Verdict() {}
 
   /** Returns whether the case runs with its disruption. */
@@ -24,7 +26,7 @@
     try (Lab lab = new Lab(java.nio.file.Path.of(arguments[0]))) {
       code = body.run(lab);
       lab.record.line("verdict  %s", code == HELD ? "the rule held" : "the rule was broken");
-    } catch (Exception e) {
+    } catch (Throwable e) {
       e.printStackTrace();
     }
     System.exit(code);
