Answer no call that may have run with a status that means "not run"

What callers saw: a target ran a dispatch and failed it with its own 408.

Cause: AttemptEvaluator withheld only 429 and 503. A 408 with a MAC counted as a success. Besides, PlatformTargetProtocol took each 421 for the statement "not run", also one with a MAC, which the application of a target makes after a run: the write was sent to another target. On the owner's way a call that may have run got 503 if no pool was left for its retry, and a response of the HTTP library's own would have kept such a status.

Change: NotRunStatus names the four statuses in one place. A response of a target with one of them and without the statement that the call did not run is a failure: a read is retried, a write gets 502. Problems.responseLost never has such a status. A 421 without a MAC still states "not run", since another target may listen at an address that is used again.

DirectRouterTest only takes its router from TestRouters now.

--- a/src/main/java/org/radishpost/direct/AttemptEvaluator.java
+++ b/src/main/java/org/radishpost/direct/AttemptEvaluator.java
@@ -5,6 +5,7 @@
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
 import org.radishpost.errors.ResponseTimeoutException;
+import org.radishpost.http.NotRunStatus;
 import org.radishpost.http.Response;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.RouteServiceTimes;
@@ -21,8 +22,6 @@
  */
 final class AttemptEvaluator {
   private static final int SERVER_ERROR = 500;
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final int TOO_MANY_REQUESTS = 429;
 
   private final TargetProtocol protocol;
   private final RouteServiceTimes serviceTimes;
@@ -86,19 +85,20 @@
         : new AttemptResult.Failed(reason, forwarded);
   }
 
+  /**
+   * Returns whether a target that ran a call reports with the status that the call failed. A status
+   * that means "not run" says nothing else of a call that did run.
+   */
   private static boolean isFailure(Response response) {
-    return response.status() >= SERVER_ERROR || response.status() == TOO_MANY_REQUESTS;
+    return response.status() >= SERVER_ERROR || NotRunStatus.includes(response.status());
   }
 
   /**
    * Returns whether a response that is not successful may be forwarded to the caller: only a
-   * failure may be unauthenticated. Status 429 and 503 are not forwarded, because callers conclude
-   * from them that the call did not run.
+   * failure may be unauthenticated, and none may state that the call did not run.
    */
   private static boolean canForward(Response response) {
-    return isFailure(response)
-        && response.status() != SERVICE_UNAVAILABLE
-        && response.status() != TOO_MANY_REQUESTS;
+    return isFailure(response) && !NotRunStatus.includes(response.status());
   }
 
   /** Evaluates an error that ended an attempt before its response was complete. */
--- a/src/main/java/org/radishpost/http/ErrorResponseRewriter.java
+++ b/src/main/java/org/radishpost/http/ErrorResponseRewriter.java
@@ -64,7 +64,7 @@
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
+            HttpResponseStatus.valueOf(problem.status()),
             Unpooled.wrappedBuffer(problem.toJson()));
     response.headers().add(problemFields.headers()).set("connection", "close");
     return response;
--- a/src/main/java/org/radishpost/http/Problems.java
+++ b/src/main/java/org/radishpost/http/Problems.java
@@ -8,6 +8,8 @@
 
 /** The problem documents that callers receive. */
 public final class Problems {
+  private static final int BAD_GATEWAY = 502;
+
   private Problems() {}
 
   /** The request violates HTTP or the conventions of the edge. */
@@ -95,10 +97,15 @@
     };
   }
 
-  /** The call was sent, and it is not known whether it ran. */
+  /**
+   * The call was sent, and it is not known whether it ran.
+   *
+   * @param status the status of the response; one that means "not run" is replaced by 502
+   * @param cause what happened
+   */
   public static Problem responseLost(int status, String cause) {
     return new Problem(
-        status,
+        NotRunStatus.includes(status) ? BAD_GATEWAY : status,
         "answer-lost",
         "The request was sent, but no whole answer came back.",
         cause + " Check whether the request ran before you send it again.",
--- a/src/main/java/org/radishpost/node/CallRouter.java
+++ b/src/main/java/org/radishpost/node/CallRouter.java
@@ -89,7 +89,7 @@
 
   private static Problem noPoolLeft(CallProgress progress, HandBackReason lastReason) {
     return progress.mayHaveRun()
-        ? Problems.responseLost(503, "No other target was available for the retry.")
+        ? Problems.responseLost(502, "No other target was available for the retry.")
         : Problems.handedBack(lastReason);
   }
 
--- a/src/main/java/org/radishpost/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/radishpost/platform/PlatformTargetProtocol.java
@@ -50,7 +50,7 @@
   public TargetResponseInfo parse(Response response) {
     HttpHeaders headers = response.headers();
     return new TargetResponseInfo(
-        response.status() == MISDIRECTED_REQUEST || headers.contains(WireNames.NOT_EXECUTED),
+        isNotRun(response),
         headers.contains(WireNames.UPSTREAM_SIGNATURE) && !headers.contains("content-encoding"),
         Optional.ofNullable(headers.get(WireNames.RESPONDING_TARGET))
             .filter(id -> !id.isBlank())
@@ -62,6 +62,17 @@
             .map(Duration::ofMillis));
   }
 
+  /**
+   * Returns whether the target states that it did not run the request. Another target that listens
+   * at the address may state it by status 421 alone; with a MAC, the status is that of a run.
+   */
+  private static boolean isNotRun(Response response) {
+    HttpHeaders headers = response.headers();
+    boolean misdirected =
+        response.status() == MISDIRECTED_REQUEST && !headers.contains(WireNames.UPSTREAM_SIGNATURE);
+    return misdirected || headers.contains(WireNames.NOT_EXECUTED);
+  }
+
   /** Parses {@code running,waiting,slots} or {@code running,waiting,slots,pace}. */
   static Optional<LoadSample> parseLoad(String text) {
     if (text.length() > MAX_LOAD_CHARS) {
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -7,22 +7,16 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.radishpost.admission.ServiceBudget;
-import org.radishpost.config.Configuration;
 import org.radishpost.config.Scope;
 import org.radishpost.errors.ConnectionLostException;
 import org.radishpost.errors.NotConnectedException;
-import org.radishpost.http.ByteBudget;
 import org.radishpost.http.Call;
 import org.radishpost.http.CallHandler;
 import org.radishpost.http.Response;
-import org.radishpost.http.ResponseBuffering;
 import org.radishpost.lib.Endpoint;
 import org.radishpost.lib.GatewayName;
 import org.radishpost.lib.Place;
@@ -30,11 +24,9 @@
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.TenantName;
 import org.radishpost.lib.Verdict;
-import org.radishpost.lib.VmId;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TestTargets;
-import org.radishpost.suspects.CrashHistory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
@@ -76,31 +68,14 @@
   }
 
   private CallHandler router(ServiceBudget retryBudget) {
-    CrashHistory crashes = new CrashHistory(() -> clock.now(TimeUnit.NANOSECONDS));
-    return DirectRouterFactory.create(
-        new VmId("e-1"),
+    return TestRouters.create(
         LOCAL_ZONE,
-        () -> new Configuration(1, Map.of(), outOfService),
+        () -> outOfService,
         directory,
-        new SlotClient(
-            LOCAL_ZONE.zone(),
-            (relay, listener) -> {
-              throw new IllegalStateException("there are no relays");
-            },
-            clock,
-            new SplittableRandom(1),
-            (code, fields) -> {},
-            crashes),
         targets,
-        targets,
-        new ResponseBuffering(new ByteBudget(1_000_000)),
         retryBudget,
-        crashes,
-        "id",
         clock,
-        new SplittableRandom(1),
-        stopSending.asMono(),
-        (code, fields) -> {});
+        stopSending.asMono());
   }
 
   private Call call(boolean idempotent, Set<RegionName> homes) {
--- a/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
@@ -33,6 +33,7 @@
 import org.radishpost.standin.PlatformTargetServer.ConfiguredResponse;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.netty.resources.LoopResources;
 
@@ -226,6 +227,26 @@
     assertEquals(second.executedRequestIds(), List.of("r-1"));
   }
 
+  /** Returns the statuses from which callers conclude that a request has not run. */
+  @DataProvider
+  public Object[] notRunStatuses() {
+    return new Object[] {408, 421, 429, 503};
+  }
+
+  /** Its caller sent it again, and it ran twice. */
+  @Test(dataProvider = "notRunStatuses")
+  public void writeThatRanIsNotAnsweredAsNotRun(int status) throws Exception {
+    first.setResponse(new ConfiguredResponse(status, false, "0,0,2,100"));
+    second.setResponse(new ConfiguredResponse(status, false, "0,0,2,100"));
+    publish(1, "");
+    awaitReady();
+    HttpResponse<String> response = post("/writes/x", "body");
+    assertEquals(response.statusCode(), 502);
+    assertEquals(response.headers().firstValue(WireNames.UPSTREAM_SIGNATURE), Optional.empty());
+    int runs = first.executedRequestIds().size() + second.executedRequestIds().size();
+    assertEquals(runs, 1);
+  }
+
   /** Returns an answer to a request; to the first call, one whose status does not exist. */
   private LateServer.Answer answerOnceBroken(String head) {
     boolean broken = !head.startsWith("GET /healthz") && brokenServiceCalls.incrementAndGet() == 1;
