Order the entries of a target by its start and sequence number

What callers saw: a target removed its entry, and seconds later the store carried out a write that the target had made before.

Cause: TargetDirectory took each entry for the newest one. The number `sequence`, which a target raises with each entry, was not read.

Change: EntryVersion (start, then sequence number) orders the entries of a target on each of these ways. An older entry of a departed target is held back until a newer one is read, or until it has been there for 10 s while the store responds. Event 5015 reports each entry that is left out. A new run whose count starts anew and a target that returns with a higher number are used at once; after a restore, an entry of the same run with a lower number keeps the target in use, as before.

Ruled out: to send the last number with the removal only, as a follower that loses its relay just before would not know it; to wait for a second write of a target that returns, as sound targets would not be served at once.

--- a/src/main/java/org/radishpost/events/EventCode.java
+++ b/src/main/java/org/radishpost/events/EventCode.java
@@ -105,6 +105,8 @@
   TARGET_SURPLUS(5013, Level.WARN),
   /** A target has sent malformed responses. */
   TARGET_MALFORMED(5014, Level.WARN),
+  /** An entry of a target is older than what is known of the target; it is not used. */
+  TARGET_ENTRY_SUPERSEDED(5015, Level.INFO),
 
   /** This VM has read a claim stream to its end and can decide claims for its keys. */
   CLAIM_STREAM_READY(6001, Level.INFO),
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -8,6 +8,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 import org.radishpost.errors.LinkException;
 import org.radishpost.lib.Place;
 import org.radishpost.slots.SlotCodec;
@@ -54,13 +55,13 @@
         case FeedMessage.Records records -> {
           packer.packInt(RECORDS);
           packer.packInt(records.feed().ordinal());
-          pack(packer, records.records());
+          packRecords(packer, records.records());
         }
         case FeedMessage.SubscribeWithSnapshot request -> packer.packInt(SUBSCRIBE_WITH_SNAPSHOT);
         case FeedMessage.Snapshot snapshot -> {
           packer.packInt(SNAPSHOT);
           packer.packInt(snapshot.feed().ordinal());
-          pack(packer, snapshot.records());
+          packRecords(packer, snapshot.records());
           pack(packer, snapshot.nextOffset());
         }
         case FeedMessage.Slots slots -> {
@@ -96,7 +97,7 @@
         case RECORDS -> new FeedMessage.Records(feed(unpacker), records(unpacker));
         case SUBSCRIBE_WITH_SNAPSHOT -> new FeedMessage.SubscribeWithSnapshot();
         case SNAPSHOT ->
-            new FeedMessage.Snapshot(feed(unpacker), records(unpacker), offset(unpacker));
+            new FeedMessage.Snapshot(feed(unpacker), keyedRecords(unpacker), offset(unpacker));
         case SLOTS -> new FeedMessage.Slots(SlotCodec.unpack(unpacker));
         case CRASHES -> new FeedMessage.Crashes(CrashUpdateCodec.unpack(unpacker));
         default -> throw invalidMessage(null);
@@ -116,24 +117,32 @@
     packer.packLong(offset.offset());
   }
 
-  private static void pack(MessageBufferPacker packer, List<KeyedRecord> records)
+  private static void packRecords(MessageBufferPacker packer, List<? extends FeedRecord> records)
       throws IOException {
     packer.packArrayHeader(records.size());
-    for (KeyedRecord record : records) {
-      pack(packer, record);
+    for (FeedRecord record : records) {
+      packRecord(packer, record);
     }
   }
 
-  private static void pack(MessageBufferPacker packer, KeyedRecord record) throws IOException {
+  /** Packs a record; the type of the last value tells a renewal from a value or a deletion. */
+  private static void packRecord(MessageBufferPacker packer, FeedRecord record) throws IOException {
     pack(packer, record.offset());
     packer.packString(record.key());
-    if (record.value().isEmpty()) {
+    switch (record) {
+      case RenewalRecord renewal -> packer.packLong(renewal.sequence());
+      case KeyedRecord keyed -> packValue(packer, keyed.value());
+    }
+  }
+
+  private static void packValue(MessageBufferPacker packer, Optional<byte[]> value)
+      throws IOException {
+    if (value.isEmpty()) {
       packer.packNil();
       return;
     }
-    byte[] value = record.value().get();
-    packer.packBinaryHeader(value.length);
-    packer.writePayload(value);
+    packer.packBinaryHeader(value.get().length);
+    packer.writePayload(value.get());
   }
 
   private static Position position(MessageUnpacker unpacker) throws IOException {
@@ -152,18 +161,33 @@
     return Feed.values()[ordinal];
   }
 
-  private static List<KeyedRecord> records(MessageUnpacker unpacker) throws IOException {
+  private static List<FeedRecord> records(MessageUnpacker unpacker) throws IOException {
     int size = unpacker.unpackArrayHeader();
-    List<KeyedRecord> records = new ArrayList<>();
+    List<FeedRecord> records = new ArrayList<>();
     for (int i = 0; i < size; i++) {
       records.add(record(unpacker));
     }
     return records;
   }
 
-  private static KeyedRecord record(MessageUnpacker unpacker) throws IOException {
+  private static List<KeyedRecord> keyedRecords(MessageUnpacker unpacker)
+      throws IOException, LinkException {
+    List<KeyedRecord> keyedRecords = new ArrayList<>();
+    for (FeedRecord record : records(unpacker)) {
+      if (!(record instanceof KeyedRecord keyed)) {
+        throw invalidMessage(null);
+      }
+      keyedRecords.add(keyed);
+    }
+    return keyedRecords;
+  }
+
+  private static FeedRecord record(MessageUnpacker unpacker) throws IOException {
     TopicOffset offset = offset(unpacker);
     String key = unpacker.unpackString();
+    if (unpacker.getNextFormat().getValueType() == ValueType.INTEGER) {
+      return new RenewalRecord(offset, key, unpacker.unpackLong());
+    }
     if (unpacker.tryUnpackNil()) {
       return new KeyedRecord(offset, key, Optional.empty());
     }
--- a/src/main/java/org/radishpost/feed/FeedMessage.java
+++ b/src/main/java/org/radishpost/feed/FeedMessage.java
@@ -51,12 +51,12 @@
       implements FeedMessage {}
 
   /**
-   * New records of a feed. Records that did not change the state are omitted.
+   * New records of a feed, without those that are older than what was known.
    *
    * @param feed the feed
    * @param records the records in ascending order of offset, with gaps for omitted records
    */
-  record Records(Feed feed, List<KeyedRecord> records) implements FeedMessage {
+  record Records(Feed feed, List<FeedRecord> records) implements FeedMessage {
     /** Creates a message with an immutable copy of the list. */
     public Records {
       records = List.copyOf(records);
--- a/src/main/java/org/radishpost/feed/FeedPublisher.java
+++ b/src/main/java/org/radishpost/feed/FeedPublisher.java
@@ -8,18 +8,21 @@
    * Publishes the next records of a feed.
    *
    * @param feed the feed
-   * @param records all records that were read
-   * @param changes the subset of these records that changed the state
-   * @param nextOffset the offset of the record after the last one
+   * @param records the records that were read, without those that are older than what was known
+   * @param forwarded what followers need of these records
+   * @param nextOffset the offset of the record after the last one that was read
    */
   void publishRecords(
-      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, TopicOffset nextOffset);
+      Feed feed,
+      List<KeyedRecord> records,
+      List<? extends FeedRecord> forwarded,
+      TopicOffset nextOffset);
 
   /**
    * Publishes the latest record of each key of a feed.
    *
    * @param feed the feed
-   * @param snapshot the records
+   * @param snapshot the records, without those that are older than what was known
    * @param nextOffset the offset from which all records will be published
    */
   void publishSnapshot(Feed feed, List<KeyedRecord> snapshot, TopicOffset nextOffset);
--- a/src/main/java/org/radishpost/feed/FeedReader.java
+++ b/src/main/java/org/radishpost/feed/FeedReader.java
@@ -22,7 +22,7 @@
   void applySnapshot(Feed feed, List<KeyedRecord> records, TopicOffset nextOffset);
 
   /** Applies new records from a relay; known ones and those of another era are ignored. */
-  void applyRecords(Feed feed, List<KeyedRecord> records);
+  void applyRecords(Feed feed, List<FeedRecord> records);
 
   /**
    * Advances to the position that a relay has reported, which is of the same eras as {@link
--- a/src/main/java/org/radishpost/feed/KeyedRecord.java
+++ b/src/main/java/org/radishpost/feed/KeyedRecord.java
@@ -10,4 +10,5 @@
  * @param value the new value of the key; empty if the key is deleted. The array must not be
  *     modified.
  */
-public record KeyedRecord(TopicOffset offset, String key, Optional<byte[]> value) {}
+public record KeyedRecord(TopicOffset offset, String key, Optional<byte[]> value)
+    implements FeedRecord {}
--- a/src/main/java/org/radishpost/feed/RecentFeedRecords.java
+++ b/src/main/java/org/radishpost/feed/RecentFeedRecords.java
@@ -11,7 +11,7 @@
  */
 final class RecentFeedRecords {
   private final int maxRecords;
-  private final Deque<KeyedRecord> records = new ArrayDeque<>();
+  private final Deque<FeedRecord> records = new ArrayDeque<>();
   private TopicOffset firstOffset = new TopicOffset(0, 0);
   private TopicOffset nextOffset = firstOffset;
 
@@ -24,7 +24,7 @@
     return nextOffset;
   }
 
-  void add(List<KeyedRecord> newRecords, TopicOffset newNextOffset) {
+  void add(List<? extends FeedRecord> newRecords, TopicOffset newNextOffset) {
     newRecords.forEach(records::addLast);
     while (records.size() > maxRecords) {
       firstOffset = records.removeFirst().offset().next();
@@ -43,7 +43,7 @@
    * Returns the records from an offset onwards; empty if some of them have been discarded, or if
    * the offset was assigned in another era.
    */
-  Optional<List<KeyedRecord>> since(TopicOffset offset) {
+  Optional<List<FeedRecord>> since(TopicOffset offset) {
     if (!offset.sameEra(nextOffset) || offset.isBefore(firstOffset)) {
       return Optional.empty();
     }
--- a/src/main/java/org/radishpost/feed/Relay.java
+++ b/src/main/java/org/radishpost/feed/Relay.java
@@ -119,8 +119,8 @@
   }
 
   private void subscribe(FeedLink link, Position from) {
-    Optional<List<KeyedRecord>> operatorsSince = recentOperators.since(from.operators());
-    Optional<List<KeyedRecord>> targetsSince = recentTargets.since(from.targets());
+    Optional<List<FeedRecord>> operatorsSince = recentOperators.since(from.operators());
+    Optional<List<FeedRecord>> targetsSince = recentTargets.since(from.targets());
     if (!storeReachable || operatorsSince.isEmpty() || targetsSince.isEmpty()) {
       link.close();
       return;
@@ -133,10 +133,13 @@
 
   @Override
   public void publishRecords(
-      Feed feed, List<KeyedRecord> records, List<KeyedRecord> changes, TopicOffset nextOffset) {
-    recent(feed).add(changes, nextOffset);
+      Feed feed,
+      List<KeyedRecord> records,
+      List<? extends FeedRecord> forwarded,
+      TopicOffset nextOffset) {
+    recent(feed).add(forwarded, nextOffset);
     latest(feed).add(records);
-    List.copyOf(subscribers).forEach(link -> sendRecords(link, feed, changes));
+    List.copyOf(subscribers).forEach(link -> sendRecords(link, feed, forwarded));
   }
 
   @Override
@@ -189,9 +192,9 @@
     };
   }
 
-  private static void sendRecords(FeedLink link, Feed feed, List<KeyedRecord> records) {
+  private static void sendRecords(FeedLink link, Feed feed, List<? extends FeedRecord> records) {
     if (!records.isEmpty()) {
-      link.send(new FeedMessage.Records(feed, records));
+      link.send(new FeedMessage.Records(feed, List.copyOf(records)));
     }
   }
 }
--- a/src/main/java/org/radishpost/placement/RestoredEntryUse.java
+++ b/src/main/java/org/radishpost/placement/RestoredEntryUse.java
@@ -12,7 +12,9 @@
 enum RestoredEntryUse {
   /** The entry replaces what is known. */
   APPLY,
-  /** The entry is older than what is known; the newer entry counts as missing. */
+  /** The entry is older than what is known, which stays in use: both are of the same run. */
+  KEEP_KNOWN,
+  /** The entry would take back what is known; the newer entry counts as missing. */
   IGNORE,
   /** The target has left since; it is used only if it proves that it still runs. */
   HOLD_BACK;
@@ -26,17 +28,19 @@
    */
   static RestoredEntryUse of(Target entry, Optional<Target> known, Optional<Target> departed) {
     if (known.isPresent()) {
-      return isOlder(entry, known.get()) ? IGNORE : APPLY;
+      return ofKnown(entry, known.get());
     }
     boolean mayHaveLeft =
-        departed.filter(last -> entry.startedMillis() <= last.startedMillis()).isPresent();
+        departed.filter(last -> entry.version().compareTo(last.version()) <= 0).isPresent();
     return mayHaveLeft ? HOLD_BACK : APPLY;
   }
 
-  private static boolean isOlder(Target entry, Target known) {
-    if (entry.startedMillis() != known.startedMillis()) {
-      return entry.startedMillis() < known.startedMillis();
+  private static RestoredEntryUse ofKnown(Target entry, Target known) {
+    if (!entry.isOlderThan(known)) {
+      return APPLY;
     }
-    return known.draining() && !entry.draining();
+    boolean sameRun = entry.startedMillis() == known.startedMillis();
+    boolean undoesDraining = known.draining() && !entry.draining();
+    return sameRun && !undoesDraining ? KEEP_KNOWN : IGNORE;
   }
 }
--- a/src/main/java/org/radishpost/placement/Target.java
+++ b/src/main/java/org/radishpost/placement/Target.java
@@ -15,7 +15,7 @@
  * @param slots the maximum number of calls that the target runs at the same time
  * @param draining whether the target is shutting down and accepts no new calls
  * @param coldRemaining how long the target remains cold, counted from when the entry was written
- * @param startedMillis when the target started, in milliseconds since 1970; 0 if unknown
+ * @param version the version of the entry
  */
 public record Target(
     TargetId id,
@@ -25,12 +25,37 @@
     int slots,
     boolean draining,
     Duration coldRemaining,
-    long startedMillis) {
+    EntryVersion version) {
+  /** Returns when the target started, in milliseconds since 1970; 0 if unknown. */
+  public long startedMillis() {
+    return version.startedMillis();
+  }
+
   /** Returns whether both entries were written by the same run of the same process. */
   public boolean sameIncarnation(Target other) {
     return id.equals(other.id)
-        && startedMillis == other.startedMillis
+        && startedMillis() == other.startedMillis()
         && address.equals(other.address)
         && service.equals(other.service);
   }
+
+  /**
+   * Returns whether another entry of the same target was written after this one. Of two entries of
+   * the same version, the one that drains is the later one.
+   */
+  boolean isOlderThan(Target other) {
+    int order = version.compareTo(other.version);
+    return order < 0 || order == 0 && other.draining && !draining;
+  }
+
+  /** Returns whether both entries are equal but for their sequence numbers. */
+  boolean equalsIgnoringSequence(Target other) {
+    return withSequence(other.version.sequence()).equals(other);
+  }
+
+  /** Returns a copy of this entry with another sequence number. */
+  Target withSequence(long sequence) {
+    EntryVersion newVersion = new EntryVersion(startedMillis(), sequence);
+    return new Target(id, service, address, place, slots, draining, coldRemaining, newVersion);
+  }
 }
--- a/src/main/java/org/radishpost/placement/TargetDirectory.java
+++ b/src/main/java/org/radishpost/placement/TargetDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,43 +23,78 @@
  * a grace period after it, in which they can register again. Until then, calls are sent to such a
  * target only if it has recently reported its load.
  *
- * <p>A registry that was restored from an earlier copy may lack the newest entries and still have
- * those of targets that have left. The former are treated as after an outage, the latter are held
- * back. Confined to one thread.
+ * <p>An entry that is older than what is known of its target, by its {@link EntryVersion}, is not
+ * used, whichever way it arrives: the registry may carry out a write late, or be restored from an
+ * earlier copy. If the target has left, its entry is held back until a newer one arrives, or until
+ * it has been there for so long that the target must still run. A restored registry may lack the
+ * newest entries, which is treated as after an outage. Confined to one thread.
  */
 public final class TargetDirectory {
   /** How long a target without an entry is kept after the registry becomes available again. */
   public static final long REREGISTRATION_GRACE_NANOS = 2_200_000_000L;
 
-  /**
-   * How long an entry of a departed target is held back if nothing is written for this target. The
-   * registry deletes the entry of a target after three heartbeat intervals of silence, so one that
-   * is still there belongs to a target that runs.
-   */
-  static final long HOLD_BACK_NANOS = 10_000_000_000L;
-
   private final EventSink events;
   private final Map<TargetId, TrackedTarget> targets = new HashMap<>();
   private final Map<TargetId, Long> missingExpiryNanos = new HashMap<>();
   private final DepartedTargets departed = new DepartedTargets();
-  private final Map<TargetId, HeldBackEntry> heldBack = new HashMap<>();
+  private final HeldBackEntries heldBack = new HeldBackEntries();
   private boolean loaded;
   private boolean registryUnavailable;
   private long graceEndNanos;
 
-  private record HeldBackEntry(Target entry, long untilNanos) {}
-
   /** Creates an empty directory that emits an event for each change of a target. */
   public TargetDirectory(EventSink events) {
     this.events = events;
   }
 
   /**
-   * Adds a target or updates it from its newest entry.
+   * Adds a target or updates it from an entry that was written, unless the entry is superseded.
    *
-   * @return whether the entry changed the directory
+   * @return what the entry means for the directory
+   */
+  public EntryEffect register(Target entry, long nowNanos) {
+    if (isSuperseded(entry)) {
+      ignore(entry, nowNanos);
+      return EntryEffect.SUPERSEDED;
+    }
+    return apply(entry, nowNanos);
+  }
+
+  /**
+   * Raises the sequence number of a target's entry, which the target has written again without
+   * another change.
    */
-  public boolean register(Target entry, long nowNanos) {
+  public void renew(TargetId id, long sequence, long nowNanos) {
+    knownEntry(id)
+        .or(() -> heldBack.find(id))
+        .ifPresent(entry -> register(entry.withSequence(sequence), nowNanos));
+  }
+
+  /** Returns whether an entry was written before the newest one that is known of its target. */
+  private boolean isSuperseded(Target entry) {
+    Optional<Target> known = knownEntry(entry.id());
+    if (known.isPresent()) {
+      return entry.isOlderThan(known.get());
+    }
+    return departed
+        .lastEntry(entry.id())
+        .filter(last -> entry.version().compareTo(last.version()) <= 0)
+        .isPresent();
+  }
+
+  /** Leaves what is known as it is; the target proves with a newer entry that it runs. */
+  private void ignore(Target entry, long nowNanos) {
+    if (!targets.containsKey(entry.id())) {
+      heldBack.add(entry, nowNanos);
+    }
+    events.emit(
+        EventCode.TARGET_ENTRY_SUPERSEDED,
+        EventField.of("target", entry.id()),
+        EventField.of("started", entry.startedMillis()),
+        EventField.of("sequence", entry.version().sequence()));
+  }
+
+  private EntryEffect apply(Target entry, long nowNanos) {
     heldBack.remove(entry.id());
     departed.remove(entry.id());
     boolean wasMissing = missingExpiryNanos.remove(entry.id()) != null;
@@ -66,15 +102,15 @@
     if (known == null) {
       targets.put(entry.id(), new TrackedTarget(entry, nowNanos));
       emit(EventCode.TARGET_REGISTERED, entry);
-      return true;
+      return EntryEffect.CHANGED;
     }
-    final boolean changed = wasMissing || !entry.equals(known.target());
+    final boolean changed = wasMissing || !entry.equalsIgnoringSequence(known.target());
     if (entry.draining() && !known.target().draining()) {
       emit(EventCode.TARGET_LEAVING, entry);
     }
     known.update(entry, nowNanos);
     known.setEntryMissing(false);
-    return changed;
+    return changed ? EntryEffect.CHANGED : EntryEffect.RENEWED;
   }
 
   /** Removes a target whose entry is gone; during an outage only after the grace period. */
@@ -92,62 +128,79 @@
   }
 
   /**
-   * Registers all given entries and unregisters all targets without one. An entry that is held back
-   * stays so.
+   * Registers all given entries and unregisters all targets without one. A superseded entry counts
+   * as none: the target may have left since.
+   *
+   * @return the targets whose entries are superseded
    */
-  public void replaceAll(Collection<Target> entries, long nowNanos) {
-    Set<TargetId> ids = entries.stream().map(Target::id).collect(Collectors.toSet());
-    heldBack.keySet().retainAll(ids);
-    List<Target> applicable = entries.stream().filter(entry -> !isHeldBack(entry)).toList();
-    replaceAllExceptHeldBack(applicable, nowNanos);
-  }
-
-  private void replaceAllExceptHeldBack(Collection<Target> entries, long nowNanos) {
+  public Set<TargetId> replaceAll(Collection<Target> entries, long nowNanos) {
     loaded = true;
-    Map<TargetId, Target> byId = new HashMap<>();
-    entries.forEach(entry -> byId.put(entry.id(), entry));
-    for (TargetId known : List.copyOf(targets.keySet())) {
-      if (!byId.containsKey(known)) {
-        unregister(known, nowNanos);
-      }
-    }
-    byId.values().forEach(entry -> register(entry, nowNanos));
-  }
-
-  private boolean isHeldBack(Target entry) {
-    HeldBackEntry held = heldBack.get(entry.id());
-    return held != null && entry.startedMillis() <= held.entry().startedMillis();
+    Map<Boolean, List<Target>> bySuperseded =
+        entries.stream().collect(Collectors.partitioningBy(this::isSuperseded));
+    List<Target> superseded = bySuperseded.get(true);
+    List<Target> current = bySuperseded.get(false);
+    heldBack.retainAll(ids(superseded));
+    unregisterAllExcept(ids(current), nowNanos);
+    superseded.forEach(entry -> ignore(entry, nowNanos));
+    current.forEach(entry -> apply(entry, nowNanos));
+    return ids(superseded);
   }
 
   /**
    * Applies all entries of a registry that was restored from an earlier copy, which starts the
    * grace period. Entries that are older than what is known do not take it back.
+   *
+   * @return the targets whose entries take back what is known
    */
-  public void restore(Collection<Target> entries, long nowNanos) {
+  public Set<TargetId> restore(Collection<Target> entries, long nowNanos) {
+    loaded = true;
     registryUnavailable();
     registryAvailable(nowNanos);
     Map<RestoredEntryUse, List<Target>> byUse =
         entries.stream().collect(Collectors.groupingBy(this::restoredEntryUse));
-    for (Target entry : byUse.getOrDefault(RestoredEntryUse.HOLD_BACK, List.of())) {
-      heldBack.put(entry.id(), new HeldBackEntry(entry, nowNanos + HOLD_BACK_NANOS));
+    List<Target> applied = byUse.getOrDefault(RestoredEntryUse.APPLY, List.of());
+    List<Target> heldBackNow = byUse.getOrDefault(RestoredEntryUse.HOLD_BACK, List.of());
+    Set<TargetId> registered = ids(applied);
+    registered.addAll(ids(byUse.getOrDefault(RestoredEntryUse.KEEP_KNOWN, List.of())));
+    heldBack.retainAll(ids(heldBackNow));
+    unregisterAllExcept(registered, nowNanos);
+    heldBackNow.forEach(entry -> heldBack.add(entry, nowNanos));
+    applied.forEach(entry -> apply(entry, nowNanos));
+    Set<TargetId> unused = ids(entries);
+    unused.removeAll(registered);
+    return unused;
+  }
+
+  private void unregisterAllExcept(Set<TargetId> ids, long nowNanos) {
+    for (TargetId known : List.copyOf(targets.keySet())) {
+      if (!ids.contains(known)) {
+        unregister(known, nowNanos);
+      }
     }
-    replaceAllExceptHeldBack(byUse.getOrDefault(RestoredEntryUse.APPLY, List.of()), nowNanos);
+  }
+
+  private static Set<TargetId> ids(Collection<Target> entries) {
+    return entries.stream().map(Target::id).collect(Collectors.toCollection(HashSet::new));
   }
 
   private RestoredEntryUse restoredEntryUse(Target entry) {
-    return RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()));
+    RestoredEntryUse use =
+        RestoredEntryUse.of(entry, knownEntry(entry.id()), departed.lastEntry(entry.id()));
+    boolean wasRemoved = missingExpiryNanos.containsKey(entry.id());
+    return use == RestoredEntryUse.KEEP_KNOWN && wasRemoved ? RestoredEntryUse.IGNORE : use;
   }
 
   private Optional<Target> knownEntry(TargetId id) {
     return find(id).map(TrackedTarget::target);
   }
 
-  /** Registers the entries that have been held back for long enough; called periodically. */
+  /**
+   * Registers the entries that have been held back for long enough; called periodically. The
+   * removal of an entry is not seen while the registry is unavailable.
+   */
   public void registerHeldBack(long nowNanos) {
-    for (HeldBackEntry held : List.copyOf(heldBack.values())) {
-      if (nowNanos - held.untilNanos() >= 0) {
-        register(held.entry(), nowNanos);
-      }
+    if (!registryUnavailable) {
+      heldBack.due(nowNanos).forEach(entry -> apply(entry, nowNanos));
     }
   }
 
@@ -164,6 +217,7 @@
     registryUnavailable = false;
     graceEndNanos = nowNanos + REREGISTRATION_GRACE_NANOS;
     missingExpiryNanos.replaceAll((id, expiryNanos) -> graceEndNanos);
+    heldBack.restart(nowNanos);
   }
 
   /** Removes the targets whose entries are still missing at the end of the grace period. */
--- a/src/main/java/org/radishpost/platform/OperatorTopicListener.java
+++ b/src/main/java/org/radishpost/platform/OperatorTopicListener.java
@@ -13,6 +13,7 @@
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
+import org.radishpost.feed.FeedRecord;
 import org.radishpost.feed.KeyedRecord;
 
 /**
@@ -38,24 +39,27 @@
   }
 
   @Override
-  public void onSnapshot(List<KeyedRecord> records) {
+  public List<KeyedRecord> onSnapshot(List<KeyedRecord> records) {
     outOfService.clear();
     outOfService.addAll(awaitingRecord);
     records.forEach(this::applyRecord);
     publishConfiguration();
+    return records;
   }
 
   @Override
-  public void onRestoredSnapshot(List<KeyedRecord> records) {
+  public List<KeyedRecord> onRestoredSnapshot(List<KeyedRecord> records) {
     awaitingRecord.addAll(outOfService);
-    onSnapshot(records);
+    return onSnapshot(records);
   }
 
   @Override
-  public boolean onRecord(KeyedRecord record) {
-    applyRecord(record);
-    publishConfiguration();
-    return true;
+  public Optional<FeedRecord> onRecord(FeedRecord record) {
+    if (record instanceof KeyedRecord keyed) {
+      applyRecord(keyed);
+      publishConfiguration();
+    }
+    return Optional.of(record);
   }
 
   private void applyRecord(KeyedRecord record) {
--- a/src/main/java/org/radishpost/platform/PlatformFeed.java
+++ b/src/main/java/org/radishpost/platform/PlatformFeed.java
@@ -12,6 +12,7 @@
 import org.radishpost.feed.Feed;
 import org.radishpost.feed.FeedPublisher;
 import org.radishpost.feed.FeedReader;
+import org.radishpost.feed.FeedRecord;
 import org.radishpost.feed.KeyedRecord;
 import org.radishpost.feed.Position;
 import org.radishpost.feed.TopicOffset;
@@ -117,7 +118,7 @@
   }
 
   @Override
-  public void applyRecords(Feed feed, List<KeyedRecord> records) {
+  public void applyRecords(Feed feed, List<FeedRecord> records) {
     topic(feed).applyRecords(records);
   }
 
--- a/src/main/java/org/radishpost/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/radishpost/platform/TargetEntryDecoder.java
@@ -8,6 +8,7 @@
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ServiceName;
 import org.radishpost.lib.ZoneName;
+import org.radishpost.placement.EntryVersion;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetId;
 
@@ -53,12 +54,17 @@
           Math.max(1, entry.integer("concurrency")),
           state.equals(DRAINING),
           entry.optionalSeconds("warmup-left-s").orElse(Duration.ZERO),
-          (long) entry.number("born", 0));
+          version(entry));
     } catch (IllegalArgumentException e) {
       throw new PlatformDocumentException("the entry of target " + key + ": " + e.getMessage(), e);
     }
   }
 
+  /** Returns the version of an entry; a number that is missing counts as 0. */
+  private static EntryVersion version(Document entry) throws PlatformDocumentException {
+    return new EntryVersion((long) entry.number("born", 0), (long) entry.number("sequence", 0));
+  }
+
   private static Endpoint address(Document entry) throws PlatformDocumentException {
     Endpoint address = Endpoint.parse(entry.text("address"));
     if (address.port() == 0) {
--- a/src/main/java/org/radishpost/platform/TargetTopicListener.java
+++ b/src/main/java/org/radishpost/platform/TargetTopicListener.java
@@ -4,13 +4,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.radishpost.errors.PlatformDocumentException;
 import org.radishpost.events.EventCode;
 import org.radishpost.events.EventField;
 import org.radishpost.events.EventSink;
+import org.radishpost.feed.FeedRecord;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.RenewalRecord;
 import org.radishpost.lib.RegionName;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.placement.Target;
@@ -37,24 +41,51 @@
   }
 
   @Override
-  public void onSnapshot(List<KeyedRecord> records) {
-    directory.replaceAll(decode(records), nowNanos());
+  public List<KeyedRecord> onSnapshot(List<KeyedRecord> records) {
+    return without(directory.replaceAll(decode(records), nowNanos()), records);
   }
 
   @Override
-  public void onRestoredSnapshot(List<KeyedRecord> records) {
-    directory.restore(decode(records), nowNanos());
+  public List<KeyedRecord> onRestoredSnapshot(List<KeyedRecord> records) {
+    return without(directory.restore(decode(records), nowNanos()), records);
+  }
+
+  private static List<KeyedRecord> without(Set<TargetId> unused, List<KeyedRecord> records) {
+    Set<String> unusedKeys = unused.stream().map(TargetId::value).collect(Collectors.toSet());
+    return records.stream().filter(record -> !unusedKeys.contains(record.key())).toList();
   }
 
   @Override
-  public boolean onRecord(KeyedRecord record) {
+  public Optional<FeedRecord> onRecord(FeedRecord record) {
+    return switch (record) {
+      case KeyedRecord keyed -> onKeyedRecord(keyed);
+      case RenewalRecord renewal -> {
+        directory.renew(new TargetId(renewal.key()), renewal.sequence(), nowNanos());
+        yield Optional.of(renewal);
+      }
+    };
+  }
+
+  private Optional<FeedRecord> onKeyedRecord(KeyedRecord record) {
     if (record.value().isEmpty()) {
       if (!record.key().isBlank()) {
         directory.unregister(new TargetId(record.key()), nowNanos());
       }
-      return true;
+      return Optional.of(record);
     }
-    return decode(record).map(target -> directory.register(target, nowNanos())).orElse(true);
+    Optional<Target> entry = decode(record);
+    return entry.isPresent() ? onEntry(record, entry.get()) : Optional.of(record);
+  }
+
+  private Optional<FeedRecord> onEntry(KeyedRecord record, Target entry) {
+    return switch (directory.register(entry, nowNanos())) {
+      case CHANGED -> Optional.of(record);
+      case RENEWED -> {
+        long sequence = entry.version().sequence();
+        yield Optional.of(new RenewalRecord(record.offset(), record.key(), sequence));
+      }
+      case SUPERSEDED -> Optional.empty();
+    };
   }
 
   @Override
--- a/src/main/java/org/radishpost/platform/TopicReader.java
+++ b/src/main/java/org/radishpost/platform/TopicReader.java
@@ -13,6 +13,7 @@
 import org.radishpost.events.EventSink;
 import org.radishpost.feed.Feed;
 import org.radishpost.feed.FeedPublisher;
+import org.radishpost.feed.FeedRecord;
 import org.radishpost.feed.KeyedRecord;
 import org.radishpost.feed.TopicOffset;
 import reactor.core.Disposable;
@@ -143,28 +144,29 @@
     publisher.resetTo(feed, newNextOffset);
   }
 
-  private void loadSnapshot(List<KeyedRecord> records, TopicOffset newNextOffset) {
+  /** Applies a snapshot; returns its records without those that are older than what was known. */
+  private List<KeyedRecord> loadSnapshot(List<KeyedRecord> records, TopicOffset newNextOffset) {
     onStoreResponding();
     final Optional<TopicOffset> previous = nextOffset;
     nextOffset = Optional.of(newNextOffset);
     newestEra = newNextOffset.era();
     snapshotRequired = false;
-    if (previous.isPresent() && !previous.get().sameEra(newNextOffset)) {
-      listener.onRestoredSnapshot(records);
-      events.emit(
-          EventCode.STORE_RECOVERED,
-          EventField.of("topic", topic),
-          EventField.of("before", previous.get()),
-          nextField());
-    } else {
-      listener.onSnapshot(records);
+    if (previous.isEmpty() || previous.get().sameEra(newNextOffset)) {
+      return listener.onSnapshot(records);
     }
+    List<KeyedRecord> newRecords = listener.onRestoredSnapshot(records);
+    events.emit(
+        EventCode.STORE_RECOVERED,
+        EventField.of("topic", topic),
+        EventField.of("before", previous.get()),
+        nextField());
+    return newRecords;
   }
 
   /** Applies new records from a relay. */
-  void applyRecords(List<KeyedRecord> records) {
+  void applyRecords(List<FeedRecord> records) {
     if (!snapshotRequired) {
-      applyNewRecords(records);
+      records.forEach(this::applyIfNew);
     }
   }
 
@@ -200,34 +202,40 @@
 
   private void onPage(KeyedPage page) {
     if (snapshotRequired) {
-      loadSnapshot(page.records(), page.nextOffset());
-      publisher.publishSnapshot(feed, page.records(), page.nextOffset());
+      List<KeyedRecord> newRecords = loadSnapshot(page.records(), page.nextOffset());
+      publisher.publishSnapshot(feed, newRecords, page.nextOffset());
     } else if (page.nextOffset().era() > newestEra) {
       newEraListener.accept(page.nextOffset().era());
       return;
     } else {
       onStoreResponding();
-      List<KeyedRecord> changes = applyNewRecords(page.records());
-      nextOffset = Optional.of(page.nextOffset());
-      publisher.publishRecords(feed, page.records(), changes, page.nextOffset());
+      applyAndPublish(page);
     }
     scheduleRead(timing.get().pause());
   }
 
-  /** Applies the records that are not known yet and returns those that changed the state. */
-  private List<KeyedRecord> applyNewRecords(List<KeyedRecord> records) {
-    List<KeyedRecord> changes = new ArrayList<>();
-    for (KeyedRecord record : records) {
-      TopicOffset expected = nextOffset.orElseThrow();
-      if (!record.offset().sameEra(expected) || record.offset().isBefore(expected)) {
-        continue;
-      }
-      nextOffset = Optional.of(record.offset().next());
-      if (listener.onRecord(record)) {
-        changes.add(record);
+  private void applyAndPublish(KeyedPage page) {
+    List<KeyedRecord> newRecords = new ArrayList<>();
+    List<FeedRecord> forwarded = new ArrayList<>();
+    for (KeyedRecord record : page.records()) {
+      Optional<FeedRecord> toForward = applyIfNew(record);
+      if (toForward.isPresent()) {
+        newRecords.add(record);
+        forwarded.add(toForward.get());
       }
     }
-    return changes;
+    nextOffset = Optional.of(page.nextOffset());
+    publisher.publishRecords(feed, newRecords, forwarded, page.nextOffset());
+  }
+
+  /** Applies a record that is not known yet; returns what followers need of it. */
+  private Optional<FeedRecord> applyIfNew(FeedRecord record) {
+    TopicOffset expected = nextOffset.orElseThrow();
+    if (!record.offset().sameEra(expected) || record.offset().isBefore(expected)) {
+      return Optional.empty();
+    }
+    nextOffset = Optional.of(record.offset().next());
+    return listener.onRecord(record);
   }
 
   /** Called when the store has responded to this reader or to the relay that this VM follows. */
--- a/src/test/java/org/radishpost/direct/EndlessProbeResponseTest.java
+++ b/src/test/java/org/radishpost/direct/EndlessProbeResponseTest.java
@@ -14,6 +14,7 @@
 import org.radishpost.http.HttpSender;
 import org.radishpost.http.SenderOptions;
 import org.radishpost.lib.Place;
+import org.radishpost.placement.EntryVersion;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetId;
@@ -78,7 +79,7 @@
         2,
         false,
         Duration.ZERO,
-        0);
+        new EntryVersion(0, 0));
   }
 
   @Test(dataProvider = "responses")
--- a/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
+++ b/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
@@ -16,6 +16,7 @@
 import org.radishpost.http.Response;
 import org.radishpost.http.SenderOptions;
 import org.radishpost.lib.Place;
+import org.radishpost.placement.EntryVersion;
 import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetId;
@@ -74,7 +75,7 @@
         SLOTS,
         false,
         Duration.ZERO,
-        0);
+        new EntryVersion(0, 0));
   }
 
   private static TrackedTarget track(LateServer server) {
--- a/src/test/java/org/radishpost/feed/FakeReader.java
+++ b/src/test/java/org/radishpost/feed/FakeReader.java
@@ -28,7 +28,7 @@
   }
 
   @Override
-  public void applyRecords(Feed feed, List<KeyedRecord> records) {
+  public void applyRecords(Feed feed, List<FeedRecord> records) {
     records.forEach(record -> calls.add(feed + " " + record.key()));
   }
 
--- a/src/test/java/org/radishpost/feed/FeedCodecTest.java
+++ b/src/test/java/org/radishpost/feed/FeedCodecTest.java
@@ -45,6 +45,10 @@
       },
       {new FeedMessage.Heartbeat(true, position(1L << 40, 0), true)},
       {new FeedMessage.Records(Feed.TARGETS, List.of(deleted))},
+      {
+        new FeedMessage.Records(
+            Feed.TARGETS, List.of(deleted, new RenewalRecord(at(1L << 41), "r", 1L << 42)))
+      },
       {new FeedMessage.Slots(new SlotMessage.Open())},
       {
         new FeedMessage.Crashes(
@@ -106,7 +110,15 @@
         new FeedMessage.Records(
             Feed.OPERATORS, List.of(new KeyedRecord(at(3), "config", Optional.of(value))));
     FeedMessage.Records decoded = (FeedMessage.Records) FeedCodec.decode(FeedCodec.encode(message));
-    assertEquals(decoded.records().getFirst().value().orElseThrow(), value);
+    KeyedRecord record = (KeyedRecord) decoded.records().getFirst();
+    assertEquals(record.value().orElseThrow(), value);
+  }
+
+  /** A follower without data cannot know what a renewal repeats. */
+  @Test
+  public void snapshotWithRenewalIsRejected() {
+    byte[] snapshot = {16, 1, (byte) 0x91, 1, 4, (byte) 0xa1, 't', 9, 1, 5};
+    assertThrows(LinkException.class, () -> FeedCodec.decode(snapshot));
   }
 
   /**
--- a/src/test/java/org/radishpost/feed/RelayTest.java
+++ b/src/test/java/org/radishpost/feed/RelayTest.java
@@ -66,6 +66,17 @@
             new FeedMessage.Records(Feed.TARGETS, List.of(record(25)))));
   }
 
+  /** A follower did not know the newest sequence number of a target that left. */
+  @Test
+  public void sendsMissedRenewals() {
+    KeyedRecord renewed = new KeyedRecord(at(20), "t", Optional.of(new byte[] {1}));
+    RenewalRecord renewal = new RenewalRecord(at(20), "t", 7);
+    relay.publishRecords(Feed.TARGETS, List.of(renewed), List.of(renewal), at(21));
+    relay.connected(follower);
+    relay.received(follower, new FeedMessage.Subscribe(position(10, 20)));
+    assertEquals(follower.sent.get(2), new FeedMessage.Records(Feed.TARGETS, List.of(renewal)));
+  }
+
   @Test
   public void rejectsFollowerThatIsTooFarBehind() {
     relay.connected(follower);
--- a/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
+++ b/src/test/java/org/radishpost/pgm/EntryEndToEndTest.java
@@ -47,7 +47,8 @@
       "target-latency-s":0.25,"service":"s","max-attempts":2},
       "writes":{"host":"localhost","path-prefix":"/writes/","kind":"non_idempotent",
       "service":"s","max-attempts":2}%s},
-      "services":{"s":{"health-path":"/healthz"},"broken":{"health-path":"/healthz"}},
+      "services":{"s":{"health-path":"/healthz"},"broken":{"health-path":"/healthz"},
+      "marker":{"health-path":"/healthz"}},
       "limits":{"max-body-bytes":1000000}}\
       """;
   private static final String LATER_ROUTE =
@@ -64,6 +65,22 @@
       "service":"broken","max-attempts":2}\
       """;
 
+  /** A route to a service without targets. */
+  private static final String MARKER_ROUTE =
+      """
+      ,"marker":{"host":"localhost","path-prefix":"/marker/","kind":"idempotent",
+      "service":"marker"}\
+      """;
+
+  private static final String TARGET_ENTRY =
+      """
+      {"service":"%s","address":"%s","zone":"k-a","concurrency":2,"state":"ready",\
+      "sequence":%d,"born":1700000000000}\
+      """;
+
+  /** The sequence number of the entries of targets. */
+  private static final int SEQUENCE = 7;
+
   private final HttpClient client = HttpClient.newHttpClient();
   private final AtomicInteger brokenServiceCalls = new AtomicInteger();
   private final List<LateServer> brokenTargets = new ArrayList<>();
@@ -71,7 +88,10 @@
   private KeyedStore store;
   private KeyedStoreServer storeServer;
   private PlatformTargetServer first;
+  private Endpoint firstAddress;
   private PlatformTargetServer second;
+  private PlatformTargetServer marker;
+  private Endpoint markerAddress;
   private EntryNode node;
 
   /** Starts an entry with two targets. */
@@ -82,7 +102,10 @@
     storeServer = new KeyedStoreServer(store, ANY_PORT, loops);
     first = new PlatformTargetServer("i-1", ANY_PORT, loops);
     second = new PlatformTargetServer("i-2", ANY_PORT, loops);
-    register("i-1", first.start());
+    marker = new PlatformTargetServer("i-marker", ANY_PORT, loops);
+    firstAddress = first.start();
+    markerAddress = marker.start();
+    register("i-1", firstAddress);
     register("i-2", second.start());
     startBrokenService();
     EntrySettings settings =
@@ -116,6 +139,7 @@
     storeServer.stop().block();
     first.stop().block();
     second.stop().block();
+    marker.stop().block();
     for (LateServer target : brokenTargets) {
       target.close();
     }
@@ -128,14 +152,11 @@
   }
 
   private void register(String id, String service, Endpoint address) {
-    store.put(
-        WireNames.TARGET_TOPIC,
-        id,
-        "{\"service\":\""
-            + service
-            + "\",\"address\":\""
-            + address
-            + "\",\"zone\":\"k-a\",\"concurrency\":2,\"state\":\"ready\"}");
+    register(id, service, address, SEQUENCE);
+  }
+
+  private void register(String id, String service, Endpoint address, int sequence) {
+    store.put(WireNames.TARGET_TOPIC, id, TARGET_ENTRY.formatted(service, address, sequence));
   }
 
   private void publish(int version, String extraRoute) {
@@ -247,6 +268,32 @@
     assertEquals(runs, 1);
   }
 
+  /** A write of the target that the store carried out late brought the target back. */
+  @Test
+  public void lateEntryOfTargetThatLeftIsNotUsed() throws Exception {
+    publish(1, MARKER_ROUTE);
+    awaitReady();
+    store.delete(WireNames.TARGET_TOPIC, "i-1");
+    register("i-1", "s", firstAddress, SEQUENCE - 2);
+    awaitEntriesRead();
+    for (int i = 0; i < 20; i++) {
+      assertEquals(post("/writes/x", "body").statusCode(), 200);
+    }
+    assertEquals(first.executedRequestIds(), List.of());
+    register("i-1", "s", firstAddress, SEQUENCE + 1);
+    while (first.executedRequestIds().isEmpty()) {
+      post("/writes/x", "body");
+    }
+  }
+
+  /** Waits until the entry has read all entries of targets, by adding one more. */
+  private void awaitEntriesRead() throws Exception {
+    register("i-marker", "marker", markerAddress);
+    while (get(node.frontAddress(), "/marker/x").statusCode() != 200) {
+      Thread.onSpinWait();
+    }
+  }
+
   /** Returns an answer to a request; to the first call, one whose status does not exist. */
   private LateServer.Answer answerOnceBroken(String head) {
     boolean broken = !head.startsWith("GET /healthz") && brokenServiceCalls.incrementAndGet() == 1;
--- a/src/test/java/org/radishpost/placement/RestoredEntryUseTest.java
+++ b/src/test/java/org/radishpost/placement/RestoredEntryUseTest.java
@@ -12,11 +12,19 @@
   private static final Optional<Target> NONE = Optional.empty();
 
   private static Target ready(long startedMillis) {
-    return TestTargets.startedAt(TestTargets.ready("t"), startedMillis);
+    return ready(startedMillis, 0);
+  }
+
+  private static Target ready(long startedMillis, long sequence) {
+    return TestTargets.withVersion(TestTargets.ready("t"), startedMillis, sequence);
   }
 
   private static Target draining(long startedMillis) {
-    return TestTargets.startedAt(TestTargets.draining("t"), startedMillis);
+    return draining(startedMillis, 0);
+  }
+
+  private static Target draining(long startedMillis, long sequence) {
+    return TestTargets.withVersion(TestTargets.draining("t"), startedMillis, sequence);
   }
 
   private static Target cold(long startedMillis) {
@@ -39,6 +47,15 @@
       {"run before it", ready(4), NONE, Optional.of(ready(5)), RestoredEntryUse.HOLD_BACK},
       {"run that drained", draining(5), NONE, Optional.of(draining(5)), RestoredEntryUse.HOLD_BACK},
       {"run after it", ready(6), NONE, Optional.of(ready(5)), RestoredEntryUse.APPLY},
+      {"earlier", ready(5, 2), Optional.of(ready(5, 3)), NONE, RestoredEntryUse.KEEP_KNOWN},
+      {"later", ready(5, 4), Optional.of(ready(5, 3)), NONE, RestoredEntryUse.APPLY},
+      {"before draining", ready(5, 2), Optional.of(draining(5, 3)), NONE, RestoredEntryUse.IGNORE},
+      {"drains", draining(5, 2), Optional.of(draining(5, 3)), NONE, RestoredEntryUse.KEEP_KNOWN},
+      {"earlier run", ready(4, 9), Optional.of(ready(5, 3)), NONE, RestoredEntryUse.IGNORE},
+      {"count starts anew", ready(6, 1), Optional.of(ready(5, 3)), NONE, RestoredEntryUse.APPLY},
+      {"before it left", ready(5, 2), NONE, Optional.of(ready(5, 3)), RestoredEntryUse.HOLD_BACK},
+      {"lapsed", ready(5, 4), NONE, Optional.of(ready(5, 3)), RestoredEntryUse.APPLY},
+      {"next run", ready(6, 1), NONE, Optional.of(draining(5, 3)), RestoredEntryUse.APPLY},
       {
         "run without a start time",
         ready(0),
--- a/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
+++ b/src/test/java/org/radishpost/placement/TargetDirectoryTest.java
@@ -23,6 +23,10 @@
     directory.replaceAll(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 0);
   }
 
+  private static Target ready(String id, long sequence) {
+    return TestTargets.withVersion(TestTargets.ready(id), 0, sequence);
+  }
+
   private List<String> serving() {
     return directory.serving(SERVICE, Set.of()).stream()
         .map(target -> target.target().id().value())
@@ -93,10 +97,10 @@
     directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
     assertEquals(serving(), List.of("a"));
     directory.replaceAll(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 200);
-    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS - 1);
+    directory.registerHeldBack(100 + HeldBackEntries.HOLD_BACK_NANOS - 1);
     assertEquals(serving(), List.of("a"));
     directory.unregister(new TargetId("b"), 300);
-    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS);
+    directory.registerHeldBack(100 + HeldBackEntries.HOLD_BACK_NANOS);
     assertEquals(serving(), List.of("a"));
   }
 
@@ -104,16 +108,16 @@
   public void targetThatLeftIsServedAgainWhenItWritesItsEntry() {
     directory.unregister(new TargetId("b"), 50);
     directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
-    directory.register(TestTargets.ready("b"), 200);
+    directory.register(ready("b", 1), 200);
     assertEquals(serving(), List.of("a", "b"));
   }
 
-  /** A relay forwards only what changes, so a follower may not see that the target writes. */
+  /** Such an entry may be one without a sequence number. */
   @Test
   public void targetThatLeftIsServedAgainIfItsRestoredEntryStays() {
     directory.unregister(new TargetId("b"), 50);
     directory.restore(List.of(TestTargets.ready("a"), TestTargets.ready("b")), 100);
-    directory.registerHeldBack(100 + TargetDirectory.HOLD_BACK_NANOS);
+    directory.registerHeldBack(100 + HeldBackEntries.HOLD_BACK_NANOS);
     assertEquals(serving(), List.of("a", "b"));
   }
 
--- a/src/test/java/org/radishpost/placement/TestTargets.java
+++ b/src/test/java/org/radishpost/placement/TestTargets.java
@@ -31,6 +31,11 @@
 
   /** Returns the same target in a run that started at another time. */
   public static Target startedAt(Target target, long startedMillis) {
+    return withVersion(target, startedMillis, 0);
+  }
+
+  /** Returns an entry of the same target in the given run and with the given sequence number. */
+  public static Target withVersion(Target target, long startedMillis, long sequence) {
     return new Target(
         target.id(),
         target.service(),
@@ -39,7 +44,7 @@
         target.slots(),
         target.draining(),
         target.coldRemaining(),
-        startedMillis);
+        new EntryVersion(startedMillis, sequence));
   }
 
   private static Target target(String id, Place place, boolean draining, Duration coldRemaining) {
@@ -51,6 +56,6 @@
         2,
         draining,
         coldRemaining,
-        0);
+        new EntryVersion(0, 0));
   }
 }
--- a/src/test/java/org/radishpost/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/radishpost/platform/PlatformDocumentsTest.java
@@ -17,6 +17,7 @@
 import org.radishpost.lib.RequestKind;
 import org.radishpost.lib.ZoneName;
 import org.radishpost.manifest.RouteSpec;
+import org.radishpost.placement.EntryVersion;
 import org.radishpost.placement.LoadSample;
 import org.radishpost.placement.Target;
 import org.radishpost.settings.EntrySettings;
@@ -63,7 +64,7 @@
     assertEquals(target.address(), new Endpoint("10.1.0.1", 80));
     assertEquals(target.place().region(), new RegionName("k"));
     assertEquals(target.coldRemaining(), Duration.ofMillis(1500));
-    assertEquals(target.startedMillis(), 17);
+    assertEquals(target.version(), new EntryVersion(17, 4));
     assertFalse(target.draining());
   }
 
@@ -87,6 +88,8 @@
       ENTRY.replace("1.5", "1e400"),
       ENTRY.replace("1.5", "1e300"),
       ENTRY.replace("17", "1e400"),
+      ENTRY.replace("\"sequence\":4", "\"sequence\":1e400"),
+      ENTRY.replace("\"sequence\":4", "\"sequence\":\"4\""),
       ENTRY.replace("17", "[".repeat(100_000) + "]".repeat(100_000)),
       "[".repeat(100_000),
       "{\"a\":".repeat(100_000),
--- a/src/test/java/org/radishpost/platform/RecordingTopicListener.java
+++ b/src/test/java/org/radishpost/platform/RecordingTopicListener.java
@@ -1,8 +1,11 @@
 package org.radishpost.platform;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
+import org.radishpost.feed.FeedRecord;
 import org.radishpost.feed.KeyedRecord;
+import org.radishpost.feed.RenewalRecord;
 
 /** A listener that adds one line of text for each call to a queue. */
 final class RecordingTopicListener implements TopicListener {
@@ -13,19 +16,25 @@
   }
 
   @Override
-  public void onSnapshot(List<KeyedRecord> records) {
+  public List<KeyedRecord> onSnapshot(List<KeyedRecord> records) {
     received.add("newest" + text(records));
+    return records;
   }
 
   @Override
-  public void onRestoredSnapshot(List<KeyedRecord> records) {
+  public List<KeyedRecord> onRestoredSnapshot(List<KeyedRecord> records) {
     received.add("restored" + text(records));
+    return records;
   }
 
   @Override
-  public boolean onRecord(KeyedRecord record) {
-    received.add(text(record));
-    return true;
+  public Optional<FeedRecord> onRecord(FeedRecord record) {
+    received.add(
+        switch (record) {
+          case KeyedRecord keyed -> text(keyed);
+          case RenewalRecord renewal -> renewal.key() + " renewed " + renewal.sequence();
+        });
+    return Optional.of(record);
   }
 
   @Override
