Free the connection of a response that is not forwarded

What callers saw: nothing yet. A 408 or 421 that its target gave after a run is withheld since; a body of it that is too large to be kept in memory stayed unread, and its connection was never used again. The same held for 429, 503 and unauthenticated responses before.

Change: AttemptEvaluator drops the body of a response that it replaces.

Measured: DirectRouterTest.bodyOfResponseThatIsNotForwardedIsCancelled, red without the change

--- a/src/main/java/org/radishpost/direct/AttemptEvaluator.java
+++ b/src/main/java/org/radishpost/direct/AttemptEvaluator.java
@@ -79,7 +79,7 @@
         isFailure(response)
             ? "target failed, status " + response.status()
             : "unauthenticated response";
-    Response forwarded = canForward(response) ? response : FinalResponses.lost(reason);
+    Response forwarded = canForward(response) ? response : withhold(response, reason);
     return attempts.call().info().idempotent()
         ? new AttemptResult.Retryable(reason, Optional.of(forwarded))
         : new AttemptResult.Failed(reason, forwarded);
@@ -101,6 +101,12 @@
     return isFailure(response) && !NotRunStatus.includes(response.status());
   }
 
+  /** Returns the response in place of one that is not forwarded, whose connection is freed. */
+  private static Response withhold(Response response, String reason) {
+    response.dropUnread();
+    return FinalResponses.lost(reason);
+  }
+
   /** Evaluates an error that ended an attempt before its response was complete. */
   AttemptResult evaluateError(CallAttempts attempts, SentCall sent, Throwable error) {
     TrackedTarget target = sent.target();
--- a/src/main/java/org/radishpost/feed/FeedCodec.java
+++ b/src/main/java/org/radishpost/feed/FeedCodec.java
@@ -18,8 +18,8 @@
  * Encodes feed messages as MessagePack. Each message begins with the number of its type.
  *
  * <p>The numbers 2, 3, 4 and 6 belong to messages of earlier releases, whose offsets have no era. A
- * VM of such a release closes the connection on a number that it does not know, and reads the store
- * itself.
+ * VM of an earlier release closes the connection on a number that it does not know, or on a record
+ * that is a renewal, and reads the store itself.
  */
 public final class FeedCodec {
   private static final int HELLO = 1;
--- a/src/main/java/org/radishpost/http/Response.java
+++ b/src/main/java/org/radishpost/http/Response.java
@@ -77,7 +77,7 @@
   }
 
   /** Drops the body of a response that nobody has begun to read. */
-  void dropUnread() {
+  public void dropUnread() {
     body.subscribe(ByteBuf::release, error -> {}).dispose();
   }
 
--- a/src/test/java/org/radishpost/direct/DirectRouterTest.java
+++ b/src/test/java/org/radishpost/direct/DirectRouterTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -192,6 +193,18 @@
     assertEquals(targets.sent.size(), 1);
   }
 
+  /** The connection of a large body that nobody read was never used again. */
+  @Test
+  public void bodyOfResponseThatIsNotForwardedIsCancelled() {
+    AtomicInteger cancelled = new AtomicInteger();
+    Response large =
+        FakeTargets.response(408, "proof", "1", "content-length", "10000000")
+            .withBody(Flux.<ByteBuf>never().doOnCancel(cancelled::incrementAndGet));
+    targets.setCallResponse(sameZone.address(), Mono.just(large));
+    assertEquals(write().status(), 502);
+    assertEquals(cancelled.get(), 1);
+  }
+
   @Test
   public void serverErrorOfWriteIsForwarded() {
     targets.setCallResponse(sameZone.address(), FakeTargets.authenticated(500));
