Number the entries of the soak's targets

Entries of real targets have a sequence number and a start; since an entry that was read before is not taken for a newer one.

--- a/src/test/java/org/radishpost/soak/SoakSystem.java
+++ b/src/test/java/org/radishpost/soak/SoakSystem.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.radishpost.errors.StartException;
 import org.radishpost.lib.Endpoint;
@@ -48,6 +49,7 @@
   private final List<SoakTarget> drainingTargets = new CopyOnWriteArrayList<>();
   private final List<String> crashedTargetIds = new CopyOnWriteArrayList<>();
   private final AtomicInteger configurationVersion = new AtomicInteger();
+  private final AtomicLong lastSequence = new AtomicLong();
   private int nextTargetNumber;
 
   SoakSystem(Path directory, int entryCount, Random random, RequestTracker tracker)
@@ -190,14 +192,16 @@
         WireNames.TARGET_TOPIC,
         target.id(),
         """
-        {"service":"%s","address":"%s","zone":"%s","concurrency":%d,"state":"%s"}\
+        {"service":"%s","address":"%s","zone":"%s","concurrency":%d,"state":"%s",\
+        "sequence":%d,"born":1700000000000}\
         """
             .formatted(
                 target.service(),
                 targetLinks.get(target).address(),
                 ZONES.get(Math.floorMod(target.id().hashCode(), ZONES.size())),
                 SoakTarget.SLOTS,
-                state));
+                state,
+                lastSequence.incrementAndGet()));
   }
 
   /** Closes a target and its connections, as a crash does, and then deletes its registration. */
