Share the recorder of ends and the target at an address among tests

EndRecorder stood twice, in CutResponseTest and ResetAfterEndTest; the entry of a target at the address of a server stood in both tests of probes.

--- a/src/test/java/org/radishpost/direct/EndlessProbeResponseTest.java
+++ b/src/test/java/org/radishpost/direct/EndlessProbeResponseTest.java
@@ -13,11 +13,9 @@
 import org.radishpost.http.EndlessServer;
 import org.radishpost.http.HttpSender;
 import org.radishpost.http.SenderOptions;
-import org.radishpost.lib.Place;
-import org.radishpost.placement.EntryVersion;
-import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetId;
+import org.radishpost.placement.TestTargets;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.platform.PlatformTargetProtocol;
 import org.radishpost.platform.WireNames;
@@ -70,23 +68,11 @@
     return EndlessResponses.all();
   }
 
-  private static Target target(EndlessServer server) {
-    return new Target(
-        new TargetId("t"),
-        TestCalls.SERVICE,
-        server.address(),
-        Place.of("k", "k-a"),
-        2,
-        false,
-        Duration.ZERO,
-        new EntryVersion(0, 0));
-  }
-
   @Test(dataProvider = "responses")
   public void probeWithoutEndIsEndedByLimits(EndlessResponse endless) throws Exception {
     try (EndlessServer server = new EndlessServer(endless, "")) {
       TargetDirectory directory = new TargetDirectory((code, fields) -> {});
-      directory.replaceAll(List.of(target(server)), 0);
+      directory.replaceAll(List.of(TestTargets.listeningAt(server.address())), 0);
       TrackedTarget tracked = directory.find(new TargetId("t")).orElseThrow();
       CompletableFuture<String> suspended = new CompletableFuture<>();
       LoadProber prober =
@@ -108,7 +94,9 @@
   public void checkOfProcessWithoutEndIsEndedByLimits(EndlessResponse endless) throws Exception {
     try (EndlessServer server = new EndlessServer(endless, "")) {
       CompletableFuture<TargetLiveness> result =
-          new LivenessCheck(sender, protocol, clock).of(target(server)).toFuture();
+          new LivenessCheck(sender, protocol, clock)
+              .of(TestTargets.listeningAt(server.address()))
+              .toFuture();
       assertTrue(server.awaitSentBytes() < EndlessServer.MAX_BYTES);
       while (!result.isDone()) {
         clock.advanceTimeBy(Duration.ofMillis(1));
--- a/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
+++ b/src/test/java/org/radishpost/direct/LateProbeResponseTest.java
@@ -15,11 +15,9 @@
 import org.radishpost.http.RequestHead;
 import org.radishpost.http.Response;
 import org.radishpost.http.SenderOptions;
-import org.radishpost.lib.Place;
-import org.radishpost.placement.EntryVersion;
-import org.radishpost.placement.Target;
 import org.radishpost.placement.TargetDirectory;
 import org.radishpost.placement.TargetId;
+import org.radishpost.placement.TestTargets;
 import org.radishpost.placement.TrackedTarget;
 import org.radishpost.platform.PlatformTargetProtocol;
 import org.radishpost.platform.WireNames;
@@ -33,7 +31,6 @@
 /** Tests what a late copy of the response to a probe, which has no ID, can do. */
 public class LateProbeResponseTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
-  private static final int SLOTS = 9;
 
   private final PlatformTargetProtocol protocol = new PlatformTargetProtocol(service -> "/healthz");
   private final AtomicInteger requests = new AtomicInteger();
@@ -66,21 +63,9 @@
     loops.onClient(true).next().submit(() -> {}).get();
   }
 
-  private static Target target(LateServer server) {
-    return new Target(
-        new TargetId("t"),
-        TestCalls.SERVICE,
-        server.address(),
-        Place.of("k", "k-a"),
-        SLOTS,
-        false,
-        Duration.ZERO,
-        new EntryVersion(0, 0));
-  }
-
   private static TrackedTarget track(LateServer server) {
     TargetDirectory directory = new TargetDirectory((code, fields) -> {});
-    directory.replaceAll(List.of(target(server)), 0);
+    directory.replaceAll(List.of(TestTargets.listeningAt(server.address())), 0);
     return directory.find(new TargetId("t")).orElseThrow();
   }
 
--- a/src/test/java/org/radishpost/http/CutResponseTest.java
+++ b/src/test/java/org/radishpost/http/CutResponseTest.java
@@ -5,16 +5,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -219,30 +215,6 @@
     end.accept(channel);
     channel.releaseOutbound();
     channel.close();
-    return recorder.end;
-  }
-
-  /** Records what comes first: the end of the body or an error. */
-  private static final class EndRecorder extends ChannelInboundHandlerAdapter {
-    private String end = "none";
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      if (message instanceof LastHttpContent) {
-        record("complete");
-      }
-      ReferenceCountUtil.release(message);
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      record("error");
-    }
-
-    private void record(String what) {
-      if (end.equals("none")) {
-        end = what;
-      }
-    }
+    return recorder.end();
   }
 }
--- a/src/test/java/org/radishpost/http/ResetAfterEndTest.java
+++ b/src/test/java/org/radishpost/http/ResetAfterEndTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -109,15 +108,15 @@
 
   @Test(dataProvider = "uploads")
   public void bodyIsCompleteAfterWaitWithoutReset(String name, Consumer<EmbeddedChannel> write) {
-    Events events = new Events();
-    EmbeddedChannel channel = channelAfterHalfResponse(new Transport(), events, write);
+    EndRecorder recorder = new EndRecorder();
+    EmbeddedChannel channel = channelAfterHalfResponse(new Transport(), recorder, write);
     endStream(channel);
     channel.advanceTimeBy(ResetAfterEndHandler.RESET_WAIT.toNanos() - 1, TimeUnit.NANOSECONDS);
     channel.runScheduledPendingTasks();
-    assertEquals(events.end, "none");
+    assertEquals(recorder.end(), "none");
     assertNull(channel.readOutbound());
     waitForReset(channel);
-    assertEquals(events.end, "complete");
+    assertEquals(recorder.end(), "complete");
     assertEquals(takeText(channel.readOutbound()), "\r\n");
     assertEquals(ConnectionEndHandler.endOf(channel), ResponseEnd.PEER_CLOSED);
     assertFalse(channel.isOpen());
@@ -135,16 +134,16 @@
   @Test(dataProvider = "badOutcomes")
   public void bodyIsLostIfPeerTakesNoMoreBytes(Outcome outcome, ResponseEnd end) {
     Transport transport = new Transport();
-    Events events = new Events();
+    EndRecorder recorder = new EndRecorder();
     EmbeddedChannel channel =
-        channelAfterHalfResponse(transport, events, ResetAfterEndTest::writeUpload);
+        channelAfterHalfResponse(transport, recorder, ResetAfterEndTest::writeUpload);
     final Exchange exchange = new Exchange();
     exchange.start(channel);
     final long cutBefore = counters.cut();
     transport.outcome = outcome;
     endStream(channel);
     waitForReset(channel);
-    assertEquals(events.end, "error");
+    assertEquals(recorder.end(), "error");
     assertEquals(exchange.end(), end);
     assertEquals(counters.cut(), cutBefore + 1);
     assertFalse(channel.isOpen());
@@ -169,14 +168,14 @@
 
   @Test(dataProvider = "endsDuringWait")
   public void bodyIsLostIfConnectionEndsDuringWait(String name, Consumer<EmbeddedChannel> end) {
-    Events events = new Events();
+    EndRecorder recorder = new EndRecorder();
     EmbeddedChannel channel =
-        channelAfterHalfResponse(new Transport(), events, ResetAfterEndTest::writeUpload);
+        channelAfterHalfResponse(new Transport(), recorder, ResetAfterEndTest::writeUpload);
     endStream(channel);
     end.accept(channel);
     channel.runPendingTasks();
     waitForReset(channel);
-    assertEquals(events.end, "error");
+    assertEquals(recorder.end(), "error");
     assertFalse(channel.isOpen());
     channel.releaseOutbound();
   }
@@ -189,29 +188,29 @@
 
   @Test(dataProvider = "methods")
   public void responseToRequestWithoutBodyIsNotDelayed(HttpMethod method) {
-    Events events = new Events();
+    EndRecorder recorder = new EndRecorder();
     EmbeddedChannel channel =
         channelAfterHalfResponse(
             new Transport(),
-            events,
+            recorder,
             target ->
                 target.writeOutbound(
                     withId(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"))));
     endStream(channel);
-    assertEquals(events.end, "complete");
+    assertEquals(recorder.end(), "complete");
     assertNull(channel.readOutbound());
     assertFalse(channel.isOpen());
   }
 
   private EmbeddedChannel channelAfterHalfResponse(
-      Transport transport, Events events, Consumer<EmbeddedChannel> request) {
+      Transport transport, EndRecorder recorder, Consumer<EmbeddedChannel> request) {
     EmbeddedChannel channel = new EmbeddedChannel();
     channel.freezeTime();
     channel
         .pipeline()
         .addLast(transport)
         .addLast(NettyPipeline.HttpCodec, new HttpClientCodec())
-        .addLast(events);
+        .addLast(recorder);
     ResponseHandlers.addTo(channel.pipeline(), Optional.of(ID), counters);
     request.accept(channel);
     channel.releaseOutbound();
@@ -273,28 +272,4 @@
       }
     }
   }
-
-  /** Records what comes first: the end of the body or an error. */
-  private static final class Events extends ChannelInboundHandlerAdapter {
-    private String end = "none";
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      if (message instanceof LastHttpContent) {
-        record("complete");
-      }
-      ReferenceCountUtil.release(message);
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      record("error");
-    }
-
-    private void record(String what) {
-      if (end.equals("none")) {
-        end = what;
-      }
-    }
-  }
 }
--- a/src/test/java/org/radishpost/placement/TestTargets.java
+++ b/src/test/java/org/radishpost/placement/TestTargets.java
@@ -47,11 +47,22 @@
         new EntryVersion(startedMillis, sequence));
   }
 
+  /** Returns a warm target that accepts calls at the given address. */
+  public static Target listeningAt(Endpoint address) {
+    return target("t", address, Place.of("k", "k-a"), false, Duration.ZERO);
+  }
+
   private static Target target(String id, Place place, boolean draining, Duration coldRemaining) {
+    Endpoint address = new Endpoint("10.0.0.1", 1000 + Math.floorMod(id.hashCode(), 10_000));
+    return target(id, address, place, draining, coldRemaining);
+  }
+
+  private static Target target(
+      String id, Endpoint address, Place place, boolean draining, Duration coldRemaining) {
     return new Target(
         new TargetId(id),
         new ServiceName("s"),
-        new Endpoint("10.0.0.1", 1000 + Math.floorMod(id.hashCode(), 10_000)),
+        address,
         place,
         2,
         draining,
